--- /dev/null
+++ b/crates/adapter/src/host.rs
@@ -0,0 +1,200 @@
+//! Many couriers in one process: each with its own doors and decisions. They share the numbered lists only.
+
+use meadowhold::control::Control;
+use meadowhold::door::Door;
+use meadowhold::interface::{Action, Input, Time};
+
+use crate::settings::{decode, Decoded};
+use crate::wire::{self, Address, Event, Frame, Malformed, Reply};
+
+struct Courier {
+    control: Control,
+    report: [Option<usize>; 2],
+    mails: Door<u32>,
+    endpoints: Door<Address>,
+    dests: Door<u16>,
+    keys: Door<u64>,
+    /// Earliest timer that is still to fire.
+    timer: Option<Time>,
+    inputs: Vec<Input>,
+}
+
+#[derive(Default)]
+pub struct Host {
+    couriers: Vec<Option<Courier>>,
+    lists: Vec<Vec<wire::Entry>>,
+    actions: Vec<Action>,
+    reply: Reply,
+    /// Couriers with an event in this batch, in the order of their first.
+    woken: Vec<usize>,
+}
+
+/// Bounds on what numbers may grow tables here, far above what the wire uses.
+const MOST_COURIERS: usize = 1 << 16;
+const MOST_LISTS: usize = 256;
+
+impl Host {
+    pub fn round(&mut self, frame: &Frame, out: &mut Vec<u8>) -> Result<(), Malformed> {
+        let now = wire::tenths(frame.clock_us);
+        for event in frame.events() {
+            let (instance, event) = event?;
+            self.take(instance as usize, event, now)?;
+        }
+        for i in 0..self.woken.len() {
+            let index = self.woken[i];
+            if let Some(courier) = &mut self.couriers[index] {
+                courier.decide(index as u32, now, &mut self.actions, &mut self.reply);
+            }
+        }
+        self.woken.clear();
+        self.reply.finish(frame.number, out);
+        Ok(())
+    }
+
+    fn take(&mut self, index: usize, event: Event, now: Time) -> Result<(), Malformed> {
+        if let Event::Census { number, entries } = event {
+            let number = number as usize;
+            if number >= MOST_LISTS {
+                return Err("a census has a number out of range");
+            }
+            if number >= self.lists.len() {
+                self.lists.resize_with(number + 1, Vec::new);
+            }
+            self.lists[number].clear();
+            self.lists[number].extend(wire::entries(entries));
+            return Ok(());
+        }
+        if index >= MOST_COURIERS {
+            return Err("an event has an instance number out of range");
+        }
+        if index >= self.couriers.len() {
+            self.couriers.resize_with(index + 1, || None);
+        }
+        match event {
+            Event::Hello { seed, info } => {
+                self.couriers[index] = match decode(seed, info) {
+                    Ok(decoded) => Some(Courier::new(decoded)),
+                    Err(words) => {
+                        self.reply.bail_out(index as u32, &words);
+                        None
+                    }
+                }
+            }
+            Event::Crash => self.couriers[index] = None,
+            event => {
+                let Some(courier) = &mut self.couriers[index] else { return Ok(()) };
+                courier.take(event, &self.lists, now)?;
+            }
+        }
+        if !self.woken.contains(&index) {
+            self.woken.push(index);
+        }
+        Ok(())
+    }
+}
+
+impl Courier {
+    fn new(decoded: Decoded) -> Courier {
+        Courier {
+            control: Control::new(decoded.settings),
+            report: decoded.report,
+            mails: Door::default(),
+            endpoints: Door::default(),
+            dests: Door::default(),
+            keys: Door::default(),
+            timer: None,
+            inputs: Vec::new(),
+        }
+    }
+
+    fn take(&mut self, event: Event, lists: &[Vec<wire::Entry>], now: Time) -> Result<(), Malformed> {
+        let input = match event {
+            Event::View { scope: 3, .. } => Input::ListFailed,
+            Event::View { scope, census } => {
+                let list = lists.get(census as usize).ok_or("a view names a census that never came")?;
+                self.inputs.push(Input::ListBegin { whole: scope != 0 });
+                for e in list {
+                    let endpoint = self.endpoints.enter(e.endpoint);
+                    let dest = self.dests.enter(e.dest);
+                    let (zone, kind, life, rate) = (e.zone, e.kind, e.life, e.rate);
+                    self.inputs.push(Input::Listed { endpoint, dest, zone, kind, life, rate });
+                }
+                Input::ListEnd
+            }
+            Event::Arrival { handle, dest, class, tenant, item, due } => Input::Arrived {
+                mail: self.mails.enter(handle),
+                dest: self.dests.enter(dest),
+                class,
+                tenant,
+                key: (item != 0).then(|| self.keys.enter(item)),
+                due,
+            },
+            Event::Hangup { handle } => match self.mails.find(handle) {
+                Some(mail) => Input::Hangup { mail },
+                None => return Ok(()),
+            },
+            Event::Alarm => {
+                self.timer = self.timer.filter(|&at| at > now);
+                Input::Woken
+            }
+            Event::Probed { endpoint, ok } => match self.endpoints.find(endpoint) {
+                Some(endpoint) => Input::Probed { endpoint, ok },
+                None => return Ok(()),
+            },
+            Event::Settled(s) => match self.mails.find(s.handle) {
+                Some(mail) => Input::Ended {
+                    mail,
+                    outcome: s.outcome,
+                    over: s.over,
+                    wait: s.wait,
+                    took: s.took,
+                    report: wire::report(s.report, self.report[0], self.report[1]),
+                },
+                None => return Ok(()),
+            },
+            _ => return Ok(()),
+        };
+        self.inputs.push(input);
+        Ok(())
+    }
+
+    fn decide(&mut self, instance: u32, now: Time, actions: &mut Vec<Action>, reply: &mut Reply) {
+        let wake = self.control.round(now, &self.inputs, actions);
+        self.inputs.clear();
+        for action in actions.drain(..) {
+            self.put(instance, action, reply);
+        }
+        if let Some(at) = wake.filter(|&at| self.timer.is_none_or(|set| at < set)) {
+            self.timer = Some(at);
+            reply.after(instance, at);
+        }
+    }
+
+    fn put(&mut self, instance: u32, action: Action, reply: &mut Reply) {
+        match action {
+            Action::Connect { mail, endpoint, timeout } => {
+                if let (Some(m), Some(e)) = (self.mails.outside(mail), self.endpoints.outside(endpoint)) {
+                    reply.transmit(instance, m, e, timeout);
+                }
+            }
+            Action::Defer { mail, pause } => {
+                if let Some(m) = self.mails.outside(mail) {
+                    reply.busy(instance, m, pause);
+                }
+            }
+            Action::Bounce { mail } => {
+                if let Some(m) = self.mails.outside(mail) {
+                    reply.finish_error(instance, m);
+                }
+            }
+            Action::Probe { endpoint } => {
+                if let Some(e) = self.endpoints.outside(endpoint) {
+                    reply.health_check(instance, e);
+                }
+            }
+            Action::WatchList => reply.watch(instance),
+            Action::FreeMail(mail) => self.mails.leave(mail),
+            Action::FreeKey(key) => self.keys.leave(key),
+        }
+    }
+}
--- /dev/null
+++ b/crates/adapter/src/main.rs
@@ -0,0 +1,57 @@
+//! The bench adapter: reads batches of events, lets each courier decide, writes one reply a batch.
+#![forbid(unsafe_code)]
+
+mod host;
+mod settings;
+mod wire;
+
+use std::io::{self, Read, Write};
+use std::process::ExitCode;
+
+/// Reads whole frames until the input ends between two of them.
+fn serve(mut input: impl Read, mut output: impl Write) -> Result<(), String> {
+    let mut host = host::Host::default();
+    let (mut bytes, mut reply) = (Vec::new(), Vec::new());
+    loop {
+        bytes.resize(4, 0);
+        match read_all(&mut input, &mut bytes)? {
+            0 => return Ok(()),
+            4 => {}
+            _ => return Err("the input ends inside a frame".to_string()),
+        }
+        let length = wire::frame_length(&bytes).ok_or("a frame has no length")??;
+        let rest = (&mut input).take(length as u64 - 4).read_to_end(&mut bytes);
+        if rest.map_err(|e| e.to_string())? != length - 4 {
+            return Err("the input ends inside a frame".to_string());
+        }
+        reply.clear();
+        host.round(&wire::frame(&bytes)?, &mut reply)?;
+        output.write_all(&reply).and_then(|()| output.flush()).map_err(|e| e.to_string())?;
+    }
+}
+
+fn read_all(input: &mut impl Read, bytes: &mut [u8]) -> Result<usize, String> {
+    let mut have = 0;
+    while have < bytes.len() {
+        match input.read(&mut bytes[have..]) {
+            Ok(0) => break,
+            Ok(n) => have += n,
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(e.to_string()),
+        }
+    }
+    Ok(have)
+}
+
+fn main() -> ExitCode {
+    match serve(io::stdin().lock(), io::stdout().lock()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(words) => {
+            eprintln!("meadowhold-adapter: {words}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,790 @@
+//! All decisions of a courier. Build one `Control` from `Settings`, then call `round` once a turn with the
+//! clock, that turn's inputs in order and an empty buffer for the actions; it returns when to call again.
+//! The types that go in and out are in `interface.rs`, indices come from `door.rs`; no I/O, no clock, no names.
+//! The ordinary path is the design's: a cap on each destination's calls in flight, what is over it is parked.
+
+use crate::interface::{Action, Effect, Input, Life, Outcome, Settings, Time, SECOND};
+
+/// Headroom of Little's law; the design's figure for arrivals in batches.
+const HEADROOM: f64 = 1.0 / 3.0;
+/// Deviations above the mean at which the tail of served calls is put.
+const TAIL_DEVIATIONS: f64 = 4.0;
+/// Weight of the newest served call in a latency estimate.
+const NEWEST: f64 = 0.1;
+/// The clamp's share of the slots, and that of a sick destination.
+const CLAMP: (usize, usize) = (3, 4);
+const SICK: (usize, usize) = (1, 2);
+/// Time-out in tails of the endpoint: redeliverable, tagged. A once-only connect runs as long as it may.
+const PATIENCE: [f64; 2] = [3.0, 4.0];
+/// Part of its paced share that a returning endpoint is sent.
+const RETURN_SHARE: f64 = 0.9;
+
+/// What an endpoint is held to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Standing {
+    Well,
+    /// One sign of trouble: one call at a time beside the late ones, nothing that must not run twice.
+    Doubt,
+    /// Held to be out: one trial call now and then.
+    Down,
+    /// Back and cold: a paced share that grows.
+    Returning,
+}
+
+/// What was seen of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sign {
+    /// A call was served.
+    Good,
+    /// A call was served after a gap in which an outage may have come and gone.
+    Back,
+    /// A call failed, found nobody or was not answered in time.
+    Bad,
+    /// A call has outlasted its usual latency.
+    Late,
+    /// Every call was refused for so long that no limit explains it.
+    Shut,
+    /// The time for warming up is over.
+    Warm,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    Note,
+    BackOff,
+    Ramp,
+}
+
+/// (state, input, next state, effect); a pair that is not listed changes nothing.
+const STANDINGS: [(Standing, Sign, Standing, Step); 14] = [
+    (Standing::Well, Sign::Bad, Standing::Doubt, Step::Note),
+    (Standing::Well, Sign::Late, Standing::Doubt, Step::Note),
+    (Standing::Well, Sign::Shut, Standing::Down, Step::BackOff),
+    (Standing::Doubt, Sign::Good, Standing::Well, Step::Note),
+    (Standing::Doubt, Sign::Back, Standing::Returning, Step::Ramp),
+    (Standing::Doubt, Sign::Bad, Standing::Down, Step::BackOff),
+    (Standing::Doubt, Sign::Shut, Standing::Down, Step::BackOff),
+    (Standing::Down, Sign::Good, Standing::Returning, Step::Ramp),
+    (Standing::Down, Sign::Back, Standing::Returning, Step::Ramp),
+    (Standing::Down, Sign::Bad, Standing::Down, Step::BackOff),
+    (Standing::Down, Sign::Shut, Standing::Down, Step::BackOff),
+    (Standing::Returning, Sign::Bad, Standing::Down, Step::BackOff),
+    (Standing::Returning, Sign::Shut, Standing::Down, Step::BackOff),
+    (Standing::Returning, Sign::Warm, Standing::Well, Step::Note),
+];
+
+/// Latency of served calls: mean and mean deviation.
+#[derive(Clone, Copy, Debug, Default)]
+struct Latency {
+    mean: f64,
+    deviation: f64,
+    seen: bool,
+}
+
+impl Latency {
+    fn learn(&mut self, took: f64) {
+        if !self.seen {
+            *self = Latency { mean: took, deviation: took / 2.0, seen: true };
+        }
+        self.deviation += NEWEST * ((took - self.mean).abs() - self.deviation);
+        self.mean += NEWEST * (took - self.mean);
+    }
+
+    fn tail(&self) -> f64 {
+        self.mean + TAIL_DEVIATIONS * self.deviation
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Place {
+    Free,
+    Parked,
+    Out,
+    /// Answered, with a connect whose outcome is still to come.
+    Over,
+}
+
+#[derive(Clone, Debug)]
+struct Mail {
+    place: Place,
+    dest: usize,
+    class: usize,
+    importance: f64,
+    key: Option<usize>,
+    target: Time,
+    due: Time,
+    connects: usize,
+    call: usize,
+    /// Send of the first connect that may have run, and the zone that it went to.
+    ran: Option<(Time, usize)>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Call {
+    endpoint: usize,
+    started: Time,
+    /// Mails without an outcome; 0: the place is free.
+    left: usize,
+    late: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Endpoint {
+    dest: usize,
+    zone: usize,
+    kind: usize,
+    life: Life,
+    named: bool,
+    rate: f64,
+    standing: Standing,
+    since: Time,
+    last_good: Time,
+    bad_since_good: bool,
+    /// Nothing is sent before this time: a told wait, or a back-off of our own.
+    hold_until: Time,
+    refused: u32,
+    refused_since: Option<Time>,
+    trial_at: Time,
+    trials: u32,
+    tokens: f64,
+    filled: Time,
+    out: usize,
+    late: usize,
+    latency: Latency,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Dest {
+    endpoints: Vec<usize>,
+    /// Parked mails: first connects, and further ones in a line of their own.
+    lines: [Vec<usize>; 2],
+    out: usize,
+    /// Arrivals, fading with the window.
+    arrivals: f64,
+    counted: Time,
+    grown: usize,
+    latency: Latency,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Key {
+    line: Vec<usize>,
+    rest_until: Time,
+}
+
+pub struct Control {
+    set: Settings,
+    chance: fastrand::Rng,
+    now: Time,
+    mails: Vec<Mail>,
+    calls: Vec<Call>,
+    endpoints: Vec<Option<Endpoint>>,
+    dests: Vec<Dest>,
+    keys: Vec<Key>,
+    open: usize,
+    out: usize,
+    ask_at: Option<Time>,
+    asks_failed: u32,
+    order: Vec<(f64, usize)>,
+    resting: Vec<usize>,
+}
+
+impl Control {
+    pub fn new(set: Settings) -> Control {
+        let chance = fastrand::Rng::with_seed(set.seed);
+        Control {
+            chance,
+            now: 0,
+            mails: Vec::with_capacity(set.room.min(1 << 16)),
+            calls: vec![Call::default(); set.slots.min(1 << 16)],
+            endpoints: Vec::new(),
+            dests: Vec::new(),
+            keys: Vec::new(),
+            open: 0,
+            out: 0,
+            ask_at: set.ask_list.then_some(0),
+            asks_failed: 0,
+            order: Vec::new(),
+            resting: Vec::new(),
+            set,
+        }
+    }
+
+    /// One turn: read all inputs, then decide. Returns when the next turn is wanted at the latest.
+    pub fn round(&mut self, now: Time, inputs: &[Input], out: &mut Vec<Action>) -> Option<Time> {
+        self.now = now;
+        for input in inputs {
+            self.read(input, out);
+        }
+        self.watch_calls();
+        if self.ask_at.is_some_and(|at| at <= now) {
+            out.push(Action::WatchList);
+            self.ask_at = None;
+        }
+        self.give_up_hopeless(out);
+        self.dispatch(out);
+        self.rest_keys(out);
+        let busy = self.open > 0 || self.out > 0 || !self.resting.is_empty();
+        let tick = busy.then_some(now + 2 * self.set.resolution.max(SECOND / 1000));
+        tick.into_iter().chain(self.ask_at).min()
+    }
+
+    fn read(&mut self, input: &Input, out: &mut Vec<Action>) {
+        match *input {
+            Input::ListBegin { whole } => {
+                self.asks_failed = 0;
+                for e in self.endpoints.iter_mut().flatten().filter(|_| whole) {
+                    e.named = false;
+                }
+            }
+            Input::Listed { endpoint, dest, zone, kind, life, rate } => {
+                self.list(endpoint, dest, zone, kind, life, rate);
+            }
+            Input::ListEnd => {
+                for e in self.endpoints.iter_mut().flatten().filter(|e| !e.named) {
+                    e.life = Life::Gone;
+                }
+            }
+            Input::ListFailed => {
+                self.asks_failed = (self.asks_failed + 1).min(4);
+                self.ask_at = Some(self.now + ((self.set.ask_within / 32) << self.asks_failed));
+            }
+            Input::Arrived { mail, dest, class, key, due, .. } => self.arrive(mail, dest, class, key, due),
+            Input::Hangup { mail } => {
+                if self.mails.get(mail).is_some_and(|m| matches!(m.place, Place::Parked | Place::Out)) {
+                    self.end(mail, out);
+                }
+            }
+            Input::Ended { mail, outcome, over, wait, took, .. } => {
+                let wait = if outcome == Outcome::Refused { wait } else { 0 };
+                if self.mails.get(mail).is_some_and(|m| matches!(m.place, Place::Out | Place::Over)) {
+                    self.settle(mail, outcome, over, wait, took, out);
+                }
+            }
+            Input::Probed { .. } | Input::Woken => {}
+        }
+    }
+
+    fn list(&mut self, endpoint: usize, dest: usize, zone: usize, kind: usize, life: Life, rate: f64) {
+        grow(&mut self.endpoints, endpoint, || None);
+        grow(&mut self.dests, dest, Dest::default);
+        let now = self.now;
+        let rate = if self.set.rates_listed && rate > 0.0 { rate } else { 0.0 };
+        let kind = kind.min(self.set.kinds.len() - 1);
+        if let Some(e) = &mut self.endpoints[endpoint] {
+            (e.life, e.named, e.rate) = (life, true, rate);
+            return;
+        }
+        // A newcomer shares the wait that its destination was told.
+        let waits = self.dests[dest].endpoints.iter().filter_map(|&e| self.endpoints[e].as_ref());
+        let hold_until =
+            waits.map(|e| e.hold_until).max().filter(|_| !self.set.kinds[kind].apart).unwrap_or(0);
+        self.dests[dest].endpoints.push(endpoint);
+        self.endpoints[endpoint] = Some(Endpoint {
+            dest,
+            zone,
+            kind,
+            life,
+            named: true,
+            rate,
+            standing: Standing::Well,
+            since: now,
+            last_good: now,
+            bad_since_good: false,
+            hold_until,
+            refused: 0,
+            refused_since: None,
+            trial_at: 0,
+            trials: 0,
+            tokens: 0.0,
+            filled: now,
+            out: 0,
+            late: 0,
+            latency: Latency::default(),
+        });
+    }
+
+    fn arrive(&mut self, mail: usize, dest: usize, class: usize, key: Option<usize>, due: Time) {
+        let class = class.min(self.set.classes.len() - 1);
+        let c = &self.set.classes[class];
+        let first = due.saturating_sub(c.lifetime);
+        let (target, importance) = (first + c.target, c.importance);
+        if let Some(key) = key {
+            grow(&mut self.keys, key, Key::default);
+            if !c.in_turn && self.keys[key].line.is_empty() && !self.resting.contains(&key) {
+                self.resting.push(key);
+            }
+        }
+        let key = key.filter(|_| c.in_turn);
+        let blank = Mail {
+            place: Place::Free,
+            dest,
+            class,
+            importance,
+            key,
+            target,
+            due,
+            connects: 0,
+            call: 0,
+            ran: None,
+        };
+        grow(&mut self.mails, mail, || Mail { place: Place::Free, ..blank.clone() });
+        self.mails[mail] = Mail { place: Place::Parked, ..blank };
+        if let Some(key) = key {
+            self.keys[key].line.push(mail);
+        }
+        grow(&mut self.dests, dest, Dest::default);
+        self.dests[dest].count(self.now, 1.0);
+        self.dests[dest].lines[0].push(mail);
+        self.open += 1;
+    }
+
+    /// Whether a mail may be connected once more, and whether it may be deferred. Nothing else decides it.
+    fn may(&self, m: &Mail) -> (bool, bool) {
+        let c = &self.set.classes[m.class];
+        let left = m.connects < self.set.max_connects && self.now < m.due;
+        match (m.ran, c.effect) {
+            (None, _) | (_, Effect::Redeliverable) => (left, true),
+            (Some((sent, _)), Effect::Tagged) => (left && self.now < sent + c.window, !c.by_zone),
+            (Some(_), Effect::OnceOnly) => (false, false),
+        }
+    }
+
+    /// The final answer of a mail that is given up, at once.
+    fn give_up(&mut self, mail: usize, out: &mut Vec<Action>) {
+        let (_, deferrable) = self.may(&self.mails[mail]);
+        let pause = self.set.max_pause.min(self.mails[mail].due.saturating_sub(self.now));
+        out.push(if deferrable { Action::Defer { mail, pause } } else { Action::Bounce { mail } });
+        self.end(mail, out);
+    }
+
+    /// A mail is over: it leaves the lines, and its place when no connect of it is out.
+    fn end(&mut self, mail: usize, out: &mut Vec<Action>) {
+        let m = &mut self.mails[mail];
+        self.open -= usize::from(m.place != Place::Over);
+        if m.place == Place::Out {
+            m.place = Place::Over;
+            return;
+        }
+        for line in &mut self.dests[m.dest].lines {
+            line.retain(|&parked| parked != mail);
+        }
+        m.place = Place::Free;
+        if let Some(key) = m.key {
+            self.keys[key].line.retain(|&queued| queued != mail);
+            if self.keys[key].line.is_empty() && !self.resting.contains(&key) {
+                self.resting.push(key);
+            }
+        }
+        out.push(Action::FreeMail(mail));
+    }
+
+    /// A connect has its outcome: the slot returns, the endpoint is judged, the mail goes on or ends.
+    fn settle(
+        &mut self,
+        mail: usize,
+        outcome: Outcome,
+        over: bool,
+        wait: Time,
+        took: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let now = self.now;
+        let m = &self.mails[mail];
+        let (index, dest, was_over) = (m.call, m.dest, m.place == Place::Over);
+        let call = &mut self.calls[index];
+        let (endpoint, started) = (call.endpoint, call.started);
+        call.left -= 1;
+        let last = call.left == 0;
+        // Guards against a wait told to one mail of a call only.
+        self.share(endpoint, |e| e.hold_until = e.hold_until.max(now + wait));
+        let call = &mut self.calls[index];
+        if last {
+            self.out -= 1;
+            let late = usize::from(call.late);
+            self.dests[dest].out -= 1;
+            if let Some(e) = &mut self.endpoints[endpoint] {
+                e.out -= 1;
+                e.late -= late;
+            }
+            self.judge(endpoint, outcome, wait, took);
+        }
+        let m = &mut self.mails[mail];
+        let proven = matches!(outcome, Outcome::Refused | Outcome::Unreached | Outcome::Unsent);
+        if !proven && m.ran.is_none() {
+            let zone = self.endpoints[endpoint].as_ref().map_or(0, |e| e.zone);
+            m.ran = Some((started, zone));
+        }
+        if let Some(key) =
+            m.key.filter(|_| matches!(outcome, Outcome::Silent | Outcome::Broken | Outcome::CalledOff))
+        {
+            self.keys[key].rest_until = self.keys[key].rest_until.max(now + self.set.turn_gap);
+        }
+        m.place = Place::Parked;
+        if over || was_over {
+            self.open += usize::from(was_over);
+            self.end(mail, out);
+        } else if self.may(&self.mails[mail]).0 {
+            self.dests[dest].lines[1].push(mail);
+        } else {
+            self.give_up(mail, out);
+        }
+    }
+
+    /// What one call's outcome says of its endpoint, and of those that share its limit.
+    fn judge(&mut self, endpoint: usize, outcome: Outcome, wait: Time, took: Time) {
+        let now = self.now;
+        let Some(e) = &mut self.endpoints[endpoint] else { return };
+        let dest = e.dest;
+        match outcome {
+            Outcome::Relayed => {
+                let gap = e.bad_since_good && now > e.last_good + self.set.overload_for;
+                (e.last_good, e.bad_since_good) = (now, false);
+                e.latency.learn(took as f64);
+                let d = &mut self.dests[dest];
+                d.latency.learn(took as f64);
+                d.grown = if d.waiting() > 0 { d.grown + 1 } else { 0 };
+                self.share(endpoint, |e| (e.refused, e.refused_since) = (0, None));
+                self.sign(endpoint, if gap { Sign::Back } else { Sign::Good });
+            }
+            Outcome::Refused => {
+                let (sustained, base) = (self.set.overload_for, e.latency.mean.max(1.0));
+                let until = now + if wait > 0 { wait } else { (base as Time) << e.refused.min(4) };
+                let since = *e.refused_since.get_or_insert(now);
+                e.bad_since_good = true;
+                self.share(endpoint, |e| {
+                    e.refused += 1;
+                    e.refused_since.get_or_insert(now);
+                    e.hold_until = e.hold_until.max(until);
+                });
+                if now > since + sustained {
+                    self.sign(endpoint, Sign::Shut);
+                }
+            }
+            Outcome::Error | Outcome::Silent | Outcome::Unreached | Outcome::Broken => {
+                e.bad_since_good = true;
+                self.sign(endpoint, Sign::Bad);
+            }
+            Outcome::CalledOff | Outcome::Unsent => {}
+        }
+    }
+
+    /// Applies `change` to every endpoint that shares its limit with this one.
+    fn share(&mut self, endpoint: usize, mut change: impl FnMut(&mut Endpoint)) {
+        let Some(e) = &mut self.endpoints[endpoint] else { return };
+        if self.set.kinds[e.kind].apart {
+            return change(e);
+        }
+        for &sibling in &self.dests[e.dest].endpoints {
+            if let Some(e) = &mut self.endpoints[sibling] {
+                change(e);
+            }
+        }
+    }
+
+    /// The loop that reads the table of standings.
+    fn sign(&mut self, endpoint: usize, sign: Sign) {
+        let now = self.now;
+        let Some(e) = &mut self.endpoints[endpoint] else { return };
+        let Some(&(_, _, next, step)) = STANDINGS.iter().find(|row| row.0 == e.standing && row.1 == sign)
+        else {
+            return;
+        };
+        if next != e.standing {
+            (e.standing, e.since) = (next, now);
+        }
+        match step {
+            Step::Note => e.trials = 0,
+            Step::BackOff => {
+                // Doubling from a quarter of the time to make a connection, up to a share of the warm-up.
+                let pause = (self.set.connect_timeout / 4) << e.trials.min(5);
+                e.trial_at = now + pause.min(self.set.cold / 6).max(1);
+                e.trials += 1;
+            }
+            Step::Ramp => (e.tokens, e.filled, e.trials) = (1.0, now, 0),
+        }
+    }
+
+    /// Calls that outlast their usual latency, and endpoints that have had their time to warm up.
+    fn watch_calls(&mut self) {
+        for i in 0..self.calls.len() {
+            let c = &self.calls[i];
+            if c.left == 0 || c.late {
+                continue;
+            }
+            let (endpoint, age) = (c.endpoint, (self.now - c.started) as f64);
+            if age > self.tail(endpoint) {
+                self.calls[i].late = true;
+                if let Some(e) = &mut self.endpoints[endpoint] {
+                    e.late += 1;
+                }
+                self.sign(endpoint, Sign::Late);
+            }
+        }
+        for i in 0..self.endpoints.len() {
+            let Some(e) = &self.endpoints[i] else { continue };
+            if e.standing == Standing::Returning && self.now > e.since + self.set.cold {
+                self.sign(i, Sign::Warm);
+            }
+        }
+    }
+
+    /// Tail latency at an endpoint, or what is nearest to it while it is unmeasured.
+    fn tail(&self, endpoint: usize) -> f64 {
+        let Some(e) = &self.endpoints[endpoint] else { return SECOND as f64 };
+        let d = &self.dests[e.dest].latency;
+        match (e.latency.seen, d.seen) {
+            (true, _) => e.latency.tail(),
+            (_, true) => d.tail(),
+            _ => self.set.classes.iter().map(|c| c.target).min().unwrap_or(SECOND) as f64,
+        }
+    }
+
+    /// The design's cap on a destination's calls in flight.
+    fn cap(&self, dest: usize) -> usize {
+        let d = &self.dests[dest];
+        let clamp = (self.set.slots * CLAMP.0 / CLAMP.1).max(1);
+        let sick = (self.set.slots * SICK.0 / SICK.1).max(1);
+        let little = (d.rate(self.now) * d.latency.tail() / SECOND as f64 * (1.0 + HEADROOM)).ceil() as usize;
+        let cap = if d.latency.seen { (little + d.grown).clamp(1, clamp) } else { clamp };
+        if self.sick(dest) {
+            cap.min(sick)
+        } else {
+            cap
+        }
+    }
+
+    fn sick(&self, dest: usize) -> bool {
+        let mut all = self.dests[dest].endpoints.iter().filter_map(|&e| self.endpoints[e].as_ref());
+        all.any(|e| e.life == Life::Ready && (e.standing != Standing::Well || e.late > 0))
+    }
+
+    /// Mails whose time is nearly up are answered while the answer still counts.
+    fn give_up_hopeless(&mut self, out: &mut Vec<Action>) {
+        let margin = 3 * self.set.resolution;
+        for mail in 0..self.mails.len() {
+            let m = &self.mails[mail];
+            if m.place == Place::Parked && (self.now + margin >= m.due || !self.may(m).0) {
+                self.give_up(mail, out);
+            }
+        }
+        // A full room would turn mails away unseen: what is worth least makes way.
+        while self.open * 20 > self.set.room * 19 {
+            let parked = (0..self.mails.len()).filter(|&i| self.mails[i].place == Place::Parked);
+            let Some(least) = parked.min_by(|&a, &b| self.urgency(a).total_cmp(&self.urgency(b))) else {
+                return;
+            };
+            self.give_up(least, out);
+        }
+    }
+
+    /// What waiting costs: the importance lost a second, felt as the target delay or the end comes near.
+    fn urgency(&self, mail: usize) -> f64 {
+        let m = &self.mails[mail];
+        let c = &self.set.classes[m.class];
+        let seconds = |t: Time| t as f64 / SECOND as f64;
+        let scale = seconds(c.target.max(1));
+        let late = seconds(self.now.saturating_sub(m.target)) / scale;
+        let left = if self.set.by_half {
+            0.5f64.powf(late).max(c.late_worth)
+        } else {
+            let span = seconds(c.lifetime.saturating_sub(c.target).max(1)) / scale;
+            1.0 - (1.0 - c.late_worth) * (late / span).min(1.0)
+        };
+        let slope = if self.set.by_half {
+            std::f64::consts::LN_2 * left / scale
+        } else {
+            (1.0 - c.late_worth) / seconds(c.lifetime.saturating_sub(c.target).max(1))
+        };
+        let near = |end: Time| (-seconds(end.saturating_sub(self.now)) / scale).exp();
+        m.importance * (slope * near(m.target) + left / scale * near(m.due))
+    }
+
+    /// Offers parked mails to their destinations, most urgent destination first.
+    fn dispatch(&mut self, out: &mut Vec<Action>) {
+        let mut order = std::mem::take(&mut self.order);
+        order.clear();
+        for (dest, d) in self.dests.iter().enumerate().filter(|(_, d)| d.waiting() > 0) {
+            let top = d.lines.iter().flatten().map(|&m| self.urgency(m)).fold(0.0, f64::max);
+            order.push((top, dest));
+        }
+        order.sort_by(|a, b| b.0.total_cmp(&a.0));
+        for &(_, dest) in &order {
+            while self.out < self.set.slots && self.dests[dest].out < self.cap(dest) {
+                if !self.connect(dest, out) {
+                    break;
+                }
+            }
+        }
+        self.order = order;
+    }
+
+    /// Sends one call to one endpoint of the destination, if one is free for it.
+    fn connect(&mut self, dest: usize, out: &mut Vec<Action>) -> bool {
+        let Some(endpoint) = self.pick(dest) else { return false };
+        let Some(e) = &self.endpoints[endpoint] else { return false };
+        let batch = if e.standing == Standing::Well { self.set.kinds[e.kind].batch } else { 1 };
+        let Some(index) = self.calls.iter().position(|c| c.left == 0) else { return false };
+        let mut sent = 0;
+        while sent < batch {
+            let Some((line, at)) = self.next(dest, endpoint) else { break };
+            let mail = self.dests[dest].lines[line].swap_remove(at);
+            let timeout = self.timeout(mail, endpoint);
+            let m = &mut self.mails[mail];
+            (m.place, m.call) = (Place::Out, index);
+            m.connects += 1;
+            out.push(Action::Connect { mail, endpoint, timeout });
+            sent += 1;
+        }
+        if sent == 0 {
+            return false;
+        }
+        self.calls[index] = Call { endpoint, started: self.now, left: sent, late: false };
+        self.out += 1;
+        self.dests[dest].out += 1;
+        if let Some(e) = &mut self.endpoints[endpoint] {
+            e.out += 1;
+            e.tokens -= 1.0;
+        }
+        true
+    }
+
+    /// The most urgent mail that this endpoint may get; further connects only when no first one waits.
+    fn next(&self, dest: usize, endpoint: usize) -> Option<(usize, usize)> {
+        let e = self.endpoints[endpoint].as_ref()?;
+        let risky = matches!(e.standing, Standing::Doubt | Standing::Down);
+        (0..2).find_map(|line| {
+            let fit = self.dests[dest].lines[line].iter().enumerate().filter(|&(_, &mail)| {
+                let m = &self.mails[mail];
+                let c = &self.set.classes[m.class];
+                !(risky && c.effect == Effect::OnceOnly)
+                    && m.ran.is_none_or(|(_, zone)| !c.by_zone || zone == e.zone)
+                    && m.key.is_none_or(|key| {
+                        let k = &self.keys[key];
+                        k.line.first() == Some(&mail) && (m.connects > 0 || self.now >= k.rest_until)
+                    })
+            });
+            fit.max_by(|a, b| self.urgency(*a.1).total_cmp(&self.urgency(*b.1))).map(|(at, _)| (line, at))
+        })
+    }
+
+    fn timeout(&self, mail: usize, endpoint: usize) -> Time {
+        let m = &self.mails[mail];
+        let left = m.due.saturating_sub(self.now).max(1);
+        let patience = match self.set.classes[m.class].effect {
+            Effect::Redeliverable => PATIENCE[0],
+            Effect::Tagged => PATIENCE[1],
+            Effect::OnceOnly => return left,
+        };
+        let own = (self.tail(endpoint) * patience * (1.0 + m.connects as f64)) as Time;
+        own.max(4 * self.set.resolution).min(left)
+    }
+
+    /// Two of the free endpoints at random, the one that our own counts favour; a trial comes first.
+    fn pick(&mut self, dest: usize) -> Option<usize> {
+        let (mut pair, mut seen) = ([None, None], 0);
+        for i in 0..self.dests[dest].endpoints.len() {
+            let endpoint = self.dests[dest].endpoints[i];
+            if !self.free(endpoint) {
+                continue;
+            }
+            if self.endpoints[endpoint].as_ref().is_some_and(|e| e.standing == Standing::Down) {
+                return Some(endpoint);
+            }
+            seen += 1;
+            // Keeps two of those seen so far, each pair as likely as any other.
+            match seen {
+                1 | 2 => pair[seen - 1] = Some(endpoint),
+                _ => {
+                    let place = self.chance.usize(..seen);
+                    if place < 2 {
+                        pair[place] = Some(endpoint);
+                    }
+                }
+            }
+        }
+        pair.into_iter().flatten().min_by(|&a, &b| self.cost(a).total_cmp(&self.cost(b)))
+    }
+
+    /// Expected time at an endpoint by this courier's own counts.
+    fn cost(&self, endpoint: usize) -> f64 {
+        let Some(e) = &self.endpoints[endpoint] else { return f64::MAX };
+        let doubt = if e.standing == Standing::Doubt { self.tail(endpoint) } else { 0.0 };
+        let mean = if e.latency.seen { e.latency.mean } else { self.dests[e.dest].latency.mean };
+        mean * (1 + e.out) as f64 + doubt
+    }
+
+    /// Whether an endpoint may be sent a call now. Refills the paced share of one that returns.
+    fn free(&mut self, endpoint: usize) -> bool {
+        let share = self.paced_share(endpoint);
+        let Some(e) = &mut self.endpoints[endpoint] else { return false };
+        if e.life != Life::Ready || self.now < e.hold_until {
+            return false;
+        }
+        match e.standing {
+            Standing::Well => true,
+            Standing::Doubt => e.out <= e.late,
+            Standing::Down => e.out <= e.late && self.now >= e.trial_at,
+            Standing::Returning => {
+                let gone = (self.now - e.filled) as f64 / SECOND as f64;
+                (e.tokens, e.filled) = ((e.tokens + gone * share).min(2.0), self.now);
+                e.tokens >= 1.0
+            }
+        }
+    }
+
+    /// Calls a second that this courier may send a returning endpoint, so that the rule holds by its conduct
+    /// alone: its even part of what the endpoint can take, as cold as the settings allow.
+    fn paced_share(&self, endpoint: usize) -> f64 {
+        let Some(e) = &self.endpoints[endpoint] else { return 0.0 };
+        let d = &self.dests[e.dest];
+        let apart = self.set.kinds[e.kind].apart;
+        let ends = d.endpoints.len().max(1) as f64;
+        let whole = if e.rate > 0.0 {
+            e.rate / self.set.couriers as f64 / if apart { 1.0 } else { ends }
+        } else {
+            d.rate(self.now) / ends
+        };
+        let warm = (self.now - e.since) as f64 / self.set.cold.max(1) as f64;
+        let warmth = self.set.cold_from + (1.0 - self.set.cold_from) * warm.min(1.0);
+        (whole * warmth * RETURN_SHARE * self.set.tip_multiple.min(2.0) / 2.0).max(0.1)
+    }
+
+    /// Keys whose mails are all over are given back when their rest is over.
+    fn rest_keys(&mut self, out: &mut Vec<Action>) {
+        let (keys, now) = (&mut self.keys, self.now);
+        self.resting.retain(|&key| {
+            let done = keys[key].line.is_empty() && now >= keys[key].rest_until;
+            if done {
+                out.push(Action::FreeKey(key));
+            }
+            !done && keys[key].line.is_empty()
+        });
+    }
+}
+
+impl Dest {
+    fn waiting(&self) -> usize {
+        self.lines[0].len() + self.lines[1].len()
+    }
+
+    /// Arrivals fade over a window of about two seconds, so that a quiet destination's cap ages with them.
+    fn faded(&self, now: Time) -> f64 {
+        self.arrivals * (-((now - self.counted) as f64) / (2 * SECOND) as f64).exp()
+    }
+
+    fn count(&mut self, now: Time, mails: f64) {
+        (self.arrivals, self.counted) = (self.faded(now) + mails, now);
+    }
+
+    /// Arriving mails a second, held ones included.
+    fn rate(&self, now: Time) -> f64 {
+        self.faded(now) / 2.0 + self.waiting() as f64 / 2.0
+    }
+}
+
+fn grow<T>(list: &mut Vec<T>, index: usize, blank: impl FnMut() -> T) {
+    if index >= list.len() {
+        list.resize_with(index + 1, blank);
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,177 @@
+//! What goes into the decisions and what comes out: plain types, nothing of any protocol.
+//! Times are whole tenths of a millisecond on the caller's clock; indices come from `door`.
+
+pub type Time = u64;
+/// Tenths of a millisecond in a second.
+pub const SECOND: Time = 10_000;
+
+/// What a repeat of a mail would do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Redeliverable,
+    Tagged,
+    OnceOnly,
+}
+
+#[derive(Clone, Debug)]
+pub struct QueueClass {
+    pub effect: Effect,
+    /// Tagged: only endpoints in the zone of the first connect drop a repeat.
+    pub by_zone: bool,
+    /// Tagged: for how long a repeat is dropped, from the send of the first connect that may have run.
+    pub window: Time,
+    pub target: Time,
+    pub lifetime: Time,
+    pub importance: f64,
+    /// Share of the importance that is left at the end of the lifetime.
+    pub late_worth: f64,
+    pub in_turn: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Kind {
+    /// Mails in one call at most.
+    pub batch: usize,
+    /// Its endpoints are routes apart: each with its own limit, waits and outages.
+    pub apart: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Tenant {
+    /// Mails a second within its share, all couriers together.
+    pub quota: f64,
+}
+
+/// Read once, at the start of a courier.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub seed: u64,
+    pub couriers: usize,
+    pub slots: usize,
+    pub room: usize,
+    pub max_connects: usize,
+    pub resolution: Time,
+    pub connect_timeout: Time,
+    pub keepalive: Time,
+    /// Longest time to come back that a client heeds; 0 where none can be named.
+    pub max_pause: Time,
+    pub second_copies: bool,
+    pub may_probe: bool,
+    /// The list must be asked for.
+    pub ask_list: bool,
+    pub ask_within: Time,
+    pub cold_from: f64,
+    pub cold: Time,
+    pub tip_multiple: f64,
+    pub overload_for: Time,
+    pub turn_gap: Time,
+    pub over_share_worth: f64,
+    /// Late importance halves with each further target delay; else it falls evenly.
+    pub by_half: bool,
+    pub rates_listed: bool,
+    /// Fee of a connect by the zone of a route apart.
+    pub fees: Vec<f64>,
+    pub price_connection: f64,
+    pub price_refused: f64,
+    pub price_waste: f64,
+    pub kinds: Vec<Kind>,
+    pub classes: Vec<QueueClass>,
+    pub tenants: Vec<Tenant>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Life {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// How a connect ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Relayed,
+    Error,
+    Refused,
+    Silent,
+    Unreached,
+    Broken,
+    CalledOff,
+    Unsent,
+}
+
+/// What a destination told of its limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Report {
+    pub left: f64,
+    pub limit: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// Entries follow; `whole`: what they don't name until `ListEnd` is gone.
+    ListBegin {
+        whole: bool,
+    },
+    Listed {
+        endpoint: usize,
+        dest: usize,
+        zone: usize,
+        kind: usize,
+        life: Life,
+        rate: f64,
+    },
+    ListEnd,
+    ListFailed,
+    Arrived {
+        mail: usize,
+        dest: usize,
+        class: usize,
+        tenant: usize,
+        key: Option<usize>,
+        due: Time,
+    },
+    /// The client is gone: nothing more is owed.
+    Hangup {
+        mail: usize,
+    },
+    /// `over`: the mail has its final answer. `wait`: how long the destination wants to be left alone.
+    Ended {
+        mail: usize,
+        outcome: Outcome,
+        over: bool,
+        wait: Time,
+        took: Time,
+        report: Option<Report>,
+    },
+    Probed {
+        endpoint: usize,
+        ok: bool,
+    },
+    Woken,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Action {
+    /// Connects of one round to one endpoint travel as one call, up to the kind's batch.
+    Connect {
+        mail: usize,
+        endpoint: usize,
+        timeout: Time,
+    },
+    /// Final: handed back, with a time to come back (0: none named).
+    Defer {
+        mail: usize,
+        pause: Time,
+    },
+    /// Final: given up, with no promise.
+    Bounce {
+        mail: usize,
+    },
+    Probe {
+        endpoint: usize,
+    },
+    WatchList,
+    /// Nothing more will be said of this index: it may be reused.
+    FreeMail(usize),
+    FreeKey(usize),
+}
