A late call is a sign of trouble only if nothing was served since it was sent

Cause: on slow destinations every long call put its endpoint in doubt, which throttles it to one call beside the late ones. A hang is silence, a long call among served ones is not. Limits and waits now live in a unit of their own (destination, or route apart). Harm: a partial hang that still serves some calls is seen only by its time-outs.

--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -10,6 +10,8 @@
 struct Courier {
     control: Control,
     report: [Option<usize>; 2],
+    /// Queue classes that keep their order; a key on any other mail says nothing.
+    in_turn: Vec<bool>,
     mails: Door<u32>,
     endpoints: Door<Address>,
     dests: Door<u16>,
@@ -96,6 +98,7 @@
 impl Courier {
     fn new(decoded: Decoded) -> Courier {
         Courier {
+            in_turn: decoded.settings.classes.iter().map(|c| c.in_turn).collect(),
             control: Control::new(decoded.settings),
             report: decoded.report,
             mails: Door::default(),
@@ -126,7 +129,7 @@
                 dest: self.dests.enter(dest),
                 class,
                 tenant,
-                key: (item != 0).then(|| self.keys.enter(item)),
+                key: (item != 0 && self.in_turn.get(class) == Some(&true)).then(|| self.keys.enter(item)),
                 due,
             },
             Event::Hangup { handle } => match self.mails.find(handle) {
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,6 +1,6 @@
 //! All decisions of a courier. Build one `Control` from `Settings`, then call `round` once a turn with the
 //! clock, that turn's inputs in order and an empty buffer for the actions; it returns when to call again.
-//! The types that go in and out are in `interface.rs`, indices come from `door.rs`; no I/O, no clock, no names.
+//! What goes in and out is in `interface.rs`, indices come from `door.rs`; no I/O, no clock, no names.
 //! The ordinary path is the design's: a cap on each destination's calls in flight, what is over it is parked.
 
 use crate::interface::{Action, Effect, Input, Life, Outcome, Settings, Time, SECOND};
@@ -20,8 +20,9 @@
 const RETURN_SHARE: f64 = 0.9;
 
 /// What an endpoint is held to be.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Standing {
+    #[default]
     Well,
     /// One sign of trouble: one call at a time beside the late ones, nothing that must not run twice.
     Doubt,
@@ -95,8 +96,9 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Place {
+    #[default]
     Free,
     Parked,
     Out,
@@ -104,7 +106,7 @@
     Over,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Mail {
     place: Place,
     dest: usize,
@@ -128,9 +130,21 @@
     late: bool,
 }
 
-#[derive(Clone, Debug)]
+/// What is limited and waits on its own: a destination, or an endpoint that is a route apart.
+#[derive(Clone, Debug, Default)]
+struct Unit {
+    /// Nothing is sent before this time: a told wait, or a back-off of our own.
+    hold_until: Time,
+    /// Refusals since the last served call, and when they began.
+    refused: u32,
+    refused_since: Time,
+}
+
+#[derive(Clone, Debug, Default)]
 struct Endpoint {
+    known: bool,
     dest: usize,
+    unit: usize,
     zone: usize,
     kind: usize,
     life: Life,
@@ -140,10 +154,6 @@
     since: Time,
     last_good: Time,
     bad_since_good: bool,
-    /// Nothing is sent before this time: a told wait, or a back-off of our own.
-    hold_until: Time,
-    refused: u32,
-    refused_since: Option<Time>,
     trial_at: Time,
     trials: u32,
     tokens: f64,
@@ -178,7 +188,8 @@
     now: Time,
     mails: Vec<Mail>,
     calls: Vec<Call>,
-    endpoints: Vec<Option<Endpoint>>,
+    endpoints: Vec<Endpoint>,
+    units: Vec<Unit>,
     dests: Vec<Dest>,
     keys: Vec<Key>,
     open: usize,
@@ -198,6 +209,7 @@
             mails: Vec::with_capacity(set.room.min(1 << 16)),
             calls: vec![Call::default(); set.slots.min(1 << 16)],
             endpoints: Vec::new(),
+            units: Vec::new(),
             dests: Vec::new(),
             keys: Vec::new(),
             open: 0,
@@ -233,7 +245,7 @@
         match *input {
             Input::ListBegin { whole } => {
                 self.asks_failed = 0;
-                for e in self.endpoints.iter_mut().flatten().filter(|_| whole) {
+                for e in self.endpoints.iter_mut().filter(|_| whole) {
                     e.named = false;
                 }
             }
@@ -241,7 +253,7 @@
                 self.list(endpoint, dest, zone, kind, life, rate);
             }
             Input::ListEnd => {
-                for e in self.endpoints.iter_mut().flatten().filter(|e| !e.named) {
+                for e in self.endpoints.iter_mut().filter(|e| !e.named) {
                     e.life = Life::Gone;
                 }
             }
@@ -266,74 +278,38 @@
     }
 
     fn list(&mut self, endpoint: usize, dest: usize, zone: usize, kind: usize, life: Life, rate: f64) {
-        grow(&mut self.endpoints, endpoint, || None);
-        grow(&mut self.dests, dest, Dest::default);
-        let now = self.now;
-        let rate = if self.set.rates_listed && rate > 0.0 { rate } else { 0.0 };
-        let kind = kind.min(self.set.kinds.len() - 1);
-        if let Some(e) = &mut self.endpoints[endpoint] {
-            (e.life, e.named, e.rate) = (life, true, rate);
-            return;
+        grow(&mut self.endpoints, endpoint);
+        grow(&mut self.dests, dest);
+        let (now, kind) = (self.now, kind.min(self.set.kinds.len() - 1));
+        let e = &mut self.endpoints[endpoint];
+        if !e.known {
+            // A newcomer shares its destination's waits, unless routes are apart.
+            let sibling = self.dests[dest].endpoints.first().filter(|_| !self.set.kinds[kind].apart);
+            let unit = sibling.map_or(self.units.len(), |&s| self.endpoints[s].unit);
+            grow(&mut self.units, unit);
+            self.dests[dest].endpoints.push(endpoint);
+            let fresh =
+                Endpoint { known: true, dest, unit, zone, kind, last_good: now, ..Endpoint::default() };
+            self.endpoints[endpoint] = fresh;
         }
-        // A newcomer shares the wait that its destination was told.
-        let waits = self.dests[dest].endpoints.iter().filter_map(|&e| self.endpoints[e].as_ref());
-        let hold_until =
-            waits.map(|e| e.hold_until).max().filter(|_| !self.set.kinds[kind].apart).unwrap_or(0);
-        self.dests[dest].endpoints.push(endpoint);
-        self.endpoints[endpoint] = Some(Endpoint {
-            dest,
-            zone,
-            kind,
-            life,
-            named: true,
-            rate,
-            standing: Standing::Well,
-            since: now,
-            last_good: now,
-            bad_since_good: false,
-            hold_until,
-            refused: 0,
-            refused_since: None,
-            trial_at: 0,
-            trials: 0,
-            tokens: 0.0,
-            filled: now,
-            out: 0,
-            late: 0,
-            latency: Latency::default(),
-        });
+        let rate = if self.set.rates_listed && rate > 0.0 { rate } else { 0.0 };
+        let e = &mut self.endpoints[endpoint];
+        (e.life, e.named, e.rate) = (life, true, rate);
     }
 
     fn arrive(&mut self, mail: usize, dest: usize, class: usize, key: Option<usize>, due: Time) {
         let class = class.min(self.set.classes.len() - 1);
         let c = &self.set.classes[class];
-        let first = due.saturating_sub(c.lifetime);
-        let (target, importance) = (first + c.target, c.importance);
-        if let Some(key) = key {
-            grow(&mut self.keys, key, Key::default);
-            if !c.in_turn && self.keys[key].line.is_empty() && !self.resting.contains(&key) {
-                self.resting.push(key);
-            }
-        }
-        let key = key.filter(|_| c.in_turn);
-        let blank = Mail {
-            place: Place::Free,
-            dest,
-            class,
-            importance,
-            key,
-            target,
-            due,
-            connects: 0,
-            call: 0,
-            ran: None,
-        };
-        grow(&mut self.mails, mail, || Mail { place: Place::Free, ..blank.clone() });
-        self.mails[mail] = Mail { place: Place::Parked, ..blank };
         if let Some(key) = key {
+            grow(&mut self.keys, key);
             self.keys[key].line.push(mail);
         }
-        grow(&mut self.dests, dest, Dest::default);
+        let target = due.saturating_sub(c.lifetime) + c.target;
+        grow(&mut self.mails, mail);
+        let place = Place::Parked;
+        let importance = c.importance;
+        self.mails[mail] = Mail { place, dest, class, importance, key, target, due, ..Mail::default() };
+        grow(&mut self.dests, dest);
         self.dests[dest].count(self.now, 1.0);
         self.dests[dest].lines[0].push(mail);
         self.open += 1;
@@ -390,74 +366,70 @@
         out: &mut Vec<Action>,
     ) {
         let now = self.now;
-        let m = &self.mails[mail];
-        let (index, dest, was_over) = (m.call, m.dest, m.place == Place::Over);
-        let call = &mut self.calls[index];
+        let m = &mut self.mails[mail];
+        let was_over = m.place == Place::Over;
+        let call = &mut self.calls[m.call];
         let (endpoint, started) = (call.endpoint, call.started);
+        let e = &mut self.endpoints[endpoint];
+        // Any mail of a call may be the one that was told to wait.
+        let unit = &mut self.units[e.unit];
+        unit.hold_until = unit.hold_until.max(now + wait);
         call.left -= 1;
-        let last = call.left == 0;
-        // Guards against a wait told to one mail of a call only.
-        self.share(endpoint, |e| e.hold_until = e.hold_until.max(now + wait));
-        let call = &mut self.calls[index];
-        if last {
+        if call.left == 0 {
             self.out -= 1;
-            let late = usize::from(call.late);
-            self.dests[dest].out -= 1;
-            if let Some(e) = &mut self.endpoints[endpoint] {
-                e.out -= 1;
-                e.late -= late;
-            }
-            self.judge(endpoint, outcome, wait, took);
+            self.dests[m.dest].out -= 1;
+            e.out -= 1;
+            e.late -= usize::from(call.late);
         }
-        let m = &mut self.mails[mail];
+        let settled = call.left == 0;
         let proven = matches!(outcome, Outcome::Refused | Outcome::Unreached | Outcome::Unsent);
-        if !proven && m.ran.is_none() {
-            let zone = self.endpoints[endpoint].as_ref().map_or(0, |e| e.zone);
-            m.ran = Some((started, zone));
+        if !proven {
+            m.ran = m.ran.or(Some((started, e.zone)));
         }
-        if let Some(key) =
-            m.key.filter(|_| matches!(outcome, Outcome::Silent | Outcome::Broken | Outcome::CalledOff))
-        {
+        if let (Some(key), Outcome::Silent | Outcome::Broken | Outcome::CalledOff) = (m.key, outcome) {
             self.keys[key].rest_until = self.keys[key].rest_until.max(now + self.set.turn_gap);
         }
         m.place = Place::Parked;
+        if settled {
+            self.judge(endpoint, outcome, wait, took);
+        }
         if over || was_over {
             self.open += usize::from(was_over);
             self.end(mail, out);
         } else if self.may(&self.mails[mail]).0 {
+            let dest = self.mails[mail].dest;
             self.dests[dest].lines[1].push(mail);
         } else {
             self.give_up(mail, out);
         }
     }
 
-    /// What one call's outcome says of its endpoint, and of those that share its limit.
+    /// What one call's outcome says of its endpoint, and of the unit that limits it.
     fn judge(&mut self, endpoint: usize, outcome: Outcome, wait: Time, took: Time) {
         let now = self.now;
-        let Some(e) = &mut self.endpoints[endpoint] else { return };
-        let dest = e.dest;
+        let e = &mut self.endpoints[endpoint];
+        let unit = &mut self.units[e.unit];
         match outcome {
             Outcome::Relayed => {
                 let gap = e.bad_since_good && now > e.last_good + self.set.overload_for;
-                (e.last_good, e.bad_since_good) = (now, false);
+                (e.last_good, e.bad_since_good, unit.refused) = (now, false, 0);
                 e.latency.learn(took as f64);
-                let d = &mut self.dests[dest];
+                let d = &mut self.dests[e.dest];
                 d.latency.learn(took as f64);
                 d.grown = if d.waiting() > 0 { d.grown + 1 } else { 0 };
-                self.share(endpoint, |e| (e.refused, e.refused_since) = (0, None));
                 self.sign(endpoint, if gap { Sign::Back } else { Sign::Good });
             }
             Outcome::Refused => {
-                let (sustained, base) = (self.set.overload_for, e.latency.mean.max(1.0));
-                let until = now + if wait > 0 { wait } else { (base as Time) << e.refused.min(4) };
-                let since = *e.refused_since.get_or_insert(now);
                 e.bad_since_good = true;
-                self.share(endpoint, |e| {
-                    e.refused += 1;
-                    e.refused_since.get_or_insert(now);
-                    e.hold_until = e.hold_until.max(until);
-                });
-                if now > since + sustained {
+                if unit.refused == 0 {
+                    unit.refused_since = now;
+                }
+                if wait == 0 {
+                    let back_off = (e.latency.mean.max(1.0) as Time) << unit.refused.min(4);
+                    unit.hold_until = unit.hold_until.max(now + back_off);
+                }
+                unit.refused += 1;
+                if now > unit.refused_since + self.set.overload_for {
                     self.sign(endpoint, Sign::Shut);
                 }
             }
@@ -469,23 +441,10 @@
         }
     }
 
-    /// Applies `change` to every endpoint that shares its limit with this one.
-    fn share(&mut self, endpoint: usize, mut change: impl FnMut(&mut Endpoint)) {
-        let Some(e) = &mut self.endpoints[endpoint] else { return };
-        if self.set.kinds[e.kind].apart {
-            return change(e);
-        }
-        for &sibling in &self.dests[e.dest].endpoints {
-            if let Some(e) = &mut self.endpoints[sibling] {
-                change(e);
-            }
-        }
-    }
-
     /// The loop that reads the table of standings.
     fn sign(&mut self, endpoint: usize, sign: Sign) {
         let now = self.now;
-        let Some(e) = &mut self.endpoints[endpoint] else { return };
+        let e = &mut self.endpoints[endpoint];
         let Some(&(_, _, next, step)) = STANDINGS.iter().find(|row| row.0 == e.standing && row.1 == sign)
         else {
             return;
@@ -512,17 +471,19 @@
             if c.left == 0 || c.late {
                 continue;
             }
-            let (endpoint, age) = (c.endpoint, (self.now - c.started) as f64);
-            if age > self.tail(endpoint) {
+            let (endpoint, started) = (c.endpoint, c.started);
+            if (self.now - started) as f64 > self.tail(endpoint) {
                 self.calls[i].late = true;
-                if let Some(e) = &mut self.endpoints[endpoint] {
-                    e.late += 1;
+                let e = &mut self.endpoints[endpoint];
+                e.late += 1;
+                // One long call among served ones is no sign: silence since it was sent is.
+                if e.last_good < started {
+                    self.sign(endpoint, Sign::Late);
                 }
-                self.sign(endpoint, Sign::Late);
             }
         }
         for i in 0..self.endpoints.len() {
-            let Some(e) = &self.endpoints[i] else { continue };
+            let e = &self.endpoints[i];
             if e.standing == Standing::Returning && self.now > e.since + self.set.cold {
                 self.sign(i, Sign::Warm);
             }
@@ -531,7 +492,7 @@
 
     /// Tail latency at an endpoint, or what is nearest to it while it is unmeasured.
     fn tail(&self, endpoint: usize) -> f64 {
-        let Some(e) = &self.endpoints[endpoint] else { return SECOND as f64 };
+        let e = &self.endpoints[endpoint];
         let d = &self.dests[e.dest].latency;
         match (e.latency.seen, d.seen) {
             (true, _) => e.latency.tail(),
@@ -555,7 +516,7 @@
     }
 
     fn sick(&self, dest: usize) -> bool {
-        let mut all = self.dests[dest].endpoints.iter().filter_map(|&e| self.endpoints[e].as_ref());
+        let mut all = self.dests[dest].endpoints.iter().map(|&e| &self.endpoints[e]);
         all.any(|e| e.life == Life::Ready && (e.standing != Standing::Well || e.late > 0))
     }
 
@@ -622,7 +583,7 @@
     /// Sends one call to one endpoint of the destination, if one is free for it.
     fn connect(&mut self, dest: usize, out: &mut Vec<Action>) -> bool {
         let Some(endpoint) = self.pick(dest) else { return false };
-        let Some(e) = &self.endpoints[endpoint] else { return false };
+        let e = &self.endpoints[endpoint];
         let batch = if e.standing == Standing::Well { self.set.kinds[e.kind].batch } else { 1 };
         let Some(index) = self.calls.iter().position(|c| c.left == 0) else { return false };
         let mut sent = 0;
@@ -642,16 +603,15 @@
         self.calls[index] = Call { endpoint, started: self.now, left: sent, late: false };
         self.out += 1;
         self.dests[dest].out += 1;
-        if let Some(e) = &mut self.endpoints[endpoint] {
-            e.out += 1;
-            e.tokens -= 1.0;
-        }
+        let e = &mut self.endpoints[endpoint];
+        e.out += 1;
+        e.tokens -= 1.0;
         true
     }
 
     /// The most urgent mail that this endpoint may get; further connects only when no first one waits.
     fn next(&self, dest: usize, endpoint: usize) -> Option<(usize, usize)> {
-        let e = self.endpoints[endpoint].as_ref()?;
+        let e = &self.endpoints[endpoint];
         let risky = matches!(e.standing, Standing::Doubt | Standing::Down);
         (0..2).find_map(|line| {
             let fit = self.dests[dest].lines[line].iter().enumerate().filter(|&(_, &mail)| {
@@ -688,7 +648,7 @@
             if !self.free(endpoint) {
                 continue;
             }
-            if self.endpoints[endpoint].as_ref().is_some_and(|e| e.standing == Standing::Down) {
+            if self.endpoints[endpoint].standing == Standing::Down {
                 return Some(endpoint);
             }
             seen += 1;
@@ -708,7 +668,7 @@
 
     /// Expected time at an endpoint by this courier's own counts.
     fn cost(&self, endpoint: usize) -> f64 {
-        let Some(e) = &self.endpoints[endpoint] else { return f64::MAX };
+        let e = &self.endpoints[endpoint];
         let doubt = if e.standing == Standing::Doubt { self.tail(endpoint) } else { 0.0 };
         let mean = if e.latency.seen { e.latency.mean } else { self.dests[e.dest].latency.mean };
         mean * (1 + e.out) as f64 + doubt
@@ -717,8 +677,8 @@
     /// Whether an endpoint may be sent a call now. Refills the paced share of one that returns.
     fn free(&mut self, endpoint: usize) -> bool {
         let share = self.paced_share(endpoint);
-        let Some(e) = &mut self.endpoints[endpoint] else { return false };
-        if e.life != Life::Ready || self.now < e.hold_until {
+        let e = &mut self.endpoints[endpoint];
+        if e.life != Life::Ready || self.now < self.units[e.unit].hold_until {
             return false;
         }
         match e.standing {
@@ -736,7 +696,7 @@
     /// Calls a second that this courier may send a returning endpoint, so that the rule holds by its conduct
     /// alone: its even part of what the endpoint can take, as cold as the settings allow.
     fn paced_share(&self, endpoint: usize) -> f64 {
-        let Some(e) = &self.endpoints[endpoint] else { return 0.0 };
+        let e = &self.endpoints[endpoint];
         let d = &self.dests[e.dest];
         let apart = self.set.kinds[e.kind].apart;
         let ends = d.endpoints.len().max(1) as f64;
@@ -783,8 +743,8 @@
     }
 }
 
-fn grow<T>(list: &mut Vec<T>, index: usize, blank: impl FnMut() -> T) {
+fn grow<T: Default>(list: &mut Vec<T>, index: usize) {
     if index >= list.len() {
-        list.resize_with(index + 1, blank);
+        list.resize_with(index + 1, T::default);
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -79,8 +79,9 @@
     pub tenants: Vec<Tenant>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Life {
+    #[default]
     Ready,
     Draining,
     Gone,
