Pace calls to a unit by the even share of its limit, slower on refusal, faster while mails wait

Cause: at limited destinations refused calls used up the limit, and calls carried one mail each. A pace holds mails until a call may go and so fills it; it starts at the even share where calls carry several mails and a limit is listed or told, elsewhere at the first refusal. Harm: a courier that suddenly carries far more than its part needs some served calls to speed up.

--- a/src/control.rs
+++ b/src/control.rs
@@ -16,6 +16,11 @@
 const SICK: (usize, usize) = (1, 2);
 /// Time-out in tails of the endpoint: redeliverable, tagged. A once-only connect runs as long as it may.
 const PATIENCE: [f64; 2] = [3.0, 4.0];
+/// Window over which rates are counted.
+const WINDOW: Time = 2 * SECOND;
+/// A pace after a refusal, and what a served call adds to it while mails wait, as part of the even share.
+const SLOWER: f64 = 0.7;
+const FASTER: f64 = 0.1;
 /// Part of its paced share that a returning endpoint is sent.
 const RETURN_SHARE: f64 = 0.9;
 
@@ -74,6 +79,13 @@
     (Standing::Returning, Sign::Warm, Standing::Well, Step::Note),
 ];
 
+/// A count that fades over the window, so that what has gone quiet ages.
+#[derive(Clone, Copy, Debug, Default)]
+struct Fading {
+    count: f64,
+    at: Time,
+}
+
 /// Latency of served calls: mean and mean deviation.
 #[derive(Clone, Copy, Debug, Default)]
 struct Latency {
@@ -138,6 +150,13 @@
     /// Refusals since the last served call, and when they began.
     refused: u32,
     refused_since: Time,
+    /// Calls a second that all couriers may make together, as listed or told; 0: not known.
+    limit: f64,
+    /// Calls a second that this courier allows itself, and what it has saved up; 0: no pace is kept.
+    pace: f64,
+    saved: f64,
+    filled: Time,
+    sent: Fading,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -169,9 +188,7 @@
     /// Parked mails: first connects, and further ones in a line of their own.
     lines: [Vec<usize>; 2],
     out: usize,
-    /// Arrivals, fading with the window.
-    arrivals: f64,
-    counted: Time,
+    arrivals: Fading,
     grown: usize,
     latency: Latency,
 }
@@ -267,9 +284,13 @@
                     self.end(mail, out);
                 }
             }
-            Input::Ended { mail, outcome, over, wait, took, .. } => {
+            Input::Ended { mail, outcome, over, wait, took, report } => {
                 let wait = if outcome == Outcome::Refused { wait } else { 0 };
                 if self.mails.get(mail).is_some_and(|m| matches!(m.place, Place::Out | Place::Over)) {
+                    if let Some(told) = report {
+                        let endpoint = self.calls[self.mails[mail].call].endpoint;
+                        self.limited(endpoint, told.limit);
+                    }
                     self.settle(mail, outcome, over, wait, took, out);
                 }
             }
@@ -295,6 +316,17 @@
         let rate = if self.set.rates_listed && rate > 0.0 { rate } else { 0.0 };
         let e = &mut self.endpoints[endpoint];
         (e.life, e.named, e.rate) = (life, true, rate);
+        self.limited(endpoint, rate);
+    }
+
+    /// A limit is listed or told. Where calls carry several mails a pace is kept from the start: it fills calls.
+    fn limited(&mut self, endpoint: usize, limit: f64) {
+        let e = &self.endpoints[endpoint];
+        let unit = &mut self.units[e.unit];
+        if limit > 0.0 && unit.limit <= 0.0 && self.set.kinds[e.kind].batch > 1 {
+            unit.pace = limit / self.set.couriers as f64;
+        }
+        unit.limit = limit.max(0.0);
     }
 
     fn arrive(&mut self, mail: usize, dest: usize, class: usize, key: Option<usize>, due: Time) {
@@ -310,7 +342,7 @@
         let importance = c.importance;
         self.mails[mail] = Mail { place, dest, class, importance, key, target, due, ..Mail::default() };
         grow(&mut self.dests, dest);
-        self.dests[dest].count(self.now, 1.0);
+        self.dests[dest].arrivals.count(self.now);
         self.dests[dest].lines[0].push(mail);
         self.open += 1;
     }
@@ -417,6 +449,10 @@
                 let d = &mut self.dests[e.dest];
                 d.latency.learn(took as f64);
                 d.grown = if d.waiting() > 0 { d.grown + 1 } else { 0 };
+                // More for a courier that carries more than an even share.
+                if unit.pace > 0.0 && d.waiting() > 0 {
+                    unit.pace += FASTER * (unit.limit / self.set.couriers as f64).max(0.1 * unit.pace);
+                }
                 self.sign(endpoint, if gap { Sign::Back } else { Sign::Good });
             }
             Outcome::Refused => {
@@ -429,6 +465,10 @@
                     unit.hold_until = unit.hold_until.max(now + back_off);
                 }
                 unit.refused += 1;
+                // Guards against refused calls that use up the limit, whoever else shares it.
+                let even = unit.limit / self.set.couriers as f64;
+                let before = if unit.pace > 0.0 { unit.pace } else { unit.sent.rate(now).max(even) };
+                unit.pace = (before * SLOWER).max(even / 4.0).max(0.2);
                 if now > unit.refused_since + self.set.overload_for {
                     self.sign(endpoint, Sign::Shut);
                 }
@@ -584,7 +624,11 @@
     fn connect(&mut self, dest: usize, out: &mut Vec<Action>) -> bool {
         let Some(endpoint) = self.pick(dest) else { return false };
         let e = &self.endpoints[endpoint];
-        let batch = if e.standing == Standing::Well { self.set.kinds[e.kind].batch } else { 1 };
+        let batch = if matches!(e.standing, Standing::Well | Standing::Returning) {
+            self.set.kinds[e.kind].batch
+        } else {
+            1
+        };
         let Some(index) = self.calls.iter().position(|c| c.left == 0) else { return false };
         let mut sent = 0;
         while sent < batch {
@@ -606,6 +650,9 @@
         let e = &mut self.endpoints[endpoint];
         e.out += 1;
         e.tokens -= 1.0;
+        let unit = &mut self.units[e.unit];
+        unit.saved -= 1.0;
+        unit.sent.count(self.now);
         true
     }
 
@@ -678,7 +725,8 @@
     fn free(&mut self, endpoint: usize) -> bool {
         let share = self.paced_share(endpoint);
         let e = &mut self.endpoints[endpoint];
-        if e.life != Life::Ready || self.now < self.units[e.unit].hold_until {
+        let unit = &mut self.units[e.unit];
+        if e.life != Life::Ready || self.now < unit.hold_until || !unit.may_send(self.now) {
             return false;
         }
         match e.standing {
@@ -728,18 +776,29 @@
         self.lines[0].len() + self.lines[1].len()
     }
 
-    /// Arrivals fade over a window of about two seconds, so that a quiet destination's cap ages with them.
-    fn faded(&self, now: Time) -> f64 {
-        self.arrivals * (-((now - self.counted) as f64) / (2 * SECOND) as f64).exp()
+    /// Arriving mails a second, held ones included.
+    fn rate(&self, now: Time) -> f64 {
+        self.arrivals.rate(now) + self.waiting() as f64 / (WINDOW / SECOND) as f64
     }
+}
 
-    fn count(&mut self, now: Time, mails: f64) {
-        (self.arrivals, self.counted) = (self.faded(now) + mails, now);
+impl Unit {
+    /// Whether the pace allows a call now; saves up half a second's worth, one call at least.
+    fn may_send(&mut self, now: Time) -> bool {
+        let gone = (now - self.filled) as f64 / SECOND as f64;
+        (self.saved, self.filled) = ((self.saved + gone * self.pace).min((self.pace / 2.0).max(1.0)), now);
+        self.pace <= 0.0 || self.saved >= 1.0
+    }
+}
+
+impl Fading {
+    fn count(&mut self, now: Time) {
+        (self.count, self.at) = (self.rate(now) * (WINDOW / SECOND) as f64 + 1.0, now);
     }
 
-    /// Arriving mails a second, held ones included.
     fn rate(&self, now: Time) -> f64 {
-        self.faded(now) / 2.0 + self.waiting() as f64 / 2.0
+        let age = (now - self.at) as f64 / WINDOW as f64;
+        self.count * (-age).exp() / (WINDOW / SECOND) as f64
     }
 }
 
