--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -2,7 +2,7 @@
 
 use meadowhold::control::Control;
 use meadowhold::door::Door;
-use meadowhold::interface::{Action, Input, Time};
+use meadowhold::interface::{Action, Ended, Input, Listed, Time};
 
 use crate::settings::{decode, Decoded};
 use crate::wire::{self, Address, Event, Frame, Malformed, Reply};
@@ -120,7 +120,7 @@
                     let endpoint = self.endpoints.enter(e.endpoint);
                     let dest = self.dests.enter(e.dest);
                     let (zone, kind, life, rate) = (e.zone, e.kind, e.life, e.rate);
-                    self.inputs.push(Input::Listed { endpoint, dest, zone, kind, life, rate });
+                    self.inputs.push(Input::Listed(Listed { endpoint, dest, zone, kind, life, rate }));
                 }
                 Input::ListEnd
             }
@@ -145,14 +145,14 @@
                 None => return Ok(()),
             },
             Event::Settled(s) => match self.mails.find(s.handle) {
-                Some(mail) => Input::Ended {
+                Some(mail) => Input::Ended(Ended {
                     mail,
                     outcome: s.outcome,
                     over: s.over,
                     wait: s.wait,
                     took: s.took,
                     report: wire::report(s.report, self.report[0], self.report[1]),
-                },
+                }),
                 None => return Ok(()),
             },
             _ => return Ok(()),
--- a/src/control.rs
+++ b/src/control.rs
@@ -3,7 +3,8 @@
 //! What goes in and out is in `interface.rs`, indices come from `door.rs`; no I/O, no clock, no names.
 //! The ordinary path is the design's: a cap on each destination's calls in flight, what is over it is parked.
 
-use crate::interface::{Action, Effect, Input, Life, Outcome, Settings, Time, SECOND};
+use crate::interface::{Action, Effect, Ended, Input, Life, Listed, Outcome, Settings, Time, SECOND};
+use crate::state::{Call, Dest, Endpoint, Fading, Key, Latency, Mail, Place, Saved, Unit};
 
 /// Headroom of Little's law; the design's figure for arrivals in batches.
 const HEADROOM: f64 = 1.0 / 3.0;
@@ -26,7 +27,7 @@
 
 /// What an endpoint is held to be.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum Standing {
+pub enum Standing {
     #[default]
     Well,
     /// One sign of trouble: one call at a time beside the late ones, nothing that must not run twice.
@@ -44,12 +45,10 @@
     Good,
     /// A call was served after a gap in which an outage may have come and gone.
     Back,
-    /// A call failed, found nobody or was not answered in time.
+    /// A call failed, found nobody, got no answer in time, or was refused when no limit explains it any more.
     Bad,
     /// A call has outlasted its usual latency.
     Late,
-    /// Every call was refused for so long that no limit explains it.
-    Shut,
     /// The time for warming up is over.
     Warm,
 }
@@ -62,38 +61,18 @@
 }
 
 /// (state, input, next state, effect); a pair that is not listed changes nothing.
-const STANDINGS: [(Standing, Sign, Standing, Step); 14] = [
+const STANDINGS: [(Standing, Sign, Standing, Step); 9] = [
     (Standing::Well, Sign::Bad, Standing::Doubt, Step::Note),
     (Standing::Well, Sign::Late, Standing::Doubt, Step::Note),
-    (Standing::Well, Sign::Shut, Standing::Down, Step::BackOff),
     (Standing::Doubt, Sign::Good, Standing::Well, Step::Note),
     (Standing::Doubt, Sign::Back, Standing::Returning, Step::Ramp),
     (Standing::Doubt, Sign::Bad, Standing::Down, Step::BackOff),
-    (Standing::Doubt, Sign::Shut, Standing::Down, Step::BackOff),
     (Standing::Down, Sign::Good, Standing::Returning, Step::Ramp),
-    (Standing::Down, Sign::Back, Standing::Returning, Step::Ramp),
     (Standing::Down, Sign::Bad, Standing::Down, Step::BackOff),
-    (Standing::Down, Sign::Shut, Standing::Down, Step::BackOff),
     (Standing::Returning, Sign::Bad, Standing::Down, Step::BackOff),
-    (Standing::Returning, Sign::Shut, Standing::Down, Step::BackOff),
     (Standing::Returning, Sign::Warm, Standing::Well, Step::Note),
 ];
 
-/// A count that fades over the window, so that what has gone quiet ages.
-#[derive(Clone, Copy, Debug, Default)]
-struct Fading {
-    count: f64,
-    at: Time,
-}
-
-/// Latency of served calls: mean and mean deviation.
-#[derive(Clone, Copy, Debug, Default)]
-struct Latency {
-    mean: f64,
-    deviation: f64,
-    seen: bool,
-}
-
 impl Latency {
     fn learn(&mut self, took: f64) {
         if !self.seen {
@@ -108,97 +87,7 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum Place {
-    #[default]
-    Free,
-    Parked,
-    Out,
-    /// Answered, with a connect whose outcome is still to come.
-    Over,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Mail {
-    place: Place,
-    dest: usize,
-    class: usize,
-    importance: f64,
-    key: Option<usize>,
-    target: Time,
-    due: Time,
-    connects: usize,
-    call: usize,
-    /// Send of the first connect that may have run, and the zone that it went to.
-    ran: Option<(Time, usize)>,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Call {
-    endpoint: usize,
-    started: Time,
-    /// Mails without an outcome; 0: the place is free.
-    left: usize,
-    late: bool,
-}
-
-/// What is limited and waits on its own: a destination, or an endpoint that is a route apart.
-#[derive(Clone, Debug, Default)]
-struct Unit {
-    /// Nothing is sent before this time: a told wait, or a back-off of our own.
-    hold_until: Time,
-    /// Refusals since the last served call, and when they began.
-    refused: u32,
-    refused_since: Time,
-    /// Calls a second that all couriers may make together, as listed or told; 0: not known.
-    limit: f64,
-    /// Calls a second that this courier allows itself, and what it has saved up; 0: no pace is kept.
-    pace: f64,
-    saved: f64,
-    filled: Time,
-    sent: Fading,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Endpoint {
-    known: bool,
-    dest: usize,
-    unit: usize,
-    zone: usize,
-    kind: usize,
-    life: Life,
-    named: bool,
-    rate: f64,
-    standing: Standing,
-    since: Time,
-    last_good: Time,
-    bad_since_good: bool,
-    trial_at: Time,
-    trials: u32,
-    tokens: f64,
-    filled: Time,
-    out: usize,
-    late: usize,
-    latency: Latency,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Dest {
-    endpoints: Vec<usize>,
-    /// Parked mails: first connects, and further ones in a line of their own.
-    lines: [Vec<usize>; 2],
-    out: usize,
-    arrivals: Fading,
-    grown: usize,
-    latency: Latency,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Key {
-    line: Vec<usize>,
-    rest_until: Time,
-}
-
+#[derive(Default)]
 pub struct Control {
     set: Settings,
     chance: fastrand::Rng,
@@ -219,23 +108,13 @@
 
 impl Control {
     pub fn new(set: Settings) -> Control {
-        let chance = fastrand::Rng::with_seed(set.seed);
         Control {
-            chance,
-            now: 0,
+            chance: fastrand::Rng::with_seed(set.seed),
             mails: Vec::with_capacity(set.room.min(1 << 16)),
             calls: vec![Call::default(); set.slots.min(1 << 16)],
-            endpoints: Vec::new(),
-            units: Vec::new(),
-            dests: Vec::new(),
-            keys: Vec::new(),
-            open: 0,
-            out: 0,
             ask_at: set.ask_list.then_some(0),
-            asks_failed: 0,
-            order: Vec::new(),
-            resting: Vec::new(),
             set,
+            ..Control::default()
         }
     }
 
@@ -266,9 +145,7 @@
                     e.named = false;
                 }
             }
-            Input::Listed { endpoint, dest, zone, kind, life, rate } => {
-                self.list(endpoint, dest, zone, kind, life, rate);
-            }
+            Input::Listed(ref entry) => self.list(entry),
             Input::ListEnd => {
                 for e in self.endpoints.iter_mut().filter(|e| !e.named) {
                     e.life = Life::Gone;
@@ -284,21 +161,17 @@
                     self.end(mail, out);
                 }
             }
-            Input::Ended { mail, outcome, over, wait, took, report } => {
-                let wait = if outcome == Outcome::Refused { wait } else { 0 };
-                if self.mails.get(mail).is_some_and(|m| matches!(m.place, Place::Out | Place::Over)) {
-                    if let Some(told) = report {
-                        let endpoint = self.calls[self.mails[mail].call].endpoint;
-                        self.limited(endpoint, told.limit);
-                    }
-                    self.settle(mail, outcome, over, wait, took, out);
+            Input::Ended(ref ended) => {
+                if self.mails.get(ended.mail).is_some_and(|m| matches!(m.place, Place::Out | Place::Over)) {
+                    self.settle(ended, out);
                 }
             }
             Input::Probed { .. } | Input::Woken => {}
         }
     }
 
-    fn list(&mut self, endpoint: usize, dest: usize, zone: usize, kind: usize, life: Life, rate: f64) {
+    fn list(&mut self, entry: &Listed) {
+        let Listed { endpoint, dest, zone, kind, life, rate } = *entry;
         grow(&mut self.endpoints, endpoint);
         grow(&mut self.dests, dest);
         let (now, kind) = (self.now, kind.min(self.set.kinds.len() - 1));
@@ -313,13 +186,14 @@
                 Endpoint { known: true, dest, unit, zone, kind, last_good: now, ..Endpoint::default() };
             self.endpoints[endpoint] = fresh;
         }
-        let rate = if self.set.rates_listed && rate > 0.0 { rate } else { 0.0 };
         let e = &mut self.endpoints[endpoint];
-        (e.life, e.named, e.rate) = (life, true, rate);
-        self.limited(endpoint, rate);
+        (e.life, e.named) = (life, true);
+        if self.set.rates_listed {
+            self.limited(endpoint, rate);
+        }
     }
 
-    /// A limit is listed or told. Where calls carry several mails a pace is kept from the start: it fills calls.
+    /// A limit is listed or told. Where calls carry several mails a pace from the start fills them.
     fn limited(&mut self, endpoint: usize, limit: f64) {
         let e = &self.endpoints[endpoint];
         let unit = &mut self.units[e.unit];
@@ -388,15 +262,9 @@
     }
 
     /// A connect has its outcome: the slot returns, the endpoint is judged, the mail goes on or ends.
-    fn settle(
-        &mut self,
-        mail: usize,
-        outcome: Outcome,
-        over: bool,
-        wait: Time,
-        took: Time,
-        out: &mut Vec<Action>,
-    ) {
+    fn settle(&mut self, ended: &Ended, out: &mut Vec<Action>) {
+        let Ended { mail, outcome, over, took, .. } = *ended;
+        let wait = if outcome == Outcome::Refused { ended.wait } else { 0 };
         let now = self.now;
         let m = &mut self.mails[mail];
         let was_over = m.place == Place::Over;
@@ -422,6 +290,9 @@
             self.keys[key].rest_until = self.keys[key].rest_until.max(now + self.set.turn_gap);
         }
         m.place = Place::Parked;
+        if let Some(told) = ended.report {
+            self.limited(endpoint, told.limit);
+        }
         if settled {
             self.judge(endpoint, outcome, wait, took);
         }
@@ -443,7 +314,8 @@
         let unit = &mut self.units[e.unit];
         match outcome {
             Outcome::Relayed => {
-                let gap = e.bad_since_good && now > e.last_good + self.set.overload_for;
+                let doubt = e.standing == Standing::Doubt && e.bad_since_good;
+                let back = doubt && now > e.last_good + self.set.overload_for;
                 (e.last_good, e.bad_since_good, unit.refused) = (now, false, 0);
                 e.latency.learn(took as f64);
                 let d = &mut self.dests[e.dest];
@@ -453,7 +325,7 @@
                 if unit.pace > 0.0 && d.waiting() > 0 {
                     unit.pace += FASTER * (unit.limit / self.set.couriers as f64).max(0.1 * unit.pace);
                 }
-                self.sign(endpoint, if gap { Sign::Back } else { Sign::Good });
+                self.sign(endpoint, if back { Sign::Back } else { Sign::Good });
             }
             Outcome::Refused => {
                 e.bad_since_good = true;
@@ -470,7 +342,7 @@
                 let before = if unit.pace > 0.0 { unit.pace } else { unit.sent.rate(now).max(even) };
                 unit.pace = (before * SLOWER).max(even / 4.0).max(0.2);
                 if now > unit.refused_since + self.set.overload_for {
-                    self.sign(endpoint, Sign::Shut);
+                    self.sign(endpoint, Sign::Bad);
                 }
             }
             Outcome::Error | Outcome::Silent | Outcome::Unreached | Outcome::Broken => {
@@ -500,7 +372,7 @@
                 e.trial_at = now + pause.min(self.set.cold / 6).max(1);
                 e.trials += 1;
             }
-            Step::Ramp => (e.tokens, e.filled, e.trials) = (1.0, now, 0),
+            Step::Ramp => (e.ramp, e.trials) = (Saved { calls: 1.0, at: now }, 0),
         }
     }
 
@@ -548,11 +420,7 @@
         let sick = (self.set.slots * SICK.0 / SICK.1).max(1);
         let little = (d.rate(self.now) * d.latency.tail() / SECOND as f64 * (1.0 + HEADROOM)).ceil() as usize;
         let cap = if d.latency.seen { (little + d.grown).clamp(1, clamp) } else { clamp };
-        if self.sick(dest) {
-            cap.min(sick)
-        } else {
-            cap
-        }
+        cap.min(if self.sick(dest) { sick } else { clamp })
     }
 
     fn sick(&self, dest: usize) -> bool {
@@ -649,9 +517,9 @@
         self.dests[dest].out += 1;
         let e = &mut self.endpoints[endpoint];
         e.out += 1;
-        e.tokens -= 1.0;
+        e.ramp.calls -= 1.0;
         let unit = &mut self.units[e.unit];
-        unit.saved -= 1.0;
+        unit.saved.calls -= 1.0;
         unit.sent.count(self.now);
         true
     }
@@ -726,18 +594,17 @@
         let share = self.paced_share(endpoint);
         let e = &mut self.endpoints[endpoint];
         let unit = &mut self.units[e.unit];
-        if e.life != Life::Ready || self.now < unit.hold_until || !unit.may_send(self.now) {
+        if e.life != Life::Ready
+            || self.now < unit.hold_until
+            || (unit.pace > 0.0 && !unit.saved.refill(self.now, unit.pace, unit.pace / 2.0))
+        {
             return false;
         }
         match e.standing {
             Standing::Well => true,
             Standing::Doubt => e.out <= e.late,
             Standing::Down => e.out <= e.late && self.now >= e.trial_at,
-            Standing::Returning => {
-                let gone = (self.now - e.filled) as f64 / SECOND as f64;
-                (e.tokens, e.filled) = ((e.tokens + gone * share).min(2.0), self.now);
-                e.tokens >= 1.0
-            }
+            Standing::Returning => e.ramp.refill(self.now, share, 2.0),
         }
     }
 
@@ -748,8 +615,9 @@
         let d = &self.dests[e.dest];
         let apart = self.set.kinds[e.kind].apart;
         let ends = d.endpoints.len().max(1) as f64;
-        let whole = if e.rate > 0.0 {
-            e.rate / self.set.couriers as f64 / if apart { 1.0 } else { ends }
+        let limit = self.units[e.unit].limit;
+        let whole = if limit > 0.0 {
+            limit / self.set.couriers as f64 / if apart { 1.0 } else { ends }
         } else {
             d.rate(self.now) / ends
         };
@@ -782,12 +650,12 @@
     }
 }
 
-impl Unit {
-    /// Whether the pace allows a call now; saves up half a second's worth, one call at least.
-    fn may_send(&mut self, now: Time) -> bool {
-        let gone = (now - self.filled) as f64 / SECOND as f64;
-        (self.saved, self.filled) = ((self.saved + gone * self.pace).min((self.pace / 2.0).max(1.0)), now);
-        self.pace <= 0.0 || self.saved >= 1.0
+impl Saved {
+    /// Saves up to `depth` calls, one at least; whether a call may go.
+    fn refill(&mut self, now: Time, pace: f64, depth: f64) -> bool {
+        let gained = pace * (now - self.at) as f64 / SECOND as f64;
+        (self.calls, self.at) = ((self.calls + gained).min(depth.max(1.0)), now);
+        self.calls >= 1.0
     }
 }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -43,7 +43,7 @@
 }
 
 /// Read once, at the start of a courier.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Settings {
     pub seed: u64,
     pub couriers: usize,
@@ -107,20 +107,37 @@
     pub limit: f64,
 }
 
+/// An entry of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    pub endpoint: usize,
+    pub dest: usize,
+    pub zone: usize,
+    pub kind: usize,
+    pub life: Life,
+    pub rate: f64,
+}
+
+/// The outcome of one mail's connect.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ended {
+    pub mail: usize,
+    pub outcome: Outcome,
+    /// The mail has its final answer.
+    pub over: bool,
+    /// How long the destination wants to be left alone, if it refused.
+    pub wait: Time,
+    pub took: Time,
+    pub report: Option<Report>,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Input {
     /// Entries follow; `whole`: what they don't name until `ListEnd` is gone.
     ListBegin {
         whole: bool,
     },
-    Listed {
-        endpoint: usize,
-        dest: usize,
-        zone: usize,
-        kind: usize,
-        life: Life,
-        rate: f64,
-    },
+    Listed(Listed),
     ListEnd,
     ListFailed,
     Arrived {
@@ -135,15 +152,7 @@
     Hangup {
         mail: usize,
     },
-    /// `over`: the mail has its final answer. `wait`: how long the destination wants to be left alone.
-    Ended {
-        mail: usize,
-        outcome: Outcome,
-        over: bool,
-        wait: Time,
-        took: Time,
-        report: Option<Report>,
-    },
+    Ended(Ended),
     Probed {
         endpoint: usize,
         ok: bool,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod control;
 pub mod door;
 pub mod interface;
+mod state;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,114 @@
+//! What a courier keeps in mind, as plain types. Nothing is decided here.
+
+use crate::control::Standing;
+use crate::interface::{Life, Time};
+
+/// A count that fades over the window, so that what has gone quiet ages.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Fading {
+    pub count: f64,
+    pub at: Time,
+}
+
+/// Latency of served calls: mean and mean deviation.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Latency {
+    pub mean: f64,
+    pub deviation: f64,
+    pub seen: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Place {
+    #[default]
+    Free,
+    Parked,
+    Out,
+    /// Answered, with a connect whose outcome is still to come.
+    Over,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Mail {
+    pub place: Place,
+    pub dest: usize,
+    pub class: usize,
+    pub importance: f64,
+    pub key: Option<usize>,
+    pub target: Time,
+    pub due: Time,
+    pub connects: usize,
+    pub call: usize,
+    /// Send of the first connect that may have run, and the zone that it went to.
+    pub ran: Option<(Time, usize)>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Call {
+    pub endpoint: usize,
+    pub started: Time,
+    /// Mails without an outcome; 0: the place is free.
+    pub left: usize,
+    pub late: bool,
+}
+
+/// What is limited and waits on its own: a destination, or an endpoint that is a route apart.
+#[derive(Clone, Debug, Default)]
+pub struct Unit {
+    /// Nothing is sent before this time: a told wait, or a back-off of our own.
+    pub hold_until: Time,
+    /// Refusals since the last served call, and when they began.
+    pub refused: u32,
+    pub refused_since: Time,
+    /// Calls a second that all couriers may make together, as listed or told; 0: not known.
+    pub limit: f64,
+    /// Calls a second that this courier allows itself, and what it has saved up; 0: no pace is kept.
+    pub pace: f64,
+    pub saved: Saved,
+    pub sent: Fading,
+}
+
+/// Calls saved up at a pace.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Saved {
+    pub calls: f64,
+    pub at: Time,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Endpoint {
+    pub known: bool,
+    pub dest: usize,
+    pub unit: usize,
+    pub zone: usize,
+    pub kind: usize,
+    pub life: Life,
+    pub named: bool,
+    pub standing: Standing,
+    pub since: Time,
+    pub last_good: Time,
+    pub bad_since_good: bool,
+    pub trial_at: Time,
+    pub trials: u32,
+    pub ramp: Saved,
+    pub out: usize,
+    pub late: usize,
+    pub latency: Latency,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Dest {
+    pub endpoints: Vec<usize>,
+    /// Parked mails: first connects, and further ones in a line of their own.
+    pub lines: [Vec<usize>; 2],
+    pub out: usize,
+    pub arrivals: Fading,
+    pub grown: usize,
+    pub latency: Latency,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Key {
+    pub line: Vec<usize>,
+    pub rest_until: Time,
+}
