A full room gives up what would earn least after one more target delay

Cause: shedding by urgency gave up fresh mails of much importance before late ones that had little left to earn.

--- a/src/control.rs
+++ b/src/control.rs
@@ -440,33 +440,44 @@
         // A full room would turn mails away unseen: what is worth least makes way.
         while self.open * 20 > self.set.room * 19 {
             let parked = (0..self.mails.len()).filter(|&i| self.mails[i].place == Place::Parked);
-            let Some(least) = parked.min_by(|&a, &b| self.urgency(a).total_cmp(&self.urgency(b))) else {
+            let Some(least) = parked.min_by(|&a, &b| self.hope(a).total_cmp(&self.hope(b))) else {
                 return;
             };
             self.give_up(least, out);
         }
     }
 
-    /// What waiting costs: the importance lost a second, felt as the target delay or the end comes near.
-    fn urgency(&self, mail: usize) -> f64 {
+    /// Importance that a mail would earn at a time, and what it then loses a second.
+    fn worth(&self, mail: usize, at: Time) -> (f64, f64) {
         let m = &self.mails[mail];
         let c = &self.set.classes[m.class];
-        let seconds = |t: Time| t as f64 / SECOND as f64;
-        let scale = seconds(c.target.max(1));
-        let late = seconds(self.now.saturating_sub(m.target)) / scale;
-        let left = if self.set.by_half {
-            0.5f64.powf(late).max(c.late_worth)
-        } else {
-            let span = seconds(c.lifetime.saturating_sub(c.target).max(1)) / scale;
-            1.0 - (1.0 - c.late_worth) * (late / span).min(1.0)
-        };
-        let slope = if self.set.by_half {
-            std::f64::consts::LN_2 * left / scale
+        let target = seconds(c.target.max(1));
+        let late = seconds(at.saturating_sub(m.target));
+        if at >= m.due {
+            (0.0, 0.0)
+        } else if self.set.by_half {
+            let left = m.importance * 0.5f64.powf(late / target).max(c.late_worth);
+            (left, left * std::f64::consts::LN_2 / target)
         } else {
-            (1.0 - c.late_worth) / seconds(c.lifetime.saturating_sub(c.target).max(1))
-        };
-        let near = |end: Time| (-seconds(end.saturating_sub(self.now)) / scale).exp();
-        m.importance * (slope * near(m.target) + left / scale * near(m.due))
+            let slope =
+                m.importance * (1.0 - c.late_worth) / seconds(c.lifetime.saturating_sub(c.target).max(1));
+            (m.importance - slope * late, slope)
+        }
+    }
+
+    /// What waiting costs: the importance lost a second, felt as the target delay or the end comes near.
+    fn urgency(&self, mail: usize) -> f64 {
+        let m = &self.mails[mail];
+        let (left, slope) = self.worth(mail, self.now);
+        let target = seconds(self.set.classes[m.class].target.max(1));
+        let near = |end: Time| (-seconds(end.saturating_sub(self.now)) / target).exp();
+        slope * near(m.target) + left / target * near(m.due)
+    }
+
+    /// What is lost by giving a mail up: its worth after one more target delay of waiting.
+    fn hope(&self, mail: usize) -> f64 {
+        let target = self.set.classes[self.mails[mail].class].target;
+        self.worth(mail, self.now + target).0
     }
 
     /// Offers parked mails to their destinations, most urgent destination first.
@@ -670,6 +681,10 @@
     }
 }
 
+fn seconds(time: Time) -> f64 {
+    time as f64 / SECOND as f64
+}
+
 fn grow<T: Default>(list: &mut Vec<T>, index: usize) {
     if index >= list.len() {
         list.resize_with(index + 1, T::default);
