A route's fee weighs in the pick, as eight of the shortest target delay for a whole mail's worth

The smallest departure from two-at-random by own counts: the same two are drawn, the fee is added to what they are compared by. Harm: a cheap route is loaded somewhat more; its own calls in flight then speak against it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -22,6 +22,8 @@
 /// A pace after a refusal, and what a served call adds to it while mails wait, as part of the even share.
 const SLOWER: f64 = 0.7;
 const FASTER: f64 = 0.1;
+/// Target delays that a fee of a whole mail's worth weighs in the pick.
+const FEE_TARGETS: f64 = 8.0;
 /// Part of its paced share that a returning endpoint is sent.
 const RETURN_SHARE: f64 = 0.9;
 
@@ -92,6 +94,8 @@
     set: Settings,
     chance: fastrand::Rng,
     now: Time,
+    /// The shortest target delay of all queue classes.
+    target: Time,
     mails: Vec<Mail>,
     calls: Vec<Call>,
     endpoints: Vec<Endpoint>,
@@ -113,6 +117,7 @@
             mails: Vec::with_capacity(set.room.min(1 << 16)),
             calls: vec![Call::default(); set.slots.min(1 << 16)],
             ask_at: set.ask_list.then_some(0),
+            target: set.classes.iter().map(|c| c.target).min().unwrap_or(SECOND),
             set,
             ..Control::default()
         }
@@ -409,7 +414,7 @@
         match (e.latency.seen, d.seen) {
             (true, _) => e.latency.tail(),
             (_, true) => d.tail(),
-            _ => self.set.classes.iter().map(|c| c.target).min().unwrap_or(SECOND) as f64,
+            _ => self.target as f64,
         }
     }
 
@@ -597,7 +602,13 @@
         let e = &self.endpoints[endpoint];
         let doubt = if e.standing == Standing::Doubt { self.tail(endpoint) } else { 0.0 };
         let mean = if e.latency.seen { e.latency.mean } else { self.dests[e.dest].latency.mean };
-        mean * (1 + e.out) as f64 + doubt
+        // A fee is a part of a mail's worth, as waiting a while past the target delay would be.
+        let fee = if self.set.kinds[e.kind].apart {
+            self.set.fees.get(e.zone).copied().unwrap_or(0.0)
+        } else {
+            0.0
+        };
+        mean * (1 + e.out) as f64 + doubt + fee * FEE_TARGETS * self.target as f64
     }
 
     /// Whether an endpoint may be sent a call now. Refills the paced share of one that returns.
