--- a/src/control.rs
+++ b/src/control.rs
@@ -63,9 +63,10 @@
 }
 
 /// (state, input, next state, effect); a pair that is not listed changes nothing.
-const STANDINGS: [(Standing, Sign, Standing, Step); 9] = [
+const STANDINGS: [(Standing, Sign, Standing, Step); 10] = [
     (Standing::Well, Sign::Bad, Standing::Doubt, Step::Note),
-    (Standing::Well, Sign::Late, Standing::Doubt, Step::Note),
+    (Standing::Well, Sign::Late, Standing::Doubt, Step::BackOff),
+    (Standing::Doubt, Sign::Late, Standing::Doubt, Step::BackOff),
     (Standing::Doubt, Sign::Good, Standing::Well, Step::Note),
     (Standing::Doubt, Sign::Back, Standing::Returning, Step::Ramp),
     (Standing::Doubt, Sign::Bad, Standing::Down, Step::BackOff),
@@ -624,8 +625,8 @@
         }
         match e.standing {
             Standing::Well => true,
-            Standing::Doubt => e.out <= e.late,
-            Standing::Down => e.out <= e.late && self.now >= e.trial_at,
+            // Trials further and further apart, so that a hang does not gather one more slot with each late call.
+            Standing::Doubt | Standing::Down => e.out <= e.late && self.now >= e.trial_at,
             Standing::Returning => e.ramp.refill(self.now, share, 2.0),
         }
     }
