--- a/src/control.rs
+++ b/src/control.rs
@@ -492,10 +492,10 @@
         order.clear();
         for (dest, d) in self.dests.iter().enumerate().filter(|(_, d)| d.waiting() > 0) {
             // What a call would save, over the slot time that it takes: slots are what is short.
-            let all: f64 = d.lines.iter().flatten().map(|&m| self.urgency(m)).sum();
+            let top = d.lines.iter().flatten().map(|&m| self.urgency(m)).fold(0.0, f64::max);
             let kind = d.endpoints.first().map_or(0, |&e| self.endpoints[e].kind);
-            let riding = (self.set.kinds[kind].batch as f64 / d.waiting() as f64).min(1.0);
-            order.push((all * riding / d.latency.mean.max(1.0), dest));
+            let riding = self.set.kinds[kind].batch.min(d.waiting()) as f64;
+            order.push((top * riding / d.latency.mean.max(1.0), dest));
         }
         order.sort_by(|a, b| b.0.total_cmp(&a.0));
         for &(_, dest) in &order {
