Gentler cut of the pace at a refusal, and 1.3 of the even share for a returning endpoint

All couriers at 1.3 of their even share stay under twice the capacity even where a listed rate is half too high. Where no rate is known the share now comes from arrivals alone: mails held through an outage would have raised it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -20,12 +20,12 @@
 /// Window over which rates are counted.
 const WINDOW: Time = 2 * SECOND;
 /// A pace after a refusal, and what a served call adds to it while mails wait, as part of the even share.
-const SLOWER: f64 = 0.7;
+const SLOWER: f64 = 0.85;
 const FASTER: f64 = 0.1;
 /// Target delays that a fee of a whole mail's worth weighs in the pick.
 const FEE_TARGETS: f64 = 8.0;
 /// Part of its paced share that a returning endpoint is sent.
-const RETURN_SHARE: f64 = 0.9;
+const RETURN_SHARE: f64 = 1.3;
 
 /// What an endpoint is held to be.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -395,7 +395,7 @@
                 let e = &mut self.endpoints[endpoint];
                 e.late += 1;
                 // One long call among served ones is no sign: silence since it was sent is.
-                if e.last_good < started {
+                if e.last_good <= started {
                     self.sign(endpoint, Sign::Late);
                 }
             }
@@ -645,7 +645,7 @@
         let whole = if limit > 0.0 {
             limit / self.set.couriers as f64 / if apart { 1.0 } else { ends }
         } else {
-            d.rate(self.now) / ends
+            d.arrivals.rate(self.now) / ends
         };
         let warm = (self.now - e.since) as f64 / self.set.cold.max(1) as f64;
         let warmth = self.set.cold_from + (1.0 - self.set.cold_from) * warm.min(1.0);
