A destination whose endpoints are all sick gets a quarter of the slots

The design gives a sick destination half or less. With nothing well in it half of the slots only queue at it; with one route out the others still need theirs. Guards against slow destinations that earn slots as their latency grows. Harm: a brown-out that would clear faster under more calls.

--- a/src/control.rs
+++ b/src/control.rs
@@ -12,9 +12,10 @@
 const TAIL_DEVIATIONS: f64 = 4.0;
 /// Weight of the newest served call in a latency estimate.
 const NEWEST: f64 = 0.1;
-/// The clamp's share of the slots, and that of a sick destination.
+/// The clamp's share of the slots, that of a sick destination, and of one whose endpoints are all sick.
 const CLAMP: (usize, usize) = (3, 4);
 const SICK: (usize, usize) = (1, 2);
+const SICK_WHOLE: (usize, usize) = (1, 4);
 /// Time-out in tails of the endpoint: redeliverable, tagged. A once-only connect runs as long as it may.
 const PATIENCE: [f64; 2] = [3.0, 4.0];
 /// Window over which rates are counted.
@@ -423,15 +424,23 @@
     fn cap(&self, dest: usize) -> usize {
         let d = &self.dests[dest];
         let clamp = (self.set.slots * CLAMP.0 / CLAMP.1).max(1);
-        let sick = (self.set.slots * SICK.0 / SICK.1).max(1);
+        let share = match self.sick(dest) {
+            (0, _) => CLAMP,
+            (sick, all) if sick < all => SICK,
+            _ => SICK_WHOLE,
+        };
         let little = (d.rate(self.now) * d.latency.tail() / SECOND as f64 * (1.0 + HEADROOM)).ceil() as usize;
         let cap = if d.latency.seen { (little + d.grown).clamp(1, clamp) } else { clamp };
-        cap.min(if self.sick(dest) { sick } else { clamp })
+        cap.min((self.set.slots * share.0 / share.1).max(1))
     }
 
-    fn sick(&self, dest: usize) -> bool {
-        let mut all = self.dests[dest].endpoints.iter().map(|&e| &self.endpoints[e]);
-        all.any(|e| e.life == Life::Ready && (e.standing != Standing::Well || e.late > 0))
+    /// Endpoints that err or are slow, and endpoints in all.
+    fn sick(&self, dest: usize) -> (usize, usize) {
+        let ready = |e: &&Endpoint| e.life == Life::Ready;
+        let all = self.dests[dest].endpoints.iter().map(|&e| &self.endpoints[e]).filter(ready);
+        all.fold((0, 0), |(sick, all), e| {
+            (sick + usize::from(e.standing != Standing::Well || e.late > 0), all + 1)
+        })
     }
 
     /// Mails whose time is nearly up are answered while the answer still counts.
