Tests of the module; a pace grows by a twentieth of itself; calls before a pace are no debt

The tests found two faults: a pace without a known limit grew by a hundredth a served call, and calls sent before a pace was kept counted as debt against it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -22,7 +22,7 @@
 const WINDOW: Time = 2 * SECOND;
 /// A pace after a refusal, and what a served call adds to it while mails wait, as part of the even share.
 const SLOWER: f64 = 0.85;
-const FASTER: f64 = 0.1;
+const FASTER: f64 = 0.05;
 /// Target delays that a fee of a whole mail's worth weighs in the pick.
 const FEE_TARGETS: f64 = 8.0;
 /// Part of its paced share that a returning endpoint is sent.
@@ -330,7 +330,7 @@
                 d.grown = if d.waiting() > 0 { d.grown + 1 } else { 0 };
                 // More for a courier that carries more than an even share.
                 if unit.pace > 0.0 && d.waiting() > 0 {
-                    unit.pace += FASTER * (unit.limit / self.set.couriers as f64).max(0.1 * unit.pace);
+                    unit.pace += FASTER * (unit.limit / self.set.couriers as f64).max(unit.pace);
                 }
                 self.sign(endpoint, if back { Sign::Back } else { Sign::Good });
             }
@@ -548,7 +548,8 @@
         e.out += 1;
         e.ramp.calls -= 1.0;
         let unit = &mut self.units[e.unit];
-        unit.saved.calls -= 1.0;
+        // No debt from calls sent before a pace was kept.
+        unit.saved.calls = (unit.saved.calls - 1.0).max(0.0);
         unit.sent.count(self.now);
         true
     }
--- /dev/null
+++ b/tests/control.rs
@@ -0,0 +1,420 @@
+//! The decisions, case by case: each rule in its awkward case, the cap, the hold, waits, outages and returns.
+
+use meadowhold::control::Control;
+use meadowhold::interface::{
+    Action, Effect, Ended, Input, Kind, Life, Listed, Outcome, QueueClass, Settings, Time, SECOND,
+};
+
+const REDELIVERABLE: usize = 0;
+const TAGGED: usize = 1;
+const ONCE_ONLY: usize = 2;
+const BATCHED: usize = 0;
+const SINGLE: usize = 1;
+const APART: usize = 2;
+
+fn queue_class(effect: Effect, importance: f64) -> QueueClass {
+    let (window, target, lifetime) = (4 * SECOND, 2 * SECOND, 10 * SECOND);
+    let (by_zone, late_worth, in_turn) = (false, 0.2, false);
+    QueueClass { effect, by_zone, window, target, lifetime, importance, late_worth, in_turn }
+}
+
+fn settings() -> Settings {
+    Settings {
+        seed: 7,
+        couriers: 2,
+        slots: 8,
+        room: 40,
+        max_connects: 4,
+        resolution: 50,
+        connect_timeout: SECOND,
+        ask_within: 10 * SECOND,
+        cold_from: 0.2,
+        cold: 10 * SECOND,
+        tip_multiple: 2.0,
+        overload_for: 2 * SECOND,
+        turn_gap: SECOND,
+        over_share_worth: 1.0,
+        rates_listed: true,
+        kinds: [(4, false), (1, false), (1, true)].map(|(batch, apart)| Kind { batch, apart }).to_vec(),
+        classes: vec![
+            queue_class(Effect::Redeliverable, 1.0),
+            queue_class(Effect::Tagged, 1.0),
+            queue_class(Effect::OnceOnly, 4.0),
+        ],
+        ..Settings::default()
+    }
+}
+
+/// One courier; what it does in a turn is what `at` returns.
+struct Rig {
+    control: Control,
+    next: usize,
+}
+
+impl Rig {
+    /// Destination 0 has `ends` endpoints of a kind.
+    fn new(set: Settings, kind: usize, ends: usize, rate: f64) -> Rig {
+        let mut rig = Rig { control: Control::new(set), next: 0 };
+        let mut list = vec![Input::ListBegin { whole: true }];
+        list.extend((0..ends).map(|endpoint| listed(endpoint, kind, Life::Ready, rate)));
+        list.push(Input::ListEnd);
+        rig.at(0, &list);
+        rig
+    }
+
+    fn at(&mut self, ms: Time, inputs: &[Input]) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.control.round(SECOND + ms * 10, inputs, &mut out);
+        out
+    }
+
+    fn arrival(&mut self, ms: Time, class: usize) -> Input {
+        self.next += 1;
+        let due = SECOND + ms * 10 + 10 * SECOND;
+        Input::Arrived { mail: self.next - 1, dest: 0, class, tenant: 0, key: None, due }
+    }
+
+    fn arrive(&mut self, ms: Time, class: usize, count: usize) -> Vec<Action> {
+        let inputs: Vec<Input> = (0..count).map(|_| self.arrival(ms, class)).collect();
+        self.at(ms, &inputs)
+    }
+
+    /// Gives every connect of a turn, and those that follow at once, this outcome; tells them turn by turn.
+    fn settle(&mut self, ms: Time, acts: &[Action], outcome: Outcome) -> Vec<Vec<(usize, usize)>> {
+        let (mut turns, mut sent) = (Vec::new(), connects(acts));
+        while !sent.is_empty() {
+            let ends: Vec<Input> = sent.iter().map(|c| ended(c.0, outcome, 2)).collect();
+            turns.push(sent);
+            sent = connects(&self.at(ms, &ends));
+        }
+        turns
+    }
+
+    /// Everything sent is relayed after `took` ms, again and again, so that the destination is known.
+    fn warm(&mut self, from: Time, took: Time, rounds: usize) -> Time {
+        let mut ms = from;
+        for _ in 0..rounds {
+            let mut sent = connects(&self.arrive(ms, REDELIVERABLE, 1));
+            while let Some((mail, _)) = sent.pop() {
+                ms += took;
+                sent.extend(connects(&self.at(ms, &[ended(mail, Outcome::Relayed, took)])));
+            }
+        }
+        ms
+    }
+}
+
+fn listed(endpoint: usize, kind: usize, life: Life, rate: f64) -> Input {
+    Input::Listed(Listed { endpoint, dest: 0, zone: endpoint, kind, life, rate })
+}
+
+fn ended(mail: usize, outcome: Outcome, took: Time) -> Input {
+    told(mail, outcome, took, 0)
+}
+
+fn told(mail: usize, outcome: Outcome, took: Time, wait: Time) -> Input {
+    let over = outcome == Outcome::Relayed;
+    Input::Ended(Ended { mail, outcome, over, wait: wait * 10, took: took * 10, report: None })
+}
+
+fn connects(actions: &[Action]) -> Vec<(usize, usize)> {
+    let sent = actions.iter().filter_map(|a| match *a {
+        Action::Connect { mail, endpoint, .. } => Some((mail, endpoint)),
+        _ => None,
+    });
+    sent.collect()
+}
+
+fn deferred(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Defer { .. }))
+}
+
+fn bounced(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Bounce { .. }))
+}
+
+#[test]
+fn an_unmeasured_destination_starts_at_the_clamp() {
+    for (slots, clamp) in [(8, 6), (4, 3), (2, 1), (1, 1)] {
+        let mut rig = Rig::new(Settings { slots, ..settings() }, SINGLE, 1, 0.0);
+        assert_eq!(connects(&rig.arrive(0, REDELIVERABLE, 20)).len(), clamp, "{slots} slots");
+    }
+}
+
+#[test]
+fn the_cap_follows_littles_law_and_grows_by_one_for_each_served_call() {
+    let mut rig = Rig::new(settings(), SINGLE, 1, 0.0);
+    let ms = rig.warm(0, 100, 40) + 60_000;
+    // Long quiet: the rate has faded, and the tail is a tenth of a second. Ten at once count as five a second:
+    // 5 x 0.1 x 4/3, twice over as arriving and as held, rounded up.
+    let sent = connects(&rig.arrive(ms, REDELIVERABLE, 10));
+    assert!((1..=3).contains(&sent.len()), "{}", sent.len());
+    // One served: its slot, and one more.
+    let more = connects(&rig.at(ms + 100, &[ended(sent[0].0, Outcome::Relayed, 100)]));
+    assert_eq!(more.len(), 2);
+}
+
+#[test]
+fn a_mail_over_the_cap_is_sent_when_a_call_ends() {
+    let mut rig = Rig::new(settings(), SINGLE, 1, 0.0);
+    let sent = connects(&rig.arrive(0, REDELIVERABLE, 7));
+    assert_eq!(sent.len(), 6);
+    assert_eq!(connects(&rig.at(10, &[])), []);
+    for outcome in [Outcome::Relayed, Outcome::Unsent, Outcome::CalledOff] {
+        let mut rig = Rig::new(settings(), SINGLE, 1, 0.0);
+        let sent = connects(&rig.arrive(0, REDELIVERABLE, 7));
+        let ends: Vec<Input> = sent.iter().map(|c| ended(c.0, outcome, 10)).collect();
+        assert!(!connects(&rig.at(10, &ends)).is_empty(), "{outcome:?}");
+    }
+}
+
+#[test]
+fn a_sick_destination_gets_half_of_the_slots_at_most() {
+    let mut rig = Rig::new(settings(), SINGLE, 3, 0.0);
+    let sent = connects(&rig.arrive(0, REDELIVERABLE, 4));
+    assert_eq!(sent.len(), 4);
+    rig.at(10, &[ended(sent[0].0, Outcome::Error, 10)]);
+    let mut out = 3;
+    for ms in 11..40 {
+        out += connects(&rig.arrive(ms, REDELIVERABLE, 2)).len();
+    }
+    assert!(out <= 4, "{out}");
+}
+
+#[test]
+fn what_may_follow_each_outcome() {
+    use Outcome::{Broken, CalledOff, Error, Refused, Silent, Unreached, Unsent};
+    // (queue class, outcome, sent again, deferred at the end, bounced at once)
+    let cases = [
+        (REDELIVERABLE, Error, true, true, false),
+        (REDELIVERABLE, Silent, true, true, false),
+        (TAGGED, Broken, true, true, false),
+        (TAGGED, CalledOff, true, true, false),
+        (ONCE_ONLY, Refused, true, true, false),
+        (ONCE_ONLY, Unreached, true, true, false),
+        (ONCE_ONLY, Unsent, true, true, false),
+        (ONCE_ONLY, Error, false, false, true),
+        (ONCE_ONLY, Silent, false, false, true),
+        (ONCE_ONLY, Broken, false, false, true),
+        (ONCE_ONLY, CalledOff, false, false, true),
+    ];
+    for (class, outcome, again, refusable, lost) in cases {
+        let mut rig = Rig::new(settings(), SINGLE, 2, 0.0);
+        let ms = rig.warm(0, 50, 3);
+        let sent = connects(&rig.arrive(ms, class, 1));
+        let answer = rig.at(ms + 50, &[ended(sent[0].0, outcome, 50)]);
+        assert_eq!(bounced(&answer), lost, "{class} {outcome:?}");
+        let (mut sends, mut handed_back) = (0, false);
+        for later in 1..2200 {
+            let mut acts = rig.at(ms + 50 + later * 5, &[]);
+            if later == 1 {
+                acts.extend(answer.iter().copied());
+            }
+            while !acts.is_empty() {
+                handed_back |= deferred(&acts);
+                let out = connects(&acts);
+                sends += out.len();
+                let ends: Vec<Input> = out.iter().map(|c| ended(c.0, Unreached, 1)).collect();
+                acts = if ends.is_empty() { Vec::new() } else { rig.at(ms + 50 + later * 5, &ends) };
+            }
+        }
+        assert_eq!((sends > 0, handed_back), (again, refusable), "{class} {outcome:?}");
+        assert!(sends <= 3, "{class} {outcome:?}: at most four connects in all, {sends} more");
+    }
+}
+
+#[test]
+fn a_tagged_mail_is_sent_again_only_within_its_window() {
+    for (silent_at, again) in [(3900, true), (4000, false)] {
+        let mut rig = Rig::new(settings(), SINGLE, 1, 0.0);
+        let sent = connects(&rig.arrive(0, TAGGED, 1));
+        let acts = rig.at(silent_at, &[ended(sent[0].0, Outcome::Silent, silent_at)]);
+        let later = rig.at(silent_at + 5, &[]);
+        assert_eq!(!connects(&acts).is_empty() || !connects(&later).is_empty(), again, "{silent_at}");
+        assert_eq!(deferred(&acts), !again);
+    }
+}
+
+#[test]
+fn every_mail_is_answered_before_its_time_is_up() {
+    let mut rig = Rig::new(settings(), SINGLE, 0, 0.0);
+    rig.arrive(0, ONCE_ONLY, 1);
+    assert!(!deferred(&rig.at(9900, &[])));
+    assert!(deferred(&rig.at(9990, &[])));
+}
+
+#[test]
+fn a_hung_up_mail_is_forgotten_when_its_connect_has_ended() {
+    let mut rig = Rig::new(settings(), SINGLE, 1, 0.0);
+    rig.arrive(0, REDELIVERABLE, 1);
+    assert!(!rig.at(5, &[Input::Hangup { mail: 0 }]).contains(&Action::FreeMail(0)));
+    assert_eq!(rig.at(9, &[ended(0, Outcome::Silent, 9)]), [Action::FreeMail(0)]);
+    assert_eq!(rig.at(9, &[ended(0, Outcome::Silent, 9), Input::Hangup { mail: 9 }]), []);
+}
+
+#[test]
+fn waits_hold_for_the_unit_that_told_them() {
+    // (kind, endpoints that may be used during the wait)
+    for (kind, others) in [(SINGLE, 0), (BATCHED, 0), (APART, 1)] {
+        let mut rig = Rig::new(settings(), kind, 2, 0.0);
+        let (mail, endpoint) = connects(&rig.arrive(0, ONCE_ONLY, 1))[0];
+        let mut used = connects(&rig.at(10, &[told(mail, Outcome::Refused, 10, 500)]));
+        // A newcomer shares the wait too, unless routes are apart.
+        let grown =
+            [Input::ListBegin { whole: false }, listed(1 - endpoint, kind, Life::Ready, 0.0), Input::ListEnd];
+        used.extend(connects(&rig.at(20, &grown)));
+        for ms in (14..410).step_by(4) {
+            let acts = rig.arrive(ms, REDELIVERABLE, 1);
+            used.extend(rig.settle(ms + 2, &acts, Outcome::Relayed).concat());
+        }
+        assert!(used.iter().all(|c| c.1 != endpoint), "{kind}");
+        assert_eq!(usize::from(!used.is_empty()), others, "{kind}");
+        let after = (0..600).any(|i| {
+            let acts = rig.arrive(600 + i * 5, REDELIVERABLE, 1);
+            rig.settle(602 + i * 5, &acts, Outcome::Relayed).concat().iter().any(|c| c.1 == endpoint)
+        });
+        assert!(after, "{kind}");
+    }
+}
+
+#[test]
+fn a_wait_told_to_one_mail_of_a_call_counts() {
+    let mut rig = Rig::new(settings(), BATCHED, 1, 0.0);
+    let sent = connects(&rig.arrive(0, REDELIVERABLE, 2));
+    assert_eq!(sent.len(), 2);
+    let both = [told(sent[0].0, Outcome::Refused, 9, 500), told(sent[1].0, Outcome::Refused, 9, 0)];
+    rig.at(10, &both);
+    assert_eq!(connects(&rig.arrive(400, REDELIVERABLE, 3)), []);
+}
+
+#[test]
+fn draining_and_gone_endpoints_get_nothing_new() {
+    let whole = [Input::ListBegin { whole: true }, listed(1, SINGLE, Life::Ready, 0.0), Input::ListEnd];
+    let drain = [Input::ListBegin { whole: false }, listed(0, SINGLE, Life::Draining, 0.0), Input::ListEnd];
+    let gone = [Input::ListBegin { whole: false }, listed(0, SINGLE, Life::Gone, 0.0), Input::ListEnd];
+    for news in [whole, drain, gone] {
+        let mut rig = Rig::new(settings(), SINGLE, 2, 0.0);
+        let parked = connects(&rig.arrive(0, REDELIVERABLE, 20));
+        rig.at(5, &news);
+        let ends: Vec<Input> = parked.iter().map(|c| ended(c.0, Outcome::Relayed, 5)).collect();
+        let sent = connects(&rig.at(6, &ends));
+        assert!(!sent.is_empty() && sent.iter().all(|c| c.1 == 1));
+    }
+}
+
+#[test]
+fn a_silent_endpoint_is_doubted_before_its_time_out_and_spares_once_only_mails() {
+    let mut rig = Rig::new(settings(), SINGLE, 1, 0.0);
+    let ms = rig.warm(0, 100, 30);
+    rig.arrive(ms, REDELIVERABLE, 1);
+    assert_eq!(connects(&rig.arrive(ms + 600, ONCE_ONLY, 1)), []);
+    // A mail that may be repeated tries it, with pauses in between.
+    let tried: usize =
+        (0..8).map(|i| connects(&rig.arrive(ms + 1000 + i * 10, REDELIVERABLE, 1)).len()).sum();
+    assert_eq!(tried, 1);
+}
+
+#[test]
+fn one_long_call_among_served_ones_is_no_sign_of_trouble() {
+    let mut rig = Rig::new(settings(), SINGLE, 1, 0.0);
+    let ms = rig.warm(0, 100, 30);
+    rig.arrive(ms, REDELIVERABLE, 1);
+    rig.warm(ms + 10, 90, 3);
+    assert_eq!(connects(&rig.arrive(ms + 600, ONCE_ONLY, 1)).len(), 1);
+}
+
+#[test]
+fn a_returning_endpoint_is_sent_its_cold_share_and_more_as_it_warms() {
+    let mut rig = Rig::new(settings(), SINGLE, 1, 20.0);
+    let mut ms = rig.warm(0, 20, 10);
+    for _ in 0..3 {
+        ms += 2500;
+        let acts = rig.arrive(ms, REDELIVERABLE, 1);
+        rig.settle(ms + 5, &acts, Outcome::Unreached);
+    }
+    // Down now. It comes back, and every call is served at once.
+    let mut per_second = [0; 12];
+    for step in 0..2400u64 {
+        let acts = rig.arrive(ms + 3000 + step * 5, TAGGED, usize::from(step % 4 == 0));
+        let turns = rig.settle(ms + 3002 + step * 5, &acts, Outcome::Relayed);
+        per_second[(step / 200) as usize] += turns.concat().len();
+    }
+    // Twice the capacity may come, from two couriers: at most the even part of 20 x 2 x 0.2 at first.
+    assert!((1..=5).contains(&per_second[0]), "{per_second:?}");
+    assert!(per_second[4] > per_second[0] && per_second[4] <= 12, "{per_second:?}");
+    assert!(per_second[11] > 20, "{per_second:?}");
+}
+
+#[test]
+fn mails_of_one_key_go_one_at_a_time_in_order_and_rest_after_silence() {
+    let mut rig = Rig::new(settings(), SINGLE, 2, 0.0);
+    let keyed = |rig: &mut Rig| match rig.arrival(0, TAGGED) {
+        Input::Arrived { mail, dest, class, tenant, due, .. } => {
+            Input::Arrived { mail, dest, class, tenant, key: Some(0), due }
+        }
+        other => other,
+    };
+    let three = [keyed(&mut rig), keyed(&mut rig), keyed(&mut rig)];
+    assert_eq!(connects(&rig.at(0, &three)).iter().map(|c| c.0).collect::<Vec<_>>(), [0]);
+    let second = connects(&rig.at(50, &[ended(0, Outcome::Relayed, 50)]));
+    assert_eq!(second.iter().map(|c| c.0).collect::<Vec<_>>(), [1]);
+    // The client of the second leaves; its connect ends in silence, and the key rests.
+    assert_eq!(connects(&rig.at(60, &[Input::Hangup { mail: 1 }])), []);
+    assert_eq!(connects(&rig.at(100, &[ended(1, Outcome::Silent, 50)])), []);
+    assert_eq!(connects(&rig.at(1000, &[])), []);
+    assert_eq!(connects(&rig.at(1101, &[])).iter().map(|c| c.0).collect::<Vec<_>>(), [2]);
+    let end = rig.at(1200, &[ended(2, Outcome::Relayed, 99)]);
+    assert!(end.contains(&Action::FreeKey(0)));
+}
+
+#[test]
+fn refusals_slow_the_pace_and_a_paced_call_is_filled() {
+    let mut rig = Rig::new(settings(), BATCHED, 1, 4.0);
+    let mut calls = Vec::new();
+    for step in 0..400u64 {
+        let acts = rig.arrive(step * 5, REDELIVERABLE, usize::from(step % 10 == 0));
+        let turns = rig.settle(step * 5 + 2, &acts, Outcome::Relayed);
+        calls.extend(turns.iter().map(Vec::len));
+    }
+    // Two seconds at the even share of two calls a second, a little more while mails wait: full calls.
+    assert!((3..=6).contains(&calls.len()) && calls[1..3] == [4, 4], "{calls:?}");
+    let mut rig = Rig::new(settings(), SINGLE, 1, 0.0);
+    let ms = rig.warm(0, 5, 200);
+    let (mail, _) = connects(&rig.arrive(ms, REDELIVERABLE, 1))[0];
+    rig.at(ms + 5, &[ended(mail, Outcome::Refused, 5)]);
+    // What was sent before a pace was kept is no debt: a slower pace, not a stop.
+    assert!((1..20).any(|i| !connects(&rig.at(ms + 50 + i * 5, &[])).is_empty()));
+}
+
+#[test]
+fn the_list_is_asked_for_and_asked_again_after_a_failure() {
+    let mut control = Control::new(Settings { ask_list: true, ..settings() });
+    let mut out = Vec::new();
+    control.round(SECOND, &[], &mut out);
+    assert_eq!(out, [Action::WatchList]);
+    out.clear();
+    let wake = control.round(SECOND + 10, &[Input::ListFailed], &mut out).unwrap();
+    assert_eq!(out, []);
+    assert!(wake > SECOND + 10 && wake <= SECOND + 10 + settings().ask_within);
+    control.round(wake, &[], &mut out);
+    assert_eq!(out, [Action::WatchList]);
+}
+
+#[test]
+fn a_full_room_gives_up_what_is_worth_least_at_once_with_a_time_to_come_back() {
+    let mut rig = Rig::new(Settings { max_pause: SECOND, ..settings() }, SINGLE, 0, 0.0);
+    let acts: Vec<Action> =
+        (0..14).flat_map(|_| [rig.arrive(0, ONCE_ONLY, 1), rig.arrive(0, TAGGED, 2)]).flatten().collect();
+    let given_up: Vec<usize> = acts
+        .iter()
+        .filter_map(|a| match *a {
+            Action::Defer { mail, pause } => {
+                assert_eq!(pause, SECOND);
+                Some(mail)
+            }
+            _ => None,
+        })
+        .collect();
+    assert_eq!(given_up.len(), 42 - 38);
+    assert!(given_up.iter().all(|mail| mail % 3 != 0), "{given_up:?}");
+}
