Shorter time-outs while calls get lost one by one and answers stay quick

Symptom: from one second to the next 13 to 25% of the calls get no answer, at every destination and courier alike, while the others are as quick as ever; slots fill with calls that wait for time-outs. Told from a hang (nothing answers) and from slowness (answers come late) by silence followed by an answer within the usual latency. Change: such pairs are counted, fading with each served call; the count divides the time-outs, by three at most. Also guards against a far side that drops some calls. Harm: once-only calls that are lost still hold their slot; pauses look the same for a moment. Tried: withdrawing overtaken calls, milder signs: nothing.

Settings, inputs and actions that nothing reads are gone from the interface.

--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -140,10 +140,6 @@
                 self.timer = self.timer.filter(|&at| at > now);
                 Input::Woken
             }
-            Event::Probed { endpoint, ok } => match self.endpoints.find(endpoint) {
-                Some(endpoint) => Input::Probed { endpoint, ok },
-                None => return Ok(()),
-            },
             Event::Settled(s) => match self.mails.find(s.handle) {
                 Some(mail) => Input::Ended(Ended {
                     mail,
@@ -190,11 +186,6 @@
                     reply.finish_error(instance, m);
                 }
             }
-            Action::Probe { endpoint } => {
-                if let Some(e) = self.endpoints.outside(endpoint) {
-                    reply.health_check(instance, e);
-                }
-            }
             Action::WatchList => reply.watch(instance),
             Action::FreeMail(mail) => self.mails.leave(mail),
             Action::FreeKey(key) => self.keys.leave(key),
--- a/crates/adapter/src/settings.rs
+++ b/crates/adapter/src/settings.rs
@@ -74,10 +74,7 @@
         max_connects: p.get("Limits.MaxAttempts")?,
         resolution: p.time("ResolutionUs")?.max(1),
         connect_timeout: p.time("Limits.ConnectTimeoutUs")?,
-        keepalive: p.time("Limits.KeepaliveUs")?,
         max_pause: if p.or("Limits.RetryAfter", false)? { p.time("Limits.MaxRetryAfterUs")? } else { 0 },
-        second_copies: p.or("Limits.MayDuplicate", false)?,
-        may_probe: p.or("Limits.Probing", false)?,
         ask_list: p.text("MembershipMode")? == "ask",
         ask_within: tenths(p.or("Rules.AskWithinUs", 10_000_000)?),
         cold_from: p.figure("Rules.ColdFrom", 1.0)?,
@@ -89,9 +86,6 @@
         by_half: p.0.get("FamilyInfo.Late").is_some_and(|late| *late == "by_half"),
         rates_listed: matches!(p.0.get("Weights").copied(), Some("nominal" | "rough")),
         fees: p.list("FamilyInfo.Carriage")?,
-        price_connection: p.figure("Penalties.Handshake", 0.0)?,
-        price_refused: p.figure("FamilyInfo.RefusedPrice", 0.0)?,
-        price_waste: p.figure("Penalties.Waste", 0.0)?,
         kinds: (0..kinds)
             .map(|i| Kind {
                 batch: batches.get(i).or(batches.last()).copied().unwrap_or(1).max(1),
--- a/crates/adapter/src/tests.rs
+++ b/crates/adapter/src/tests.rs
@@ -65,10 +65,7 @@
         ),
         ("1e 00000005 0e6f2b19", Event::Hangup { handle: 0x0e6f2b19 }),
         ("28 00000003 000000000000004d", Event::Alarm),
-        (
-            "0a 00000003 0a9011f2 1b84 0001 00000578",
-            Event::Probed { endpoint: [10, 0x90, 0x11, 0xf2, 0x1b, 0x84], ok: false },
-        ),
+        ("0a 00000003 0a9011f2 1b84 0001 00000578", Event::Other),
         ("ff 00000003", Event::Other),
     ];
     for (record, expected) in cases {
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -37,7 +37,6 @@
     pub handle: u32,
     pub over: bool,
     pub outcome: Outcome,
-    pub endpoint: Address,
     pub wait: Time,
     pub took: Time,
     /// The values of the load report, as many as were told.
@@ -53,7 +52,6 @@
     Hangup { handle: u32 },
     Alarm,
     Crash,
-    Probed { endpoint: Address, ok: bool },
     Settled(Settled),
     Other,
 }
@@ -89,7 +87,6 @@
 
     fn event(&self, r: &[u8]) -> Result<Event<'a>, Malformed> {
         Ok(match r[0] {
-            10 => Event::Probed { endpoint: address(r, 5), ok: be16(r, 11) == 0 },
             20 => Event::Census { number: be32(r, 1), entries: self.cut(r, 5, ENTRY)? },
             30 => Event::Hangup { handle: be32(r, 5) },
             40 => Event::Alarm,
@@ -116,7 +113,6 @@
                     handle: be32(r, 5),
                     over: r[9] != 0,
                     outcome: outcome(be16(r, 10)).ok_or("an outcome has an unknown reason")?,
-                    endpoint: address(r, 13),
                     wait: Time::from(be32(r, 19)) * 10,
                     took: tenths(be32(r, 23).into()),
                     report: (count, [28, 32, 36, 40].map(|at| f32::from_bits(be32(r, at)))),
@@ -205,10 +201,6 @@
         self.record(10, instance, &[&[1]]);
     }
 
-    pub fn health_check(&mut self, instance: u32, endpoint: Address) {
-        self.record(110, instance, &[&endpoint]);
-    }
-
     pub fn after(&mut self, instance: u32, at: Time) {
         self.record(70, instance, &[&(at * TENTH).to_be_bytes()]);
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -18,6 +18,8 @@
 const SICK_WHOLE: (usize, usize) = (1, 4);
 /// Time-out in tails of the endpoint: redeliverable, tagged. A once-only connect runs as long as it may.
 const PATIENCE: [f64; 2] = [3.0, 4.0];
+/// What is kept of the count of lost calls at each served one.
+const LOST_KEPT: f64 = 0.95;
 /// Window over which rates are counted.
 const WINDOW: Time = 2 * SECOND;
 /// A pace after a refusal, and what a served call adds to it while mails wait, as part of the even share.
@@ -33,27 +35,19 @@
 pub enum Standing {
     #[default]
     Well,
-    /// One sign of trouble: one call at a time beside the late ones, nothing that must not run twice.
-    Doubt,
-    /// Held to be out: one trial call now and then.
-    Down,
-    /// Back and cold: a paced share that grows.
-    Returning,
+    Doubt,     // one sign of trouble: trials only, nothing that must not run twice
+    Down,      // held to be out: a trial call now and then
+    Returning, // back and cold: a paced share that grows
 }
 
 /// What was seen of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Sign {
-    /// A call was served.
-    Good,
-    /// A call was served after a gap in which an outage may have come and gone.
-    Back,
-    /// A call failed, found nobody, got no answer in time, or was refused when no limit explains it any more.
-    Bad,
-    /// A call has outlasted its usual latency.
-    Late,
-    /// The time for warming up is over.
-    Warm,
+    Good, // a call was served
+    Back, // a call was served after a gap in which an outage may have come and gone
+    Bad,  // a call failed, found nobody, got no answer, or was refused when no limit explains it
+    Late, // a call has outlasted its usual latency, and nothing was served since it was sent
+    Warm, // the time for warming up is over
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -108,6 +102,8 @@
     out: usize,
     ask_at: Option<Time>,
     asks_failed: u32,
+    /// Calls that got lost of late, fading with each served one.
+    lost: f64,
     order: Vec<(f64, usize)>,
     resting: Vec<usize>,
 }
@@ -127,7 +123,7 @@
 
     /// One turn: read all inputs, then decide. Returns when the next turn is wanted at the latest.
     pub fn round(&mut self, now: Time, inputs: &[Input], out: &mut Vec<Action>) -> Option<Time> {
-        self.now = now;
+        self.now = self.now.max(now);
         for input in inputs {
             self.read(input, out);
         }
@@ -173,7 +169,7 @@
                     self.settle(ended, out);
                 }
             }
-            Input::Probed { .. } | Input::Woken => {}
+            Input::Woken => {}
         }
     }
 
@@ -321,6 +317,10 @@
         let unit = &mut self.units[e.unit];
         match outcome {
             Outcome::Relayed => {
+                // Guards against calls that get lost one by one: silence, then an answer as quick as ever, again. A slow endpoint answers late and keeps the longer time-outs.
+                let quick = e.silent && (took as f64) <= e.latency.tail();
+                self.lost = self.lost * LOST_KEPT + f64::from(u8::from(quick));
+                e.silent = false;
                 let doubt = e.standing == Standing::Doubt && e.bad_since_good;
                 let back = doubt && now > e.last_good + self.set.overload_for;
                 (e.last_good, e.bad_since_good, unit.refused) = (now, false, 0);
@@ -354,6 +354,7 @@
             }
             Outcome::Error | Outcome::Silent | Outcome::Unreached | Outcome::Broken => {
                 e.bad_since_good = true;
+                e.silent |= outcome == Outcome::Silent;
                 self.sign(endpoint, Sign::Bad);
             }
             Outcome::CalledOff | Outcome::Unsent => {}
@@ -581,6 +582,7 @@
             Effect::Tagged => PATIENCE[1],
             Effect::OnceOnly => return left,
         };
+        let patience = patience / (1.0 + self.lost.min(2.0));
         let own = (self.tail(endpoint) * patience * (1.0 + m.connects as f64)) as Time;
         own.max(4 * self.set.resolution).min(left)
     }
@@ -638,7 +640,7 @@
         }
         match e.standing {
             Standing::Well => true,
-            // Trials further and further apart, so that a hang does not gather one more slot with each late call.
+            // Trials further and further apart, so that a hang gathers no slot with each late call.
             Standing::Doubt | Standing::Down => e.out <= e.late && self.now >= e.trial_at,
             Standing::Returning => e.ramp.refill(self.now, share, 2.0),
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -52,11 +52,8 @@
     pub max_connects: usize,
     pub resolution: Time,
     pub connect_timeout: Time,
-    pub keepalive: Time,
     /// Longest time to come back that a client heeds; 0 where none can be named.
     pub max_pause: Time,
-    pub second_copies: bool,
-    pub may_probe: bool,
     /// The list must be asked for.
     pub ask_list: bool,
     pub ask_within: Time,
@@ -71,9 +68,6 @@
     pub rates_listed: bool,
     /// Fee of a connect by the zone of a route apart.
     pub fees: Vec<f64>,
-    pub price_connection: f64,
-    pub price_refused: f64,
-    pub price_waste: f64,
     pub kinds: Vec<Kind>,
     pub classes: Vec<QueueClass>,
     pub tenants: Vec<Tenant>,
@@ -153,10 +147,6 @@
         mail: usize,
     },
     Ended(Ended),
-    Probed {
-        endpoint: usize,
-        ok: bool,
-    },
     Woken,
 }
 
@@ -177,9 +167,6 @@
     Bounce {
         mail: usize,
     },
-    Probe {
-        endpoint: usize,
-    },
     WatchList,
     /// Nothing more will be said of this index: it may be reused.
     FreeMail(usize),
--- a/src/state.rs
+++ b/src/state.rs
@@ -88,6 +88,7 @@
     pub since: Time,
     pub last_good: Time,
     pub bad_since_good: bool,
+    pub silent: bool,
     pub trial_at: Time,
     pub trials: u32,
     pub ramp: Saved,
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -418,3 +418,24 @@
     assert_eq!(given_up.len(), 42 - 38);
     assert!(given_up.iter().all(|mail| mail % 3 != 0), "{given_up:?}");
 }
+
+#[test]
+fn time_outs_shorten_while_calls_get_lost_one_by_one_and_answers_stay_quick() {
+    let mut rig = Rig::new(settings(), SINGLE, 1, 0.0);
+    let mut ms = rig.warm(0, 100, 30);
+    let mut timeouts = Vec::new();
+    for _ in 0..6 {
+        ms += 1000;
+        let acts = rig.arrive(ms, REDELIVERABLE, 1);
+        timeouts.extend(acts.iter().find_map(|a| match *a {
+            Action::Connect { timeout, .. } => Some(timeout),
+            _ => None,
+        }));
+        let mail = connects(&acts)[0].0;
+        let again = rig.at(ms + 300, &[ended(mail, Outcome::Silent, 300)]);
+        let again = if connects(&again).is_empty() { rig.at(ms + 900, &[]) } else { again };
+        ms += 1000;
+        rig.at(ms, &[ended(connects(&again)[0].0, Outcome::Relayed, 100)]);
+    }
+    assert!(timeouts.len() == 6 && timeouts[5] * 2 < timeouts[0], "{timeouts:?}");
+}
