--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -124,11 +124,10 @@
                 }
                 Input::ListEnd
             }
-            Event::Arrival { handle, dest, class, tenant, item, due } => Input::Arrived {
+            Event::Arrival { handle, dest, class, item, due } => Input::Arrived {
                 mail: self.mails.enter(handle),
                 dest: self.dests.enter(dest),
                 class,
-                tenant,
                 key: (item != 0 && self.in_turn.get(class) == Some(&true)).then(|| self.keys.enter(item)),
                 due,
             },
--- a/crates/adapter/src/settings.rs
+++ b/crates/adapter/src/settings.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::str::FromStr;
 
-use meadowhold::interface::{Effect, Kind, QueueClass, Settings, Tenant, Time};
+use meadowhold::interface::{Effect, Kind, QueueClass, Settings, Time};
 
 use crate::wire::tenths;
 
@@ -82,7 +82,6 @@
         tip_multiple: p.figure("Rules.TipMultiple", 1.0)?,
         overload_for: tenths(p.or("Rules.OverloadForUs", 0)?),
         turn_gap: tenths(p.or("Rules.TurnGapUs", 0)?),
-        over_share_worth: p.figure("OverShareWorth", 1.0)?,
         by_half: p.0.get("FamilyInfo.Late").is_some_and(|late| *late == "by_half"),
         rates_listed: matches!(p.0.get("Weights").copied(), Some("nominal" | "rough")),
         fees: p.list("FamilyInfo.Carriage")?,
@@ -93,7 +92,6 @@
             })
             .collect(),
         classes: p.each("Profiles", |at| queue_class(&p, at))?,
-        tenants: p.each("Projects", |at| Ok(Tenant { quota: p.figure(&format!("{at}QuotaRps"), 0.0)? }))?,
     };
     if settings.classes.is_empty() {
         return Err("setting Profiles.count is missing".to_string());
--- a/crates/adapter/src/tests.rs
+++ b/crates/adapter/src/tests.rs
@@ -58,7 +58,6 @@
                 handle: 0x5d3a91c4,
                 dest: 57,
                 class: 0,
-                tenant: 2,
                 item: 0x91f03b7c55d20a64,
                 due: 0x8405da / 100,
             },
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -48,7 +48,7 @@
     Hello { seed: u64, info: &'a [u8] },
     Census { number: u32, entries: &'a [u8] },
     View { scope: u8, census: u32 },
-    Arrival { handle: u32, dest: u16, class: usize, tenant: usize, item: u64, due: Time },
+    Arrival { handle: u32, dest: u16, class: usize, item: u64, due: Time },
     Hangup { handle: u32 },
     Alarm,
     Crash,
@@ -101,7 +101,6 @@
                     handle: be32(r, 5),
                     dest: dest as u16,
                     class: r[14].into(),
-                    tenant: be16(r, 19).into(),
                     item: be64(r, 21),
                     due: tenths(be64(r, 29)),
                 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -158,7 +158,7 @@
                 self.asks_failed = (self.asks_failed + 1).min(4);
                 self.ask_at = Some(self.now + ((self.set.ask_within / 32) << self.asks_failed));
             }
-            Input::Arrived { mail, dest, class, key, due, .. } => self.arrive(mail, dest, class, key, due),
+            Input::Arrived { mail, dest, class, key, due } => self.arrive(mail, dest, class, key, due),
             Input::Hangup { mail } => {
                 if self.mails.get(mail).is_some_and(|m| matches!(m.place, Place::Parked | Place::Out)) {
                     self.end(mail, out);
@@ -317,7 +317,8 @@
         let unit = &mut self.units[e.unit];
         match outcome {
             Outcome::Relayed => {
-                // Guards against calls that get lost one by one: silence, then an answer as quick as ever, again. A slow endpoint answers late and keeps the longer time-outs.
+                // Guards against calls that get lost one by one: silence, then an answer as quick as ever. A slow
+                // endpoint answers late and keeps the longer time-outs.
                 let quick = e.silent && (took as f64) <= e.latency.tail();
                 self.lost = self.lost * LOST_KEPT + f64::from(u8::from(quick));
                 e.silent = false;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -36,12 +36,6 @@
     pub apart: bool,
 }
 
-#[derive(Clone, Debug)]
-pub struct Tenant {
-    /// Mails a second within its share, all couriers together.
-    pub quota: f64,
-}
-
 /// Read once, at the start of a courier.
 #[derive(Clone, Debug, Default)]
 pub struct Settings {
@@ -62,7 +56,6 @@
     pub tip_multiple: f64,
     pub overload_for: Time,
     pub turn_gap: Time,
-    pub over_share_worth: f64,
     /// Late importance halves with each further target delay; else it falls evenly.
     pub by_half: bool,
     pub rates_listed: bool,
@@ -70,7 +63,6 @@
     pub fees: Vec<f64>,
     pub kinds: Vec<Kind>,
     pub classes: Vec<QueueClass>,
-    pub tenants: Vec<Tenant>,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -138,7 +130,6 @@
         mail: usize,
         dest: usize,
         class: usize,
-        tenant: usize,
         key: Option<usize>,
         due: Time,
     },
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -33,7 +33,6 @@
         tip_multiple: 2.0,
         overload_for: 2 * SECOND,
         turn_gap: SECOND,
-        over_share_worth: 1.0,
         rates_listed: true,
         kinds: [(4, false), (1, false), (1, true)].map(|(batch, apart)| Kind { batch, apart }).to_vec(),
         classes: vec![
@@ -71,7 +70,7 @@
     fn arrival(&mut self, ms: Time, class: usize) -> Input {
         self.next += 1;
         let due = SECOND + ms * 10 + 10 * SECOND;
-        Input::Arrived { mail: self.next - 1, dest: 0, class, tenant: 0, key: None, due }
+        Input::Arrived { mail: self.next - 1, dest: 0, class, key: None, due }
     }
 
     fn arrive(&mut self, ms: Time, class: usize, count: usize) -> Vec<Action> {
@@ -349,8 +348,8 @@
 fn mails_of_one_key_go_one_at_a_time_in_order_and_rest_after_silence() {
     let mut rig = Rig::new(settings(), SINGLE, 2, 0.0);
     let keyed = |rig: &mut Rig| match rig.arrival(0, TAGGED) {
-        Input::Arrived { mail, dest, class, tenant, due, .. } => {
-            Input::Arrived { mail, dest, class, tenant, key: Some(0), due }
+        Input::Arrived { mail, dest, class, due, .. } => {
+            Input::Arrived { mail, dest, class, key: Some(0), due }
         }
         other => other,
     };
