--- a/src/control.rs
+++ b/src/control.rs
@@ -16,8 +16,9 @@
 const CLAMP: (usize, usize) = (3, 4);
 const SICK: (usize, usize) = (1, 2);
 const SICK_WHOLE: (usize, usize) = (1, 4);
-/// Time-out in tails of the endpoint: redeliverable, tagged. A once-only connect runs as long as it may.
-const PATIENCE: [f64; 2] = [3.0, 4.0];
+/// Time-out in tails of the endpoint: redeliverable, tagged, and once-only while calls get lost; else that
+/// runs as long as it may, for a time-out loses it.
+const PATIENCE: [f64; 3] = [3.0, 4.0, 12.0];
 /// What is kept of the count of lost calls at each served one.
 const LOST_KEPT: f64 = 0.95;
 /// Window over which rates are counted.
@@ -317,8 +318,8 @@
         let unit = &mut self.units[e.unit];
         match outcome {
             Outcome::Relayed => {
-                // Guards against calls that get lost one by one: silence, then an answer as quick as ever. A slow
-                // endpoint answers late and keeps the longer time-outs.
+                // Guards against calls that get lost one by one: silence, then an answer as quick as ever.
+                // A slow endpoint answers late and keeps the longer time-outs.
                 let quick = e.silent && (took as f64) <= e.latency.tail();
                 self.lost = self.lost * LOST_KEPT + f64::from(u8::from(quick));
                 e.silent = false;
@@ -581,6 +582,8 @@
         let patience = match self.set.classes[m.class].effect {
             Effect::Redeliverable => PATIENCE[0],
             Effect::Tagged => PATIENCE[1],
+            // While calls get lost, a long silence has lost the mail already; its slot need not go too.
+            Effect::OnceOnly if self.lost >= 1.0 => PATIENCE[2],
             Effect::OnceOnly => return left,
         };
         let patience = patience / (1.0 + self.lost.min(2.0));
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -437,4 +437,9 @@
         rig.at(ms, &[ended(connects(&again)[0].0, Outcome::Relayed, 100)]);
     }
     assert!(timeouts.len() == 6 && timeouts[5] * 2 < timeouts[0], "{timeouts:?}");
+    // A once-only call runs as long as it may, but not while calls get lost.
+    let acts = rig.arrive(ms + 100, ONCE_ONLY, 1);
+    assert!(matches!(acts[0], Action::Connect { timeout, .. } if timeout < 2 * SECOND), "{acts:?}");
+    let acts = Rig::new(settings(), SINGLE, 1, 0.0).arrive(0, ONCE_ONLY, 1);
+    assert!(matches!(acts[0], Action::Connect { timeout, .. } if timeout == 10 * SECOND), "{acts:?}");
 }
