A told limit that sinks takes the pace with it

The reports tell the limit at once; a refusal taught the pace only by parts. The floor of the pace is a quarter of the even share wherever a limit is known. Also guards against limits that are raised. Harm: reports that lie.

--- a/src/control.rs
+++ b/src/control.rs
@@ -204,6 +204,8 @@
         if limit > 0.0 && unit.limit <= 0.0 && self.set.kinds[e.kind].batch > 1 {
             unit.pace = limit / self.set.couriers as f64;
         }
+        // Guards against a limit that sinks: the pace goes with it, before refusals teach it.
+        unit.pace *= if limit > 0.0 && unit.limit > 0.0 { limit / unit.limit } else { 1.0 };
         unit.limit = limit.max(0.0);
     }
 
@@ -349,7 +351,8 @@
                 // Guards against refused calls that use up the limit, whoever else shares it.
                 let even = unit.limit / self.set.couriers as f64;
                 let before = if unit.pace > 0.0 { unit.pace } else { unit.sent.rate(now).max(even) };
-                unit.pace = (before * SLOWER).max(even / 4.0).max(0.2);
+                let floor = if even > 0.0 { even / 4.0 } else { 0.2 };
+                unit.pace = (before * SLOWER).max(floor);
                 if now > unit.refused_since + self.set.overload_for {
                     self.sign(endpoint, Sign::Bad);
                 }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -2,7 +2,7 @@
 
 use meadowhold::control::Control;
 use meadowhold::interface::{
-    Action, Effect, Ended, Input, Kind, Life, Listed, Outcome, QueueClass, Settings, Time, SECOND,
+    Action, Effect, Ended, Input, Kind, Life, Listed, Outcome, QueueClass, Report, Settings, Time, SECOND,
 };
 
 const REDELIVERABLE: usize = 0;
@@ -443,3 +443,30 @@
     let acts = Rig::new(settings(), SINGLE, 1, 0.0).arrive(0, ONCE_ONLY, 1);
     assert!(matches!(acts[0], Action::Connect { timeout, .. } if timeout == 10 * SECOND), "{acts:?}");
 }
+
+#[test]
+fn a_told_limit_that_sinks_takes_the_pace_with_it() {
+    // (limit told from the fifth second on, calls in the five seconds after that at most)
+    for (limit, least, most) in [(8.0, 20, 60), (0.8, 1, 6)] {
+        let mut rig = Rig::new(Settings { rates_listed: false, ..settings() }, BATCHED, 1, 0.0);
+        let mut calls = [0, 0];
+        for step in 0..2000u64 {
+            let mut sent = connects(&rig.arrive(step * 5, REDELIVERABLE, usize::from(step % 10 == 0)));
+            while !sent.is_empty() {
+                calls[usize::from(step >= 1000)] += 1;
+                let told = Report { left: 0.5, limit: if step >= 1000 { limit } else { 8.0 } };
+                let relayed = |mail| Ended {
+                    mail,
+                    outcome: Outcome::Relayed,
+                    over: true,
+                    wait: 0,
+                    took: 20,
+                    report: Some(told),
+                };
+                let ends: Vec<Input> = sent.iter().map(|c| Input::Ended(relayed(c.0))).collect();
+                sent = connects(&rig.at(step * 5 + 2, &ends));
+            }
+        }
+        assert!((least..=most).contains(&calls[1]), "{limit}: {calls:?}");
+    }
+}
