--- a/src/control.rs
+++ b/src/control.rs
@@ -186,9 +186,9 @@
             let unit = sibling.map_or(self.units.len(), |&s| self.endpoints[s].unit);
             grow(&mut self.units, unit);
             self.dests[dest].endpoints.push(endpoint);
-            let fresh =
-                Endpoint { known: true, dest, unit, zone, kind, last_good: now, ..Endpoint::default() };
-            self.endpoints[endpoint] = fresh;
+            let last_good = now;
+            self.endpoints[endpoint] =
+                Endpoint { known: true, dest, unit, zone, kind, last_good, ..Endpoint::default() };
         }
         let e = &mut self.endpoints[endpoint];
         (e.life, e.named) = (life, true);
@@ -218,8 +218,7 @@
         }
         let target = due.saturating_sub(c.lifetime) + c.target;
         grow(&mut self.mails, mail);
-        let place = Place::Parked;
-        let importance = c.importance;
+        let (place, importance) = (Place::Parked, c.importance);
         self.mails[mail] = Mail { place, dest, class, importance, key, target, due, ..Mail::default() };
         grow(&mut self.dests, dest);
         self.dests[dest].arrivals.count(self.now);
@@ -675,11 +674,10 @@
     fn rest_keys(&mut self, out: &mut Vec<Action>) {
         let (keys, now) = (&mut self.keys, self.now);
         self.resting.retain(|&key| {
-            let done = keys[key].line.is_empty() && now >= keys[key].rest_until;
-            if done {
-                out.push(Action::FreeKey(key));
-            }
-            !done && keys[key].line.is_empty()
+            let empty = keys[key].line.is_empty();
+            let done = empty && now >= keys[key].rest_until;
+            out.extend(done.then_some(Action::FreeKey(key)));
+            empty && !done
         });
     }
 }
