--- a/tests/control.rs
+++ b/tests/control.rs
@@ -255,12 +255,15 @@
 fn waits_hold_for_the_unit_that_told_them() {
     // (kind, endpoints that may be used during the wait)
     for (kind, others) in [(SINGLE, 0), (BATCHED, 0), (APART, 1)] {
-        let mut rig = Rig::new(settings(), kind, 2, 0.0);
+        let mut rig = Rig::new(settings(), kind, 2, 100.0);
         let (mail, endpoint) = connects(&rig.arrive(0, ONCE_ONLY, 1))[0];
         let mut used = connects(&rig.at(10, &[told(mail, Outcome::Refused, 10, 500)]));
         // A newcomer shares the wait too, unless routes are apart.
-        let grown =
-            [Input::ListBegin { whole: false }, listed(1 - endpoint, kind, Life::Ready, 0.0), Input::ListEnd];
+        let grown = [
+            Input::ListBegin { whole: false },
+            listed(1 - endpoint, kind, Life::Ready, 100.0),
+            Input::ListEnd,
+        ];
         used.extend(connects(&rig.at(20, &grown)));
         for ms in (14..410).step_by(4) {
             let acts = rig.arrive(ms, REDELIVERABLE, 1);
@@ -278,7 +281,7 @@
 
 #[test]
 fn a_wait_told_to_one_mail_of_a_call_counts() {
-    let mut rig = Rig::new(settings(), BATCHED, 1, 0.0);
+    let mut rig = Rig::new(settings(), BATCHED, 1, 100.0);
     let sent = connects(&rig.arrive(0, REDELIVERABLE, 2));
     assert_eq!(sent.len(), 2);
     let both = [told(sent[0].0, Outcome::Refused, 9, 500), told(sent[1].0, Outcome::Refused, 9, 0)];
@@ -318,8 +321,8 @@
     let mut rig = Rig::new(settings(), SINGLE, 1, 0.0);
     let ms = rig.warm(0, 100, 30);
     rig.arrive(ms, REDELIVERABLE, 1);
-    rig.warm(ms + 10, 90, 3);
-    assert_eq!(connects(&rig.arrive(ms + 600, ONCE_ONLY, 1)).len(), 1);
+    rig.warm(ms + 10, 90, 1);
+    assert_eq!(connects(&rig.arrive(ms + 125, ONCE_ONLY, 1)).len(), 1);
 }
 
 #[test]
