--- a/src/control.rs
+++ b/src/control.rs
@@ -350,7 +350,7 @@
                 // Guards against refused calls that use up the limit, whoever else shares it.
                 let even = unit.limit / self.set.couriers as f64;
                 let before = if unit.pace > 0.0 { unit.pace } else { unit.sent.rate(now).max(even) };
-                let floor = if even > 0.0 { even / 4.0 } else { 0.2 };
+                let floor = if even > 0.0 { even / 12.0 } else { 0.2 };
                 unit.pace = (before * SLOWER).max(floor);
                 if now > unit.refused_since + self.set.overload_for {
                     self.sign(endpoint, Sign::Bad);
