--- a/src/control.rs
+++ b/src/control.rs
@@ -137,23 +137,23 @@
         self.dispatch(out);
         self.rest_keys(out);
         let busy = self.open > 0 || self.out > 0 || !self.resting.is_empty();
-        let tick = busy.then_some(now + 2 * self.set.resolution.max(SECOND / 1000));
-        tick.into_iter().chain(self.ask_at).min()
+        busy.then_some(now + self.tick()).into_iter().chain(self.ask_at).min()
+    }
+
+    /// How often parked mails and calls out are looked at; answers in time need a margin above it.
+    fn tick(&self) -> Time {
+        2 * self.set.resolution.max(SECOND / 1000)
     }
 
     fn read(&mut self, input: &Input, out: &mut Vec<Action>) {
         match *input {
             Input::ListBegin { whole } => {
                 self.asks_failed = 0;
-                for e in self.endpoints.iter_mut().filter(|_| whole) {
-                    e.named = false;
-                }
+                self.endpoints.iter_mut().filter(|_| whole).for_each(|e| e.named = false);
             }
             Input::Listed(ref entry) => self.list(entry),
             Input::ListEnd => {
-                for e in self.endpoints.iter_mut().filter(|e| !e.named) {
-                    e.life = Life::Gone;
-                }
+                self.endpoints.iter_mut().filter(|e| !e.named).for_each(|e| e.life = Life::Gone);
             }
             Input::ListFailed => {
                 self.asks_failed = (self.asks_failed + 1).min(4);
@@ -450,7 +450,7 @@
 
     /// Mails whose time is nearly up are answered while the answer still counts.
     fn give_up_hopeless(&mut self, out: &mut Vec<Action>) {
-        let margin = 3 * self.set.resolution;
+        let margin = self.tick() + self.set.resolution;
         for mail in 0..self.mails.len() {
             let m = &self.mails[mail];
             if m.place == Place::Parked && (self.now + margin >= m.due || !self.may(m).0) {
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -242,6 +242,22 @@
     assert!(deferred(&rig.at(9990, &[])));
 }
 
+#[test]
+fn woken_only_when_asked_for_it_still_answers_in_time() {
+    for resolution in [1, 50, 2000] {
+        let mut control = Control::new(Settings { resolution, ..settings() });
+        let (mut now, mut out) = (SECOND, Vec::new());
+        let arrival =
+            Input::Arrived { mail: 0, dest: 0, class: ONCE_ONLY, key: None, due: now + 10 * SECOND };
+        let mut wake = control.round(now, &[arrival], &mut out);
+        while let Some(at) = wake {
+            now = at;
+            wake = control.round(now, &[Input::Woken], &mut out);
+        }
+        assert!(deferred(&out) && now < 11 * SECOND, "{resolution}: {now}");
+    }
+}
+
 #[test]
 fn a_hung_up_mail_is_forgotten_when_its_connect_has_ended() {
     let mut rig = Rig::new(settings(), SINGLE, 1, 0.0);
