--- a/src/interface.rs
+++ b/src/interface.rs
@@ -61,6 +61,7 @@
     pub rates_listed: bool,
     /// Fee of a connect by the zone of a route apart.
     pub fees: Vec<f64>,
+    /// At least one of each: whoever decodes the settings refuses fewer.
     pub kinds: Vec<Kind>,
     pub classes: Vec<QueueClass>,
 }
