Read-through: one place for the even share, no copy of a class's importance, less work in the pick

The even share of a limit was computed in four places; a mail carried its queue class's importance; a returning endpoint's share was computed for every endpoint at every pick; the urgency of each mail was computed twice a comparison; a mail whose client had left was counted as open again only to be taken off at once; told and first limits were two overlapping conditions. No test changed.

--- a/src/control.rs
+++ b/src/control.rs
@@ -201,12 +201,13 @@
     fn limited(&mut self, endpoint: usize, limit: f64) {
         let e = &self.endpoints[endpoint];
         let unit = &mut self.units[e.unit];
-        if limit > 0.0 && unit.limit <= 0.0 && self.set.kinds[e.kind].batch > 1 {
-            unit.pace = limit / self.set.couriers as f64;
+        let before = std::mem::replace(&mut unit.limit, limit.max(0.0));
+        if limit > 0.0 && before > 0.0 {
+            // Guards against a limit that sinks: the pace goes with it, before refusals teach it.
+            unit.pace *= limit / before;
+        } else if limit > 0.0 && self.set.kinds[e.kind].batch > 1 {
+            unit.pace = unit.even(self.set.couriers);
         }
-        // Guards against a limit that sinks: the pace goes with it, before refusals teach it.
-        unit.pace *= if limit > 0.0 && unit.limit > 0.0 { limit / unit.limit } else { 1.0 };
-        unit.limit = limit.max(0.0);
     }
 
     fn arrive(&mut self, mail: usize, dest: usize, class: usize, key: Option<usize>, due: Time) {
@@ -218,8 +219,8 @@
         }
         let target = due.saturating_sub(c.lifetime) + c.target;
         grow(&mut self.mails, mail);
-        let (place, importance) = (Place::Parked, c.importance);
-        self.mails[mail] = Mail { place, dest, class, importance, key, target, due, ..Mail::default() };
+        let place = Place::Parked;
+        self.mails[mail] = Mail { place, dest, class, key, target, due, ..Mail::default() };
         grow(&mut self.dests, dest);
         self.dests[dest].arrivals.count(self.now);
         self.dests[dest].lines[0].push(mail);
@@ -280,13 +281,13 @@
         let unit = &mut self.units[e.unit];
         unit.hold_until = unit.hold_until.max(now + wait);
         call.left -= 1;
-        if call.left == 0 {
+        let settled = call.left == 0;
+        if settled {
             self.out -= 1;
             self.dests[m.dest].out -= 1;
             e.out -= 1;
             e.late -= usize::from(call.late);
         }
-        let settled = call.left == 0;
         let proven = matches!(outcome, Outcome::Refused | Outcome::Unreached | Outcome::Unsent);
         if !proven {
             m.ran = m.ran.or(Some((started, e.zone)));
@@ -294,7 +295,7 @@
         if let (Some(key), Outcome::Silent | Outcome::Broken | Outcome::CalledOff) = (m.key, outcome) {
             self.keys[key].rest_until = self.keys[key].rest_until.max(now + self.set.turn_gap);
         }
-        m.place = Place::Parked;
+        m.place = if was_over { Place::Over } else { Place::Parked };
         if let Some(told) = ended.report {
             self.limited(endpoint, told.limit);
         }
@@ -302,7 +303,6 @@
             self.judge(endpoint, outcome, wait, took);
         }
         if over || was_over {
-            self.open += usize::from(was_over);
             self.end(mail, out);
         } else if self.may(&self.mails[mail]).0 {
             let dest = self.mails[mail].dest;
@@ -333,7 +333,7 @@
                 d.grown = if d.waiting() > 0 { d.grown + 1 } else { 0 };
                 // More for a courier that carries more than an even share.
                 if unit.pace > 0.0 && d.waiting() > 0 {
-                    unit.pace += FASTER * (unit.limit / self.set.couriers as f64).max(unit.pace);
+                    unit.pace += FASTER * unit.even(self.set.couriers).max(unit.pace);
                 }
                 self.sign(endpoint, if back { Sign::Back } else { Sign::Good });
             }
@@ -348,7 +348,7 @@
                 }
                 unit.refused += 1;
                 // Guards against refused calls that use up the limit, whoever else shares it.
-                let even = unit.limit / self.set.couriers as f64;
+                let even = unit.even(self.set.couriers);
                 let before = if unit.pace > 0.0 { unit.pace } else { unit.sent.rate(now).max(even) };
                 let floor = if even > 0.0 { even / 12.0 } else { 0.2 };
                 unit.pace = (before * SLOWER).max(floor);
@@ -428,7 +428,8 @@
     /// The design's cap on a destination's calls in flight.
     fn cap(&self, dest: usize) -> usize {
         let d = &self.dests[dest];
-        let clamp = (self.set.slots * CLAMP.0 / CLAMP.1).max(1);
+        let part = |share: (usize, usize)| (self.set.slots * share.0 / share.1).max(1);
+        let clamp = part(CLAMP);
         let share = match self.sick(dest) {
             (0, _) => CLAMP,
             (sick, all) if sick < all => SICK,
@@ -436,7 +437,7 @@
         };
         let little = (d.rate(self.now) * d.latency.tail() / SECOND as f64 * (1.0 + HEADROOM)).ceil() as usize;
         let cap = if d.latency.seen { (little + d.grown).clamp(1, clamp) } else { clamp };
-        cap.min((self.set.slots * share.0 / share.1).max(1))
+        cap.min(part(share))
     }
 
     /// Endpoints that err or are slow, and endpoints in all.
@@ -476,12 +477,12 @@
         if at >= m.due {
             (0.0, 0.0)
         } else if self.set.by_half {
-            let left = m.importance * 0.5f64.powf(late / target).max(c.late_worth);
+            let left = c.importance * 0.5f64.powf(late / target).max(c.late_worth);
             (left, left * std::f64::consts::LN_2 / target)
         } else {
             let slope =
-                m.importance * (1.0 - c.late_worth) / seconds(c.lifetime.saturating_sub(c.target).max(1));
-            (m.importance - slope * late, slope)
+                c.importance * (1.0 - c.late_worth) / seconds(c.lifetime.saturating_sub(c.target).max(1));
+            (c.importance - slope * late, slope)
         }
     }
 
@@ -526,11 +527,8 @@
     fn connect(&mut self, dest: usize, out: &mut Vec<Action>) -> bool {
         let Some(endpoint) = self.pick(dest) else { return false };
         let e = &self.endpoints[endpoint];
-        let batch = if matches!(e.standing, Standing::Well | Standing::Returning) {
-            self.set.kinds[e.kind].batch
-        } else {
-            1
-        };
+        let trial = matches!(e.standing, Standing::Doubt | Standing::Down);
+        let batch = if trial { 1 } else { self.set.kinds[e.kind].batch };
         let Some(index) = self.calls.iter().position(|c| c.left == 0) else { return false };
         let mut sent = 0;
         while sent < batch {
@@ -574,7 +572,8 @@
                         k.line.first() == Some(&mail) && (m.connects > 0 || self.now >= k.rest_until)
                     })
             });
-            fit.max_by(|a, b| self.urgency(*a.1).total_cmp(&self.urgency(*b.1))).map(|(at, _)| (line, at))
+            let fit = fit.map(|(at, &mail)| (self.urgency(mail), at));
+            fit.max_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, at)| (line, at))
         })
     }
 
@@ -625,18 +624,13 @@
         let doubt = if e.standing == Standing::Doubt { self.tail(endpoint) } else { 0.0 };
         let mean = if e.latency.seen { e.latency.mean } else { self.dests[e.dest].latency.mean };
         // A fee is a part of a mail's worth, as waiting a while past the target delay would be.
-        let fee = if self.set.kinds[e.kind].apart {
-            self.set.fees.get(e.zone).copied().unwrap_or(0.0)
-        } else {
-            0.0
-        };
+        let fee = self.set.fees.get(e.zone).filter(|_| self.set.kinds[e.kind].apart).unwrap_or(&0.0);
         mean * (1 + e.out) as f64 + doubt + fee * FEE_TARGETS * self.target as f64
     }
 
     /// Whether an endpoint may be sent a call now. Refills the paced share of one that returns.
     fn free(&mut self, endpoint: usize) -> bool {
-        let share = self.paced_share(endpoint);
-        let e = &mut self.endpoints[endpoint];
+        let e = &self.endpoints[endpoint];
         let unit = &mut self.units[e.unit];
         if e.life != Life::Ready
             || self.now < unit.hold_until
@@ -648,7 +642,10 @@
             Standing::Well => true,
             // Trials further and further apart, so that a hang gathers no slot with each late call.
             Standing::Doubt | Standing::Down => e.out <= e.late && self.now >= e.trial_at,
-            Standing::Returning => e.ramp.refill(self.now, share, 2.0),
+            Standing::Returning => {
+                let share = self.paced_share(endpoint);
+                self.endpoints[endpoint].ramp.refill(self.now, share, 2.0)
+            }
         }
     }
 
@@ -659,9 +656,9 @@
         let d = &self.dests[e.dest];
         let apart = self.set.kinds[e.kind].apart;
         let ends = d.endpoints.len().max(1) as f64;
-        let limit = self.units[e.unit].limit;
-        let whole = if limit > 0.0 {
-            limit / self.set.couriers as f64 / if apart { 1.0 } else { ends }
+        let unit = &self.units[e.unit];
+        let whole = if unit.limit > 0.0 {
+            unit.even(self.set.couriers) / if apart { 1.0 } else { ends }
         } else {
             d.arrivals.rate(self.now) / ends
         };
@@ -683,13 +680,16 @@
 }
 
 impl Dest {
-    fn waiting(&self) -> usize {
-        self.lines[0].len() + self.lines[1].len()
-    }
-
     /// Arriving mails a second, held ones included.
     fn rate(&self, now: Time) -> f64 {
-        self.arrivals.rate(now) + self.waiting() as f64 / (WINDOW / SECOND) as f64
+        self.arrivals.rate(now) + self.waiting() as f64 / seconds(WINDOW)
+    }
+}
+
+impl Unit {
+    /// A courier's even share of the limit.
+    fn even(&self, couriers: usize) -> f64 {
+        self.limit / couriers as f64
     }
 }
 
@@ -704,12 +704,12 @@
 
 impl Fading {
     fn count(&mut self, now: Time) {
-        (self.count, self.at) = (self.rate(now) * (WINDOW / SECOND) as f64 + 1.0, now);
+        (self.count, self.at) = (self.rate(now) * seconds(WINDOW) + 1.0, now);
     }
 
     fn rate(&self, now: Time) -> f64 {
         let age = (now - self.at) as f64 / WINDOW as f64;
-        self.count * (-age).exp() / (WINDOW / SECOND) as f64
+        self.count * (-age).exp() / seconds(WINDOW)
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -33,7 +33,6 @@
     pub place: Place,
     pub dest: usize,
     pub class: usize,
-    pub importance: f64,
     pub key: Option<usize>,
     pub target: Time,
     pub due: Time,
@@ -108,6 +107,13 @@
     pub latency: Latency,
 }
 
+impl Dest {
+    /// Parked mails of both lines.
+    pub fn waiting(&self) -> usize {
+        self.lines[0].len() + self.lines[1].len()
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Key {
     pub line: Vec<usize>,
