Idle connections are closed while connects find nobody

Now a courier that met it closes what it does not use, by kind of destination, until twenty served calls have passed. Also guards against any far side that bounds connections. Harm: after a crash a few handshakes more.

--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -185,6 +185,11 @@
                     reply.finish_error(instance, m);
                 }
             }
+            Action::LetGo(endpoint) => {
+                if let Some(e) = self.endpoints.outside(endpoint) {
+                    reply.let_go(instance, e);
+                }
+            }
             Action::WatchList => reply.watch(instance),
             Action::FreeMail(mail) => self.mails.leave(mail),
             Action::FreeKey(key) => self.keys.leave(key),
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -196,6 +196,10 @@
         self.record(50, instance, &[&handle.to_be_bytes()]);
     }
 
+    pub fn let_go(&mut self, instance: u32, endpoint: Address) {
+        self.record(20, instance, &[&endpoint]);
+    }
+
     pub fn watch(&mut self, instance: u32) {
         self.record(10, instance, &[&[1]]);
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -4,7 +4,7 @@
 //! The ordinary path is the design's: a cap on each destination's calls in flight, what is over it is parked.
 
 use crate::interface::{Action, Effect, Ended, Input, Life, Listed, Outcome, Settings, Time, SECOND};
-use crate::state::{Call, Dest, Endpoint, Fading, Key, Latency, Mail, Place, Saved, Unit};
+use crate::state::{grow, seconds, Call, Dest, Endpoint, Fading, Key, Latency, Mail, Place, Saved, Unit};
 
 /// Headroom of Little's law; the design's figure for arrivals in batches.
 const HEADROOM: f64 = 1.0 / 3.0;
@@ -105,6 +105,9 @@
     asks_failed: u32,
     /// Calls that got lost of late, fading with each served one.
     lost: f64,
+    /// Connects that found nobody, by kind, fading with each served call; endpoints whose connections close.
+    crowded: Vec<f64>,
+    unused: Vec<usize>,
     order: Vec<(f64, usize)>,
     resting: Vec<usize>,
 }
@@ -116,6 +119,7 @@
             mails: Vec::with_capacity(set.room.min(1 << 16)),
             calls: vec![Call::default(); set.slots.min(1 << 16)],
             ask_at: set.ask_list.then_some(0),
+            crowded: vec![0.0; set.kinds.len()],
             target: set.classes.iter().map(|c| c.target).min().unwrap_or(SECOND),
             set,
             ..Control::default()
@@ -135,6 +139,7 @@
         }
         self.give_up_hopeless(out);
         self.dispatch(out);
+        out.extend(self.unused.drain(..).map(Action::LetGo));
         self.rest_keys(out);
         let busy = self.open > 0 || self.out > 0 || !self.resting.is_empty();
         busy.then_some(now + self.tick()).into_iter().chain(self.ask_at).min()
@@ -323,6 +328,12 @@
                 // A slow endpoint answers late and keeps the longer time-outs.
                 let quick = e.silent && (took as f64) <= e.latency.tail();
                 self.lost = self.lost * LOST_KEPT + f64::from(u8::from(quick));
+                // Guards against endpoints that take few connections and have them all idle, at many couriers:
+                // where connects find nobody, none of ours is kept. After a crash it costs a few handshakes.
+                self.crowded[e.kind] *= LOST_KEPT;
+                if self.crowded[e.kind] >= 1.0 {
+                    self.unused.push(endpoint);
+                }
                 e.silent = false;
                 let doubt = e.standing == Standing::Doubt && e.bad_since_good;
                 let back = doubt && now > e.last_good + self.set.overload_for;
@@ -359,6 +370,9 @@
             Outcome::Error | Outcome::Silent | Outcome::Unreached | Outcome::Broken => {
                 e.bad_since_good = true;
                 e.silent |= outcome == Outcome::Silent;
+                if outcome == Outcome::Unreached && e.standing != Standing::Down {
+                    self.crowded[e.kind] += 1.0;
+                }
                 self.sign(endpoint, Sign::Bad);
             }
             Outcome::CalledOff | Outcome::Unsent => {}
@@ -435,7 +449,8 @@
             (sick, all) if sick < all => SICK,
             _ => SICK_WHOLE,
         };
-        let little = (d.rate(self.now) * d.latency.tail() / SECOND as f64 * (1.0 + HEADROOM)).ceil() as usize;
+        let rate = d.arrivals.rate(self.now) + d.waiting() as f64 / seconds(WINDOW); // held ones included
+        let little = (rate * d.latency.tail() / SECOND as f64 * (1.0 + HEADROOM)).ceil() as usize;
         let cap = if d.latency.seen { (little + d.grown).clamp(1, clamp) } else { clamp };
         cap.min(part(share))
     }
@@ -679,13 +694,6 @@
     }
 }
 
-impl Dest {
-    /// Arriving mails a second, held ones included.
-    fn rate(&self, now: Time) -> f64 {
-        self.arrivals.rate(now) + self.waiting() as f64 / seconds(WINDOW)
-    }
-}
-
 impl Unit {
     /// A courier's even share of the limit.
     fn even(&self, couriers: usize) -> f64 {
@@ -712,13 +720,3 @@
         self.count * (-age).exp() / seconds(WINDOW)
     }
 }
-
-fn seconds(time: Time) -> f64 {
-    time as f64 / SECOND as f64
-}
-
-fn grow<T: Default>(list: &mut Vec<T>, index: usize) {
-    if index >= list.len() {
-        list.resize_with(index + 1, T::default);
-    }
-}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -160,6 +160,8 @@
         mail: usize,
     },
     WatchList,
+    /// Close the idle connections to this endpoint.
+    LetGo(usize),
     /// Nothing more will be said of this index: it may be reused.
     FreeMail(usize),
     FreeKey(usize),
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! What a courier keeps in mind, as plain types. Nothing is decided here.
 
 use crate::control::Standing;
-use crate::interface::{Life, Time};
+use crate::interface::{Life, Time, SECOND};
 
 /// A count that fades over the window, so that what has gone quiet ages.
 #[derive(Clone, Copy, Debug, Default)]
@@ -119,3 +119,13 @@
     pub line: Vec<usize>,
     pub rest_until: Time,
 }
+
+pub fn seconds(time: Time) -> f64 {
+    time as f64 / SECOND as f64
+}
+
+pub fn grow<T: Default>(list: &mut Vec<T>, index: usize) {
+    if index >= list.len() {
+        list.resize_with(index + 1, T::default);
+    }
+}
