Refused couriers with a small share spread out; routes are filled by their rate

An even share of 0.1 calls a second also starves a pace kept from the start. The pick now adds the queue that there would be if all couriers did as this one, from its even share of the route's rate. Also guards against any limit shared by many. Harm: a spread courier waits long where the limit was exceeded only once. The warm sign is now read when an endpoint is picked, not by a loop over all endpoints.

--- a/src/control.rs
+++ b/src/control.rs
@@ -26,6 +26,8 @@
 /// A pace after a refusal, and what a served call adds to it while mails wait, as part of the even share.
 const SLOWER: f64 = 0.85;
 const FASTER: f64 = 0.05;
+/// Calls a target delay in an even share, under which no pace is kept: it would starve a courier's few mails.
+const SCANT: f64 = 0.5;
 /// Target delays that a fee of a whole mail's worth weighs in the pick.
 const FEE_TARGETS: f64 = 8.0;
 /// Part of its paced share that a returning endpoint is sent.
@@ -190,6 +192,8 @@
             let sibling = self.dests[dest].endpoints.first().filter(|_| !self.set.kinds[kind].apart);
             let unit = sibling.map_or(self.units.len(), |&s| self.endpoints[s].unit);
             grow(&mut self.units, unit);
+            // Couriers start at different points of their share, not all with the cheapest route.
+            self.units[unit].share = Saved { calls: 2.0 * self.chance.f64(), at: now };
             self.dests[dest].endpoints.push(endpoint);
             let last_good = now;
             self.endpoints[endpoint] =
@@ -206,12 +210,12 @@
     fn limited(&mut self, endpoint: usize, limit: f64) {
         let e = &self.endpoints[endpoint];
         let unit = &mut self.units[e.unit];
-        let before = std::mem::replace(&mut unit.limit, limit.max(0.0));
-        if limit > 0.0 && before > 0.0 {
+        let before = std::mem::replace(&mut unit.even, limit.max(0.0) / self.set.couriers as f64);
+        if unit.even > 0.0 && before > 0.0 {
             // Guards against a limit that sinks: the pace goes with it, before refusals teach it.
-            unit.pace *= limit / before;
-        } else if limit > 0.0 && self.set.kinds[e.kind].batch > 1 {
-            unit.pace = unit.even(self.set.couriers);
+            unit.pace *= unit.even / before;
+        } else if self.set.kinds[e.kind].batch > 1 && unit.even * seconds(self.target) >= SCANT {
+            unit.pace = unit.even;
         }
     }
 
@@ -328,10 +332,10 @@
                 // A slow endpoint answers late and keeps the longer time-outs.
                 let quick = e.silent && (took as f64) <= e.latency.tail();
                 self.lost = self.lost * LOST_KEPT + f64::from(u8::from(quick));
-                // Guards against endpoints that take few connections and have them all idle, at many couriers:
-                // where connects find nobody, none of ours is kept. After a crash it costs a few handshakes.
+                // Guards against tables of connections that many couriers fill with idle ones: where connects
+                // find nobody, none of ours is kept. Few couriers hardly fill one, and ask for more evidence.
                 self.crowded[e.kind] *= LOST_KEPT;
-                if self.crowded[e.kind] >= 1.0 {
+                if self.crowded[e.kind] * self.set.couriers as f64 >= self.set.slots as f64 {
                     self.unused.push(endpoint);
                 }
                 e.silent = false;
@@ -344,25 +348,28 @@
                 d.grown = if d.waiting() > 0 { d.grown + 1 } else { 0 };
                 // More for a courier that carries more than an even share.
                 if unit.pace > 0.0 && d.waiting() > 0 {
-                    unit.pace += FASTER * unit.even(self.set.couriers).max(unit.pace);
+                    unit.pace += FASTER * unit.even.max(unit.pace);
                 }
                 self.sign(endpoint, if back { Sign::Back } else { Sign::Good });
             }
             Outcome::Refused => {
                 e.bad_since_good = true;
-                if unit.refused == 0 {
-                    unit.refused_since = now;
-                }
-                if wait == 0 {
-                    let back_off = (e.latency.mean.max(1.0) as Time) << unit.refused.min(4);
-                    unit.hold_until = unit.hold_until.max(now + back_off);
-                }
+                unit.refused_since = if unit.refused == 0 { now } else { unit.refused_since };
+                let (even, known) = (unit.even, unit.even > 0.0);
+                let scant = known && even * seconds(self.target) < SCANT;
+                let pause = match (scant, wait) {
+                    // Guards against many couriers that come back in step at the end of a wait: they spread
+                    // so that the unit, from which refused calls may take too, is called half as often.
+                    (true, _) => 2.0 * SECOND as f64 / even * self.chance.f64(),
+                    (false, 0) => e.latency.mean.max(1.0) * f64::from(1 << unit.refused.min(4)),
+                    (false, _) => 0.0,
+                };
+                unit.hold_until = unit.hold_until.max(now + wait + pause as Time);
                 unit.refused += 1;
                 // Guards against refused calls that use up the limit, whoever else shares it.
-                let even = unit.even(self.set.couriers);
                 let before = if unit.pace > 0.0 { unit.pace } else { unit.sent.rate(now).max(even) };
-                let floor = if even > 0.0 { even / 12.0 } else { 0.2 };
-                unit.pace = (before * SLOWER).max(floor);
+                let floor = if known { even / 12.0 } else { 0.2 };
+                unit.pace = if scant { 0.0 } else { (before * SLOWER).max(floor) };
                 if now > unit.refused_since + self.set.overload_for {
                     self.sign(endpoint, Sign::Bad);
                 }
@@ -370,9 +377,8 @@
             Outcome::Error | Outcome::Silent | Outcome::Unreached | Outcome::Broken => {
                 e.bad_since_good = true;
                 e.silent |= outcome == Outcome::Silent;
-                if outcome == Outcome::Unreached && e.standing != Standing::Down {
-                    self.crowded[e.kind] += 1.0;
-                }
+                let found_nobody = outcome == Outcome::Unreached && e.standing != Standing::Down;
+                self.crowded[e.kind] += f64::from(u8::from(found_nobody));
                 self.sign(endpoint, Sign::Bad);
             }
             Outcome::CalledOff | Outcome::Unsent => {}
@@ -402,15 +408,11 @@
         }
     }
 
-    /// Calls that outlast their usual latency, and endpoints that have had their time to warm up.
+    /// Calls that outlast their usual latency.
     fn watch_calls(&mut self) {
         for i in 0..self.calls.len() {
-            let c = &self.calls[i];
-            if c.left == 0 || c.late {
-                continue;
-            }
-            let (endpoint, started) = (c.endpoint, c.started);
-            if (self.now - started) as f64 > self.tail(endpoint) {
+            let Call { endpoint, started, left, late } = self.calls[i];
+            if left > 0 && !late && (self.now - started) as f64 > self.tail(endpoint) {
                 self.calls[i].late = true;
                 let e = &mut self.endpoints[endpoint];
                 e.late += 1;
@@ -420,12 +422,6 @@
                 }
             }
         }
-        for i in 0..self.endpoints.len() {
-            let e = &self.endpoints[i];
-            if e.standing == Standing::Returning && self.now > e.since + self.set.cold {
-                self.sign(i, Sign::Warm);
-            }
-        }
     }
 
     /// Tail latency at an endpoint, or what is nearest to it while it is unmeasured.
@@ -569,6 +565,7 @@
         // No debt from calls sent before a pace was kept.
         unit.saved.calls = (unit.saved.calls - 1.0).max(0.0);
         unit.sent.count(self.now);
+        unit.share.calls = (unit.share.calls - 1.0).max(-1.0);
         true
     }
 
@@ -640,13 +637,17 @@
         let mean = if e.latency.seen { e.latency.mean } else { self.dests[e.dest].latency.mean };
         // A fee is a part of a mail's worth, as waiting a while past the target delay would be.
         let fee = self.set.fees.get(e.zone).filter(|_| self.set.kinds[e.kind].apart).unwrap_or(&0.0);
-        mean * (1 + e.out) as f64 + doubt + fee * FEE_TARGETS * self.target as f64
+        // Were all couriers to do as this one does, so long would the queue be at a route with this rate.
+        let unit = &self.units[e.unit];
+        let lack = if unit.even > 0.0 { (1.0 - unit.share.calls).max(0.0) / unit.even } else { 0.0 };
+        mean * (1 + e.out) as f64 + doubt + lack * SECOND as f64 + fee * FEE_TARGETS * self.target as f64
     }
 
     /// Whether an endpoint may be sent a call now. Refills the paced share of one that returns.
     fn free(&mut self, endpoint: usize) -> bool {
         let e = &self.endpoints[endpoint];
         let unit = &mut self.units[e.unit];
+        unit.share.refill(self.now, unit.even, 2.0);
         if e.life != Life::Ready
             || self.now < unit.hold_until
             || (unit.pace > 0.0 && !unit.saved.refill(self.now, unit.pace, unit.pace / 2.0))
@@ -657,6 +658,10 @@
             Standing::Well => true,
             // Trials further and further apart, so that a hang gathers no slot with each late call.
             Standing::Doubt | Standing::Down => e.out <= e.late && self.now >= e.trial_at,
+            Standing::Returning if self.now > e.since + self.set.cold => {
+                self.sign(endpoint, Sign::Warm);
+                true
+            }
             Standing::Returning => {
                 let share = self.paced_share(endpoint);
                 self.endpoints[endpoint].ramp.refill(self.now, share, 2.0)
@@ -672,8 +677,8 @@
         let apart = self.set.kinds[e.kind].apart;
         let ends = d.endpoints.len().max(1) as f64;
         let unit = &self.units[e.unit];
-        let whole = if unit.limit > 0.0 {
-            unit.even(self.set.couriers) / if apart { 1.0 } else { ends }
+        let whole = if unit.even > 0.0 {
+            unit.even / if apart { 1.0 } else { ends }
         } else {
             d.arrivals.rate(self.now) / ends
         };
@@ -694,13 +699,6 @@
     }
 }
 
-impl Unit {
-    /// A courier's even share of the limit.
-    fn even(&self, couriers: usize) -> f64 {
-        self.limit / couriers as f64
-    }
-}
-
 impl Saved {
     /// Saves up to `depth` calls, one at least; whether a call may go.
     fn refill(&mut self, now: Time, pace: f64, depth: f64) -> bool {
--- a/src/state.rs
+++ b/src/state.rs
@@ -59,12 +59,14 @@
     /// Refusals since the last served call, and when they began.
     pub refused: u32,
     pub refused_since: Time,
-    /// Calls a second that all couriers may make together, as listed or told; 0: not known.
-    pub limit: f64,
+    /// This courier's even share, in calls a second, of the limit that is listed or told; 0: not known.
+    pub even: f64,
     /// Calls a second that this courier allows itself, and what it has saved up; 0: no pace is kept.
     pub pace: f64,
     pub saved: Saved,
     pub sent: Fading,
+    /// What is left of this courier's even share of the limit.
+    pub share: Saved,
 }
 
 /// Calls saved up at a pace.
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -493,7 +493,7 @@
 #[test]
 fn connections_are_closed_while_connects_find_nobody_and_kept_again_after_that() {
     for (outcome, closed) in [(Outcome::Unreached, true), (Outcome::Error, false)] {
-        let mut rig = Rig::new(settings(), SINGLE, 4, 0.0);
+        let mut rig = Rig::new(Settings { couriers: 20, ..settings() }, SINGLE, 4, 0.0);
         let ms = rig.warm(0, 50, 3);
         let mut sent = connects(&rig.arrive(ms, REDELIVERABLE, 1));
         for _ in 0..2 {
@@ -501,9 +501,38 @@
         }
         let acts = rig.at(ms + 90, &[ended(sent[0].0, Outcome::Relayed, 40)]);
         assert_eq!(acts.contains(&Action::LetGo(sent[0].1)), closed, "{outcome:?}");
-        let later = rig.warm(ms + 9000, 50, 20);
+        let later = rig.warm(ms + 9000, 50, 40);
         let sent = connects(&rig.arrive(later, REDELIVERABLE, 1));
         let acts = rig.at(later + 50, &[ended(sent[0].0, Outcome::Relayed, 50)]);
         assert!(!acts.iter().any(|a| matches!(a, Action::LetGo(_))), "{outcome:?}");
     }
 }
+
+#[test]
+fn after_a_refusal_many_couriers_come_back_at_different_times_and_few_at_the_end_of_the_wait() {
+    for (couriers, spread) in [(2, false), (200, true)] {
+        let mut back = Vec::new();
+        for seed in 0..8 {
+            let mut rig = Rig::new(Settings { couriers, seed, ..settings() }, BATCHED, 1, 20.0);
+            let (mail, _) = connects(&rig.arrive(0, TAGGED, 1))[0];
+            rig.at(10, &[told(mail, Outcome::Refused, 10, 500)]);
+            back.extend((102..990).find(|i| !connects(&rig.at(i * 5, &[])).is_empty()).map(|i| i * 5));
+        }
+        assert!(back.iter().all(|&ms| ms >= 510), "{back:?}");
+        assert_eq!(back.len() < 8 || back.iter().any(|&ms| ms > 1500), spread, "{couriers}: {back:?}");
+    }
+}
+
+#[test]
+fn routes_with_a_rate_are_filled_by_it_though_one_is_cheaper() {
+    // Without a rate all go by the cheap route; with one, the part that it can take.
+    for (rate, least, most) in [(0.0, 40, 40), (4.0, 15, 30)] {
+        let set = Settings { couriers: 40, fees: vec![0.0, 0.06], ..settings() };
+        let mut cheap = 0;
+        for seed in 0..40 {
+            let mut rig = Rig::new(Settings { seed, ..set.clone() }, APART, 2, rate);
+            cheap += usize::from(connects(&rig.arrive(0, TAGGED, 1))[0].1 == 0);
+        }
+        assert!((least..=most).contains(&cheap), "{rate}: {cheap}");
+    }
+}
