Trials at a down endpoint keep to this courier's part of what it takes when cold

Now a trial waits for the courier's turn, random around the time in which its part of the cold rate allows a call; where no rate is known the part comes from its own arrivals, counted over the warm-up time. Harm: a destination that is back is found later by a courier that rarely calls it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -231,7 +231,8 @@
         let place = Place::Parked;
         self.mails[mail] = Mail { place, dest, class, key, target, due, ..Mail::default() };
         grow(&mut self.dests, dest);
-        self.dests[dest].arrivals.count(self.now);
+        self.dests[dest].arrivals.count(self.now, WINDOW);
+        self.dests[dest].steady.count(self.now, self.set.cold.max(WINDOW));
         self.dests[dest].lines[0].push(mail);
         self.open += 1;
     }
@@ -367,7 +368,7 @@
                 unit.hold_until = unit.hold_until.max(now + wait + pause as Time);
                 unit.refused += 1;
                 // Guards against refused calls that use up the limit, whoever else shares it.
-                let before = if unit.pace > 0.0 { unit.pace } else { unit.sent.rate(now).max(even) };
+                let before = if unit.pace > 0.0 { unit.pace } else { unit.sent.rate(now, WINDOW).max(even) };
                 let floor = if known { even / 12.0 } else { 0.2 };
                 unit.pace = if scant { 0.0 } else { (before * SLOWER).max(floor) };
                 if now > unit.refused_since + self.set.overload_for {
@@ -389,10 +390,8 @@
     fn sign(&mut self, endpoint: usize, sign: Sign) {
         let now = self.now;
         let e = &mut self.endpoints[endpoint];
-        let Some(&(_, _, next, step)) = STANDINGS.iter().find(|row| row.0 == e.standing && row.1 == sign)
-        else {
-            return;
-        };
+        let row = STANDINGS.iter().find(|row| row.0 == e.standing && row.1 == sign);
+        let Some(&(_, _, next, step)) = row else { return };
         if next != e.standing {
             (e.standing, e.since) = (next, now);
         }
@@ -400,9 +399,12 @@
             Step::Note => e.trials = 0,
             Step::BackOff => {
                 // Doubling from a quarter of the time to make a connection, up to a share of the warm-up.
-                let pause = (self.set.connect_timeout / 4) << e.trials.min(5);
-                e.trial_at = now + pause.min(self.set.cold / 6).max(1);
+                let pause = ((self.set.connect_timeout / 4) << e.trials.min(5)).min(self.set.cold / 6);
                 e.trials += 1;
+                // Guards against the trials of many couriers that push a returning destination over together.
+                let turn = SECOND as f64 / self.paced_share(endpoint, 0.0) * (0.5 + self.chance.f64());
+                let turn = if next == Standing::Down { turn as Time } else { 0 };
+                self.endpoints[endpoint].trial_at = now + pause.max(turn);
             }
             Step::Ramp => (e.ramp, e.trials) = (Saved { calls: 1.0, at: now }, 0),
         }
@@ -445,7 +447,7 @@
             (sick, all) if sick < all => SICK,
             _ => SICK_WHOLE,
         };
-        let rate = d.arrivals.rate(self.now) + d.waiting() as f64 / seconds(WINDOW); // held ones included
+        let rate = d.arrivals.rate(self.now, WINDOW) + d.waiting() as f64 / seconds(WINDOW); // held ones included
         let little = (rate * d.latency.tail() / SECOND as f64 * (1.0 + HEADROOM)).ceil() as usize;
         let cap = if d.latency.seen { (little + d.grown).clamp(1, clamp) } else { clamp };
         cap.min(part(share))
@@ -564,7 +566,7 @@
         let unit = &mut self.units[e.unit];
         // No debt from calls sent before a pace was kept.
         unit.saved.calls = (unit.saved.calls - 1.0).max(0.0);
-        unit.sent.count(self.now);
+        unit.sent.count(self.now, WINDOW);
         unit.share.calls = (unit.share.calls - 1.0).max(-1.0);
         true
     }
@@ -663,7 +665,8 @@
                 true
             }
             Standing::Returning => {
-                let share = self.paced_share(endpoint);
+                let warm = (self.now - e.since) as f64 / self.set.cold.max(1) as f64;
+                let share = self.paced_share(endpoint, warm);
                 self.endpoints[endpoint].ramp.refill(self.now, share, 2.0)
             }
         }
@@ -671,20 +674,17 @@
 
     /// Calls a second that this courier may send a returning endpoint, so that the rule holds by its conduct
     /// alone: its even part of what the endpoint can take, as cold as the settings allow.
-    fn paced_share(&self, endpoint: usize) -> f64 {
+    fn paced_share(&self, endpoint: usize, warm: f64) -> f64 {
         let e = &self.endpoints[endpoint];
         let d = &self.dests[e.dest];
         let apart = self.set.kinds[e.kind].apart;
         let ends = d.endpoints.len().max(1) as f64;
-        let unit = &self.units[e.unit];
-        let whole = if unit.even > 0.0 {
-            unit.even / if apart { 1.0 } else { ends }
-        } else {
-            d.arrivals.rate(self.now) / ends
-        };
-        let warm = (self.now - e.since) as f64 / self.set.cold.max(1) as f64;
+        let even = self.units[e.unit].even / if apart { 1.0 } else { ends };
+        let arriving = d.steady.rate(self.now, self.set.cold.max(WINDOW)) / ends;
+        let whole = if even > 0.0 { even } else { arriving };
         let warmth = self.set.cold_from + (1.0 - self.set.cold_from) * warm.min(1.0);
-        (whole * warmth * RETURN_SHARE * self.set.tip_multiple.min(2.0) / 2.0).max(0.1)
+        (whole * warmth * RETURN_SHARE * self.set.tip_multiple.min(2.0) / 2.0)
+            .max(0.5 / seconds(self.set.cold.max(SECOND)))
     }
 
     /// Keys whose mails are all over are given back when their rest is over.
@@ -709,12 +709,12 @@
 }
 
 impl Fading {
-    fn count(&mut self, now: Time) {
-        (self.count, self.at) = (self.rate(now) * seconds(WINDOW) + 1.0, now);
+    fn count(&mut self, now: Time, window: Time) {
+        (self.count, self.at) = (self.rate(now, window) * seconds(window) + 1.0, now);
     }
 
-    fn rate(&self, now: Time) -> f64 {
-        let age = (now - self.at) as f64 / WINDOW as f64;
-        self.count * (-age).exp() / seconds(WINDOW)
+    fn rate(&self, now: Time, window: Time) -> f64 {
+        let age = (now - self.at) as f64 / window as f64;
+        self.count * (-age).exp() / seconds(window)
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -105,6 +105,8 @@
     pub lines: [Vec<usize>; 2],
     pub out: usize,
     pub arrivals: Fading,
+    /// Arrivals over the time that a destination takes to warm up.
+    pub steady: Fading,
     pub grown: usize,
     pub latency: Latency,
 }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -536,3 +536,18 @@
         assert!((least..=most).contains(&cheap), "{rate}: {cheap}");
     }
 }
+
+#[test]
+fn trials_of_many_couriers_at_a_down_endpoint_are_spread_over_what_it_can_take_cold() {
+    // 20 calls a second, a fifth of it when cold: few couriers try often, each of many seldom.
+    for (couriers, least, most) in [(2, 3, 100), (200, 0, 1)] {
+        let mut rig = Rig::new(Settings { couriers, ..settings() }, SINGLE, 1, 20.0);
+        let mut tried = 0;
+        for step in 0..1800u64 {
+            let acts = rig.arrive(step * 5, REDELIVERABLE, usize::from(step % 50 == 0));
+            tried +=
+                rig.settle(step * 5 + 1, &acts, Outcome::Unreached).concat().len() * usize::from(step > 200);
+        }
+        assert!((least..=most).contains(&tried), "{couriers}: {tried}");
+    }
+}
