A newcomer of a failing destination warms up like an endpoint that is back

Also guards against scaled-out endpoints that start cold during trouble. Harm: a warm newcomer is used slowly while its sisters are sick.

--- a/src/control.rs
+++ b/src/control.rs
@@ -186,18 +186,20 @@
         grow(&mut self.endpoints, endpoint);
         grow(&mut self.dests, dest);
         let (now, kind) = (self.now, kind.min(self.set.kinds.len() - 1));
-        let e = &mut self.endpoints[endpoint];
-        if !e.known {
+        if !self.endpoints[endpoint].known {
             // A newcomer shares its destination's waits, unless routes are apart.
             let sibling = self.dests[dest].endpoints.first().filter(|_| !self.set.kinds[kind].apart);
             let unit = sibling.map_or(self.units.len(), |&s| self.endpoints[s].unit);
             grow(&mut self.units, unit);
             // Couriers start at different points of their share, not all with the cheapest route.
             self.units[unit].share = Saved { calls: 2.0 * self.chance.f64(), at: now };
+            // Guards against a cold replacement that all couriers fill at once: it warms up like one that is back.
+            let well = |&s: &usize| self.endpoints[s].standing == Standing::Well;
+            let well = self.dests[dest].endpoints.iter().all(well);
+            let standing = if well { Standing::Well } else { Standing::Returning };
+            let new = Endpoint { known: true, dest, unit, zone, kind, standing, ..Endpoint::default() };
+            self.endpoints[endpoint] = Endpoint { last_good: now, since: now, ..new };
             self.dests[dest].endpoints.push(endpoint);
-            let last_good = now;
-            self.endpoints[endpoint] =
-                Endpoint { known: true, dest, unit, zone, kind, last_good, ..Endpoint::default() };
         }
         let e = &mut self.endpoints[endpoint];
         (e.life, e.named) = (life, true);
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -551,3 +551,17 @@
         assert!((least..=most).contains(&tried), "{couriers}: {tried}");
     }
 }
+
+#[test]
+fn a_newcomer_of_a_failing_destination_warms_up_and_one_of_a_well_one_does_not() {
+    for (outcome, least, most) in [(Outcome::Relayed, 12, 12), (Outcome::Unreached, 1, 2)] {
+        let mut rig = Rig::new(settings(), SINGLE, 1, 20.0);
+        let sent = connects(&rig.arrive(0, TAGGED, 1));
+        rig.at(5, &[ended(sent[0].0, outcome, 5)]);
+        let whole = Input::ListBegin { whole: true };
+        rig.at(10, &[whole, listed(1, SINGLE, Life::Ready, 20.0), Input::ListEnd]);
+        let acts = rig.arrive(1000, TAGGED, 12);
+        let sent = rig.settle(1002, &acts, Outcome::Relayed).concat().len();
+        assert!((least..=most).contains(&sent), "{outcome:?}: {sent}");
+    }
+}
