--- a/src/control.rs
+++ b/src/control.rs
@@ -198,7 +198,8 @@
             let well = self.dests[dest].endpoints.iter().all(well);
             let standing = if well { Standing::Well } else { Standing::Returning };
             let new = Endpoint { known: true, dest, unit, zone, kind, standing, ..Endpoint::default() };
-            self.endpoints[endpoint] = Endpoint { last_good: now, since: now, ..new };
+            self.endpoints[endpoint] =
+                Endpoint { last_good: now, since: now, ramp: Saved { calls: 0.0, at: now }, ..new };
             self.dests[dest].endpoints.push(endpoint);
         }
         let e = &mut self.endpoints[endpoint];
@@ -566,8 +567,7 @@
         e.out += 1;
         e.ramp.calls -= 1.0;
         let unit = &mut self.units[e.unit];
-        // No debt from calls sent before a pace was kept.
-        unit.saved.calls = (unit.saved.calls - 1.0).max(0.0);
+        unit.saved.calls = (unit.saved.calls - 1.0).max(0.0); // no debt from before a pace was kept
         unit.sent.count(self.now, WINDOW);
         unit.share.calls = (unit.share.calls - 1.0).max(-1.0);
         true
