After a refusal what is worth most comes back first, the rest after the whole spread

Now the queue class of highest importance may go after a quarter of it. Harm: with one class of high importance and most of the mails, less spread.

--- a/src/control.rs
+++ b/src/control.rs
@@ -93,8 +93,9 @@
     set: Settings,
     chance: fastrand::Rng,
     now: Time,
-    /// The shortest target delay of all queue classes.
+    /// The shortest target delay of all queue classes, and the highest importance.
     target: Time,
+    top: f64,
     mails: Vec<Mail>,
     calls: Vec<Call>,
     endpoints: Vec<Endpoint>,
@@ -122,6 +123,7 @@
             calls: vec![Call::default(); set.slots.min(1 << 16)],
             ask_at: set.ask_list.then_some(0),
             crowded: vec![0.0; set.kinds.len()],
+            top: set.classes.iter().map(|c| c.importance).fold(0.0, f64::max),
             target: set.classes.iter().map(|c| c.target).min().unwrap_or(SECOND),
             set,
             ..Control::default()
@@ -135,9 +137,8 @@
             self.read(input, out);
         }
         self.watch_calls();
-        if self.ask_at.is_some_and(|at| at <= now) {
+        if self.ask_at.take_if(|at| *at <= now).is_some() {
             out.push(Action::WatchList);
-            self.ask_at = None;
         }
         self.give_up_hopeless(out);
         self.dispatch(out);
@@ -193,7 +194,7 @@
             grow(&mut self.units, unit);
             // Couriers start at different points of their share, not all with the cheapest route.
             self.units[unit].share = Saved { calls: 2.0 * self.chance.f64(), at: now };
-            // Guards against a cold replacement that all couriers fill at once: it warms up like one that is back.
+            // Guards against a cold replacement that all couriers fill at once: it warms up like one back.
             let well = |&s: &usize| self.endpoints[s].standing == Standing::Well;
             let well = self.dests[dest].endpoints.iter().all(well);
             let standing = if well { Standing::Well } else { Standing::Returning };
@@ -311,9 +312,7 @@
             self.keys[key].rest_until = self.keys[key].rest_until.max(now + self.set.turn_gap);
         }
         m.place = if was_over { Place::Over } else { Place::Parked };
-        if let Some(told) = ended.report {
-            self.limited(endpoint, told.limit);
-        }
+        ended.report.into_iter().for_each(|told| self.limited(endpoint, told.limit));
         if settled {
             self.judge(endpoint, outcome, wait, took);
         }
@@ -341,9 +340,8 @@
                 // Guards against tables of connections that many couriers fill with idle ones: where connects
                 // find nobody, none of ours is kept. Few couriers hardly fill one, and ask for more evidence.
                 self.crowded[e.kind] *= LOST_KEPT;
-                if self.crowded[e.kind] * self.set.couriers as f64 >= self.set.slots as f64 {
-                    self.unused.push(endpoint);
-                }
+                let crowded = self.crowded[e.kind] * self.set.couriers as f64 >= self.set.slots as f64;
+                self.unused.extend(crowded.then_some(endpoint));
                 e.silent = false;
                 let doubt = e.standing == Standing::Doubt && e.bad_since_good;
                 let back = doubt && now > e.last_good + self.set.overload_for;
@@ -353,28 +351,29 @@
                 d.latency.learn(took as f64);
                 d.grown = if d.waiting() > 0 { d.grown + 1 } else { 0 };
                 // More for a courier that carries more than an even share.
-                if unit.pace > 0.0 && d.waiting() > 0 {
-                    unit.pace += FASTER * unit.even.max(unit.pace);
-                }
+                let more = unit.pace > 0.0 && d.waiting() > 0;
+                unit.pace += if more { FASTER * unit.even.max(unit.pace) } else { 0.0 };
                 self.sign(endpoint, if back { Sign::Back } else { Sign::Good });
             }
             Outcome::Refused => {
                 e.bad_since_good = true;
                 unit.refused_since = if unit.refused == 0 { now } else { unit.refused_since };
-                let (even, known) = (unit.even, unit.even > 0.0);
-                let scant = known && even * seconds(self.target) < SCANT;
-                let pause = match (scant, wait) {
-                    // Guards against many couriers that come back in step at the end of a wait: they spread
-                    // so that the unit, from which refused calls may take too, is called half as often.
-                    (true, _) => 2.0 * SECOND as f64 / even * self.chance.f64(),
-                    (false, 0) => e.latency.mean.max(1.0) * f64::from(1 << unit.refused.min(4)),
-                    (false, _) => 0.0,
+                let even = unit.even;
+                let scant = even > 0.0 && even * seconds(self.target) < SCANT;
+                // Guards against many couriers back in step at the end of a wait: they spread, and the unit,
+                // from which refused calls may take too, is called less; what is worth most goes first.
+                let turns = 2.0 * SECOND as f64 / even * self.chance.f64();
+                let (first, rest) = match (scant, wait) {
+                    (true, _) => (turns / 4.0, turns),
+                    (false, 0) => (e.latency.mean.max(1.0) * f64::from(1 << unit.refused.min(4)), 0.0),
+                    (false, _) => (0.0, 0.0),
                 };
-                unit.hold_until = unit.hold_until.max(now + wait + pause as Time);
+                unit.hold_until = unit.hold_until.max(now + wait + first as Time);
+                unit.ease_until = now + wait + rest as Time;
                 unit.refused += 1;
                 // Guards against refused calls that use up the limit, whoever else shares it.
                 let before = if unit.pace > 0.0 { unit.pace } else { unit.sent.rate(now, WINDOW).max(even) };
-                let floor = if known { even / 12.0 } else { 0.2 };
+                let floor = if even > 0.0 { even / 12.0 } else { 0.2 };
                 unit.pace = if scant { 0.0 } else { (before * SLOWER).max(floor) };
                 if now > unit.refused_since + self.set.overload_for {
                     self.sign(endpoint, Sign::Bad);
@@ -442,7 +441,7 @@
         }
     }
 
-    /// The design's cap on a destination's calls in flight.
+    /// The design's cap on a destination's calls in flight; arriving mails include held ones.
     fn cap(&self, dest: usize) -> usize {
         let d = &self.dests[dest];
         let part = |share: (usize, usize)| (self.set.slots * share.0 / share.1).max(1);
@@ -452,7 +451,7 @@
             (sick, all) if sick < all => SICK,
             _ => SICK_WHOLE,
         };
-        let rate = d.arrivals.rate(self.now, WINDOW) + d.waiting() as f64 / seconds(WINDOW); // held ones included
+        let rate = d.arrivals.rate(self.now, WINDOW) + d.waiting() as f64 / seconds(WINDOW);
         let little = (rate * d.latency.tail() / SECOND as f64 * (1.0 + HEADROOM)).ceil() as usize;
         let cap = if d.latency.seen { (little + d.grown).clamp(1, clamp) } else { clamp };
         cap.min(part(share))
@@ -583,6 +582,7 @@
                 let m = &self.mails[mail];
                 let c = &self.set.classes[m.class];
                 !(risky && c.effect == Effect::OnceOnly)
+                    && (c.importance >= self.top || self.now >= self.units[e.unit].ease_until)
                     && m.ran.is_none_or(|(_, zone)| !c.by_zone || zone == e.zone)
                     && m.key.is_none_or(|key| {
                         let k = &self.keys[key];
--- a/src/state.rs
+++ b/src/state.rs
@@ -56,6 +56,8 @@
 pub struct Unit {
     /// Nothing is sent before this time: a told wait, or a back-off of our own.
     pub hold_until: Time,
+    /// Until then only what is worth most goes, after a refusal.
+    pub ease_until: Time,
     /// Refusals since the last served call, and when they began.
     pub refused: u32,
     pub refused_since: Time,
