--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -2,9 +2,10 @@
 
 use meadowhold::control::Control;
 use meadowhold::door::Door;
-use meadowhold::interface::{Action, Ended, Input, Listed, Time};
+use meadowhold::interface::{Action, Ended, Input, Listed, Taken, Time};
+
+use meadowhold_settings::{decode, tenths, Decoded};
 
-use crate::settings::{decode, Decoded};
 use crate::wire::{self, Address, Event, Frame, Malformed, Reply};
 
 struct Courier {
@@ -37,7 +38,7 @@
 
 impl Host {
     pub fn round(&mut self, frame: &Frame, out: &mut Vec<u8>) -> Result<(), Malformed> {
-        let now = wire::tenths(frame.clock_us);
+        let now = tenths(frame.clock_us);
         for event in frame.events() {
             let (instance, event) = event?;
             self.take(instance as usize, event, now)?;
@@ -124,14 +125,15 @@
                 }
                 Input::ListEnd
             }
-            Event::Arrival { handle, dest, class, item, due } => Input::Arrived {
+            Event::Arrival { handle, dest, class, item, due } => Input::Taken(Taken {
                 mail: self.mails.enter(handle),
                 dest: self.dests.enter(dest),
                 class,
                 key: (item != 0 && self.in_turn.get(class) == Some(&true)).then(|| self.keys.enter(item)),
                 due,
-            },
-            Event::Hangup { handle } => match self.mails.find(handle) {
+                ..Taken::default()
+            }),
+            Event::Hangup { handle } => match self.mails.find(&handle) {
                 Some(mail) => Input::Hangup { mail },
                 None => return Ok(()),
             },
@@ -139,7 +141,7 @@
                 self.timer = self.timer.filter(|&at| at > now);
                 Input::Woken
             }
-            Event::Settled(s) => match self.mails.find(s.handle) {
+            Event::Settled(s) => match self.mails.find(&s.handle) {
                 Some(mail) => Input::Ended(Ended {
                     mail,
                     outcome: s.outcome,
@@ -171,22 +173,22 @@
     fn put(&mut self, instance: u32, action: Action, reply: &mut Reply) {
         match action {
             Action::Connect { mail, endpoint, timeout } => {
-                if let (Some(m), Some(e)) = (self.mails.outside(mail), self.endpoints.outside(endpoint)) {
+                if let (Some(&m), Some(&e)) = (self.mails.outside(mail), self.endpoints.outside(endpoint)) {
                     reply.transmit(instance, m, e, timeout);
                 }
             }
             Action::Defer { mail, pause } => {
-                if let Some(m) = self.mails.outside(mail) {
+                if let Some(&m) = self.mails.outside(mail) {
                     reply.busy(instance, m, pause);
                 }
             }
             Action::Bounce { mail } => {
-                if let Some(m) = self.mails.outside(mail) {
+                if let Some(&m) = self.mails.outside(mail) {
                     reply.finish_error(instance, m);
                 }
             }
             Action::LetGo(endpoint) => {
-                if let Some(e) = self.endpoints.outside(endpoint) {
+                if let Some(&e) = self.endpoints.outside(endpoint) {
                     reply.let_go(instance, e);
                 }
             }
--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -2,7 +2,6 @@
 #![forbid(unsafe_code)]
 
 mod host;
-mod settings;
 mod wire;
 
 use std::io::{self, Read, Write};
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -1,6 +1,7 @@
 //! The bench wire: frames of fixed-size records with one tail. Every offset is checked before use.
 
 use meadowhold::interface::{Life, Outcome, Report, Time};
+use meadowhold_settings::tenths;
 
 pub const EVENT: usize = 48;
 pub const ACTION: usize = 24;
@@ -56,10 +57,6 @@
     Other,
 }
 
-pub fn tenths(us: u64) -> Time {
-    us / TENTH
-}
-
 /// Bytes of the frame that starts here; `None` until its length has been read.
 pub fn frame_length(start: &[u8]) -> Option<Result<usize, Malformed>> {
     let length = u32::from_be_bytes(start.get(..4)?.try_into().ok()?) as usize;
@@ -108,11 +105,14 @@
             80 => Event::Crash,
             110 => {
                 let count = usize::from(r[27]).min(4);
+                let outcome = outcome(be16(r, 10)).ok_or("an outcome has an unknown reason")?;
+                // With other outcomes the field is no time to wait.
+                let refused = outcome == Outcome::Refused;
                 Event::Settled(Settled {
                     handle: be32(r, 5),
                     over: r[9] != 0,
-                    outcome: outcome(be16(r, 10)).ok_or("an outcome has an unknown reason")?,
-                    wait: Time::from(be32(r, 19)) * 10,
+                    outcome,
+                    wait: if refused { Time::from(be32(r, 19)) * 10 } else { 0 },
                     took: tenths(be32(r, 23).into()),
                     report: (count, [28, 32, 36, 40].map(|at| f32::from_bits(be32(r, at)))),
                 })
--- /dev/null
+++ b/crates/courier/src/config.rs
@@ -0,0 +1,88 @@
+//! What a courier is told at its start: a file of JSON, and variables of the environment.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use meadowhold_settings::{decode_json, Decoded};
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::discovery::List;
+
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub state: PathBuf,
+    pub sockets: usize,
+    /// Bytes that the folder that lasts may hold.
+    pub disk: u64,
+    pub known: List,
+    pub decoded: Decoded,
+}
+
+#[derive(Deserialize)]
+struct File {
+    #[serde(default)]
+    name: String,
+    listen: Option<String>,
+    discovery: Option<String>,
+    #[serde(default)]
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    #[serde(default)]
+    known: List,
+    settings: Value,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    sockets: usize,
+    disk_mb: f64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: 1024, disk_mb: 3.0 }
+    }
+}
+
+fn address(name: &str, variable: Option<String>, file: Option<String>) -> Result<SocketAddr, String> {
+    let text = variable.or(file).ok_or_else(|| format!("{name} is not set"))?;
+    text.parse().map_err(|_| format!("{name} is no address: {text}"))
+}
+
+impl Config {
+    /// Reads the file that `ROUTER_CONFIG` names; other variables go before what it says.
+    pub fn from_environment() -> Result<Config, String> {
+        let variable = |name: &str| std::env::var(name).ok().filter(|value| !value.is_empty());
+        let path = variable("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
+        let text = std::fs::read(&path).map_err(|e| format!("{path} cannot be read: {e}"))?;
+        Config::read(&text, &variable).map_err(|words| format!("{path}: {words}"))
+    }
+
+    pub fn read(text: &[u8], variable: &dyn Fn(&str) -> Option<String>) -> Result<Config, String> {
+        let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+        // Any text serves as a seed; the platform's is hexadecimal.
+        let seed = u64::from_str_radix(&file.seed, 16);
+        let seed = seed.unwrap_or_else(|_| u64::from(crc32fast::hash(file.seed.as_bytes())));
+        if file.limits.sockets < 64 {
+            return Err("limits.sockets is under 64".to_string());
+        }
+        if !(file.limits.disk_mb > 0.0 && file.limits.disk_mb < 1e9) {
+            return Err("limits.disk_mb is no size".to_string());
+        }
+        Ok(Config {
+            name: variable("ROUTER_NAME").unwrap_or(file.name),
+            listen: address("ROUTER_LISTEN", variable("ROUTER_LISTEN"), file.listen)?,
+            discovery: address("ROUTER_DISCOVERY", variable("ROUTER_DISCOVERY"), file.discovery)?,
+            state: variable("ROUTER_STATE").ok_or("ROUTER_STATE is not set")?.into(),
+            sockets: file.limits.sockets,
+            disk: (file.limits.disk_mb * 1e6) as u64,
+            known: file.known,
+            decoded: decode_json(seed, &file.settings)?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/courier/src/exchange.rs
@@ -0,0 +1,622 @@
+//! The exchange: where clients and endpoints meet. It owns the decisions, the doors, the mails in hand, the
+//! journal and the timer; it carries out what the module says and tells it what was seen.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+
+use bytes::Bytes;
+use meadowhold::control::Control;
+use meadowhold::door::Door;
+use meadowhold::interface::{Action, Ended, Input, Listed, Outcome, Report, Taken, Time};
+use meadowhold_settings::{name, Decoded};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::Notify;
+
+use crate::discovery::List;
+use crate::journal::{Found, Journal, Owed, Record, Sent, Verdict};
+use crate::{http, must};
+
+/// Destinations that may be named before the list names them.
+const MOST_DESTS: usize = 4096;
+
+pub type Shared = Rc<RefCell<Exchange>>;
+
+/// The module's clock: the system's at the start of the process, monotonic from then on.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    base: Time,
+}
+
+impl Clock {
+    pub fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), base: tenths(unix) }
+    }
+
+    pub fn now(&self) -> Time {
+        self.base + tenths(self.start.elapsed())
+    }
+
+    pub fn instant(&self, at: Time) -> Instant {
+        self.start + duration(at.saturating_sub(self.base))
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Clock::new()
+    }
+}
+
+pub fn tenths(duration: Duration) -> Time {
+    (duration.as_micros() / 100) as Time
+}
+
+pub fn duration(time: Time) -> Duration {
+    Duration::from_micros(time.saturating_mul(100))
+}
+
+/// A mail that a client hands in.
+pub struct Offer {
+    pub id: Bytes,
+    pub key: Bytes,
+    pub item: Bytes,
+    pub class: Bytes,
+    pub dest: u64,
+    pub lifetime: Duration,
+    pub body: Bytes,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// From now on its end is owed; the number is for a client that is gone before it hears so.
+    Taken(u64),
+    Busy,
+    Failed(&'static str),
+}
+
+/// A mail of a call.
+#[derive(Clone, Debug)]
+pub struct Letter {
+    pub serial: u64,
+    pub id: Bytes,
+    pub key: Bytes,
+    pub body: Bytes,
+    /// When its connect is given up, by the module's word.
+    pub until: Time,
+    pub due: Time,
+}
+
+/// One call to one endpoint.
+#[derive(Debug)]
+pub struct Call {
+    pub endpoint: usize,
+    pub address: Option<SocketAddr>,
+    pub started: Time,
+    pub letters: Vec<Letter>,
+}
+
+/// What the component that calls endpoints is to do.
+#[derive(Debug)]
+pub enum Order {
+    Call(Call),
+    /// Close the idle connections to this endpoint.
+    LetGo(usize),
+}
+
+/// What is to be told to the platform.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Notice {
+    pub serial: u64,
+    pub id: Bytes,
+    pub verdict: Verdict,
+}
+
+/// What was seen of one mail's connect.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub outcome: Outcome,
+    pub over: bool,
+    pub wait: Duration,
+    pub load: Option<String>,
+}
+
+struct Peer {
+    name: Bytes,
+    address: Option<SocketAddr>,
+    since: u64,
+    zone: u16,
+}
+
+/// Figures since the start, for the log.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    pub taken: u64,
+    pub busy: u64,
+    pub failed: u64,
+    pub calls: u64,
+    pub relayed: u64,
+    pub given_up: u64,
+    pub late: u64,
+    pub hangups: u64,
+    pub compactions: u64,
+    /// What must hold and did not.
+    pub broken: u64,
+}
+
+pub struct Exchange {
+    control: Control,
+    pub clock: Clock,
+    names: Names,
+    room: usize,
+    slots: usize,
+    batches: Vec<usize>,
+    in_turn: Vec<bool>,
+    turn_gap: Time,
+    resolution: Time,
+    mails: Door<u64>,
+    endpoints: Door<Bytes>,
+    dests: Door<u64>,
+    keys: Door<Bytes>,
+    peers: Vec<Peer>,
+    /// Kind of each endpoint, by index.
+    kinds: Vec<usize>,
+    /// Mails by index with a connect that has no outcome yet, and when it began.
+    flying: Vec<Option<Time>>,
+    owed: BTreeMap<u64, Owed>,
+    ids: HashMap<Bytes, u64>,
+    rests: Vec<(Bytes, Time)>,
+    open: usize,
+    next_serial: u64,
+    journal: Journal,
+    inputs: Vec<Input>,
+    actions: Vec<Action>,
+    wake: Option<Time>,
+    last_turn: Time,
+    stopped: bool,
+    notify: Rc<Notify>,
+    orders: UnboundedSender<Order>,
+    notices: UnboundedSender<Notice>,
+    pub counts: Counts,
+}
+
+/// What names on the sockets stand for.
+struct Names {
+    classes: HashMap<Bytes, usize>,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    report: [Option<usize>; 2],
+    fields: Vec<String>,
+}
+
+impl Names {
+    /// What a load report says of the limit.
+    fn report(&self, load: &str) -> Option<Report> {
+        let value = |place: Option<usize>| -> Option<f64> {
+            let value: f64 = http::pair(load, self.fields.get(place?)?)?.parse().ok()?;
+            value.is_finite().then_some(value)
+        };
+        Some(Report { left: value(self.report[0])?, limit: value(self.report[1])? })
+    }
+}
+
+impl Exchange {
+    pub fn new(
+        decoded: Decoded,
+        (journal, found): (Journal, Found),
+        orders: UnboundedSender<Order>,
+        notices: UnboundedSender<Notice>,
+    ) -> Exchange {
+        let Decoded { settings, report, fields, classes, zones, kinds, .. } = decoded;
+        let classes = classes.into_iter().enumerate().map(|(i, class)| (Bytes::from(class), i));
+        let mut exchange = Exchange {
+            names: Names { classes: classes.collect(), zones, kinds, report, fields },
+            room: settings.room,
+            slots: settings.slots,
+            batches: settings.kinds.iter().map(|kind| kind.batch).collect(),
+            in_turn: settings.classes.iter().map(|class| class.in_turn).collect(),
+            turn_gap: settings.turn_gap,
+            resolution: settings.resolution,
+            control: Control::new(settings),
+            clock: Clock::new(),
+            mails: Door::default(),
+            endpoints: Door::default(),
+            dests: Door::default(),
+            keys: Door::default(),
+            peers: Vec::new(),
+            kinds: Vec::new(),
+            flying: Vec::new(),
+            owed: BTreeMap::new(),
+            ids: HashMap::new(),
+            rests: Vec::new(),
+            open: 0,
+            next_serial: found.owed.keys().next_back().map_or(1, |last| last + 1),
+            journal,
+            inputs: Vec::new(),
+            actions: Vec::new(),
+            wake: None,
+            last_turn: 0,
+            stopped: false,
+            notify: Rc::default(),
+            orders,
+            notices,
+            counts: Counts::default(),
+        };
+        exchange.restore(found);
+        exchange
+    }
+
+    /// What an earlier process took on comes back in the order in which it was taken.
+    fn restore(&mut self, found: Found) {
+        let now = self.clock.now();
+        self.rests = found.rests;
+        for (serial, mut owed) in found.owed {
+            // A connect that was out when the process ended may have run, and may be running.
+            let out = owed.out.take();
+            owed.ran = owed.ran.or(out);
+            if out.is_some() && !owed.item.is_empty() {
+                self.rests.push((owed.item.clone(), now));
+            }
+            self.ids.insert(owed.id.clone(), serial);
+            match owed.verdict {
+                Some(verdict) => self.tell(Notice { serial, id: owed.id.clone(), verdict }),
+                None => self.enter(serial, &owed),
+            }
+            self.owed.insert(serial, owed);
+        }
+        self.rests.retain(|(_, since)| since + self.turn_gap > now);
+        for i in 0..self.rests.len() {
+            let (item, since) = self.rests[i].clone();
+            let key = self.keys.enter(item);
+            self.inputs.push(Input::Rested { key, since });
+        }
+        if !self.owed.is_empty() {
+            log::info!("{} mails of an earlier process are owed their end", self.owed.len());
+        }
+    }
+
+    /// A mail goes to the module.
+    fn enter(&mut self, serial: u64, owed: &Owed) {
+        let class = usize::from(owed.class);
+        let ordered = !owed.item.is_empty() && self.in_turn.get(class) == Some(&true);
+        let mail = self.mails.enter(serial);
+        self.open += 1;
+        self.inputs.push(Input::Taken(Taken {
+            mail,
+            dest: self.dests.enter(owed.dest),
+            class,
+            key: ordered.then(|| self.keys.enter(owed.item.clone())),
+            due: owed.due,
+            connects: owed.connects as usize,
+            ran: owed.ran.map(|(at, zone)| (at, usize::from(zone))),
+        }));
+        self.notify.notify_one();
+    }
+
+    pub fn hand_in(&mut self, offer: Offer) -> Answer {
+        let Some(&class) = self.names.classes.get(&offer.class) else {
+            self.counts.failed += 1;
+            return Answer::Failed("ERR unknown class");
+        };
+        if self.dests.len() >= MOST_DESTS && self.dests.find(&offer.dest).is_none() {
+            self.counts.failed += 1;
+            return Answer::Failed("ERR unknown destination");
+        }
+        // Guards against a client that sends again what it was not sure to have handed in.
+        if let Some(&serial) = self.ids.get(&offer.id) {
+            return Answer::Taken(serial);
+        }
+        let ordered = self.in_turn.get(class) == Some(&true) && offer.item.iter().any(|&b| b != b'0');
+        let owed = Owed {
+            id: offer.id,
+            key: offer.key,
+            item: if ordered { offer.item } else { Bytes::new() },
+            class: class as u16,
+            dest: offer.dest,
+            due: self.clock.now() + tenths(offer.lifetime),
+            body: offer.body,
+            ..Owed::default()
+        };
+        let serial = self.next_serial;
+        if self.open >= self.room
+            || !self.journal.has_room(&owed)
+            || !self.note(&Record::Taken { serial, owed: &owed })
+        {
+            self.counts.busy += 1;
+            return Answer::Busy;
+        }
+        self.next_serial += 1;
+        self.counts.taken += 1;
+        self.ids.insert(owed.id.clone(), serial);
+        self.enter(serial, &owed);
+        self.owed.insert(serial, owed);
+        Answer::Taken(serial)
+    }
+
+    /// Puts a record on file; whether it is there.
+    fn note(&mut self, record: &Record) -> bool {
+        if self.journal.is_grown() {
+            let now = self.clock.now();
+            self.rests.retain(|(_, since)| since + self.turn_gap > now);
+            self.counts.compactions += 1;
+            if let Err(e) = self.journal.compact(&self.owed, &self.rests) {
+                log::warn!("the journal cannot be written anew: {e}");
+            }
+        }
+        match self.journal.append(record) {
+            Ok(()) => true,
+            Err(e) => {
+                log::warn!("the journal cannot be written: {e}");
+                false
+            }
+        }
+    }
+
+    /// Nothing more is owed for a mail.
+    fn over(&mut self, serial: u64) {
+        if let Some(owed) = self.owed.remove(&serial) {
+            self.ids.remove(&owed.id);
+            self.journal.forget(&owed);
+            self.open -= usize::from(owed.verdict.is_none());
+            // Where this can't be noted the mail comes back after a restart, as one that may have run.
+            self.note(&Record::Over { serial });
+        }
+    }
+
+    /// The client was gone before it heard that its mail was taken, or the mail turned out to be over.
+    pub fn hangup(&mut self, serial: u64) {
+        if self.owed.get(&serial).is_some_and(|owed| owed.verdict.is_none()) {
+            self.counts.hangups += 1;
+            self.over(serial);
+            self.inputs.extend(self.mails.find(&serial).map(|mail| Input::Hangup { mail }));
+            self.notify.notify_one();
+        }
+    }
+
+    /// A connect that had its outcome turns out to have been served after all.
+    pub fn relayed_late(&mut self, serial: u64) {
+        if self.owed.contains_key(&serial) {
+            self.counts.late += 1;
+            self.hangup(serial);
+        }
+    }
+
+    /// The platform has heard of a mail's end.
+    pub fn told(&mut self, serial: u64) {
+        self.over(serial);
+    }
+
+    fn tell(&mut self, notice: Notice) {
+        // The other end is there as long as the process runs.
+        let _ = self.notices.send(notice);
+    }
+
+    /// The list, or changes to it.
+    pub fn listed(&mut self, list: &List) {
+        self.inputs.push(Input::ListBegin { whole: list.snapshot });
+        for entry in &list.endpoints {
+            let place = |names: &[String], text: &str| names.iter().position(|n| *n == name(text));
+            let zone = place(&self.names.zones, &entry.zone).unwrap_or(usize::from(u16::MAX));
+            let kind = place(&self.names.kinds, &entry.kind).unwrap_or(self.names.kinds.len());
+            let endpoint = self.endpoints.enter(Bytes::copy_from_slice(entry.name.as_bytes()));
+            let (address, since) = (entry.address.parse().ok(), entry.since_ms);
+            let peer = Peer { name: Bytes::new(), address, since, zone: zone as u16 };
+            match self.peers.get_mut(endpoint) {
+                // Moved or started anew: what is open leads nowhere.
+                Some(old) if (old.address, old.since) != (peer.address, peer.since) => {
+                    *old = Peer { name: std::mem::take(&mut old.name), ..peer };
+                    let _ = self.orders.send(Order::LetGo(endpoint));
+                }
+                Some(_) => {}
+                None => {
+                    self.peers.push(Peer { name: entry.name.clone().into(), ..peer });
+                    self.kinds.push(kind);
+                }
+            }
+            self.inputs.push(Input::Listed(Listed {
+                endpoint,
+                dest: self.dests.enter(entry.group),
+                zone,
+                kind,
+                life: entry.life(),
+                rate: entry.weight,
+            }));
+        }
+        self.inputs.push(Input::ListEnd);
+        self.notify.notify_one();
+    }
+
+    /// Just before the first byte of a call goes out: which of its mails still go, with their connects on
+    /// file. None where its endpoint has been told of as leaving, or is to be left alone, since.
+    pub fn begin(&mut self, endpoint: usize, letters: Vec<Letter>) -> Vec<Letter> {
+        let now = self.clock.now();
+        let may = !self.stopped && self.control.may_begin(endpoint, now);
+        let sent: Sent = (now, self.peers[endpoint].zone);
+        let (mut going, mut staying) = (Vec::with_capacity(letters.len()), Vec::new());
+        for letter in letters {
+            let serial = letter.serial;
+            let owed = self.owed.contains_key(&serial);
+            if may && owed && self.note(&Record::Out { serial, sent }) {
+                let owed = self.owed.get_mut(&serial);
+                owed.into_iter().for_each(|owed| {
+                    owed.out = Some(sent);
+                    owed.connects += 1;
+                });
+                going.push(letter);
+            } else {
+                staying.push(serial);
+            }
+        }
+        let unsent = Seen { outcome: Outcome::Unsent, over: false, wait: Duration::ZERO, load: None };
+        staying.into_iter().for_each(|serial| self.seen(serial, unsent.clone()));
+        going
+    }
+
+    /// The outcome of one mail's connect.
+    pub fn seen(&mut self, serial: u64, seen: Seen) {
+        let now = self.clock.now();
+        let mail = self.mails.find(&serial);
+        let started = mail.and_then(|mail| self.flying.get_mut(mail)?.take());
+        let (Some(mail), Some(started)) = (mail, started) else {
+            must!(self.counts.broken, false, "an outcome came for a connect that is not out");
+            return;
+        };
+        let Seen { outcome, over, wait, load } = seen;
+        self.counts.relayed += u64::from(outcome == Outcome::Relayed);
+        let ran = !matches!(outcome, Outcome::Refused | Outcome::Unreached | Outcome::Unsent);
+        let rests = matches!(outcome, Outcome::Silent | Outcome::Broken | Outcome::CalledOff);
+        if over {
+            self.over(serial);
+        } else if let Some(owed) = self.owed.get_mut(&serial) {
+            let sent = owed.out.take();
+            if sent.is_some() {
+                owed.ran = owed.ran.or(sent.filter(|_| ran));
+                if rests && !owed.item.is_empty() {
+                    self.rests.push((owed.item.clone(), now));
+                }
+                self.note(&Record::Back { serial, ran, rests, at: now });
+            }
+        }
+        let report = load.and_then(|load| self.names.report(&load));
+        let took = now.saturating_sub(started);
+        self.inputs.push(Input::Ended(Ended { mail, outcome, over, wait: tenths(wait), took, report }));
+        self.notify.notify_one();
+    }
+
+    /// One turn of the module, and its actions.
+    pub fn turn(&mut self) {
+        if self.stopped {
+            return;
+        }
+        let now = self.clock.now();
+        self.last_turn = now;
+        let mut actions = std::mem::take(&mut self.actions);
+        self.wake = self.control.round(now, &self.inputs, &mut actions);
+        self.inputs.clear();
+        let mut calls: Vec<Call> = Vec::new();
+        for action in actions.drain(..) {
+            match action {
+                Action::Connect { mail, endpoint, timeout } => {
+                    self.add(&mut calls, mail, endpoint, now, timeout);
+                }
+                Action::Defer { mail, pause } => self.give_up(mail, Verdict::Bounced(pause)),
+                Action::Bounce { mail } => self.give_up(mail, Verdict::Dead),
+                Action::LetGo(endpoint) => {
+                    let _ = self.orders.send(Order::LetGo(endpoint));
+                }
+                // A watch is always kept open.
+                Action::WatchList => {}
+                Action::FreeMail(mail) => self.mails.leave(mail),
+                Action::FreeKey(key) => self.keys.leave(key),
+            }
+        }
+        self.actions = actions;
+        self.counts.calls += calls.len() as u64;
+        for call in calls {
+            let _ = self.orders.send(Order::Call(call));
+        }
+    }
+
+    /// A connect joins the round's call to its endpoint while that has room.
+    fn add(&mut self, calls: &mut Vec<Call>, mail: usize, endpoint: usize, now: Time, timeout: Time) {
+        let serial = self.mails.outside(mail).copied();
+        let Some((serial, owed)) = serial.and_then(|serial| Some((serial, self.owed.get(&serial)?))) else {
+            must!(self.counts.broken, false, "a connect was asked for a mail that is not in hand");
+            return;
+        };
+        if mail >= self.flying.len() {
+            self.flying.resize(mail + 1, None);
+        }
+        must!(self.counts.broken, self.flying[mail].is_none(), "a mail has two connects out at once");
+        self.flying[mail] = Some(now);
+        let letter = Letter {
+            serial,
+            id: owed.id.clone(),
+            key: owed.key.clone(),
+            body: owed.body.clone(),
+            until: now + timeout,
+            due: owed.due,
+        };
+        let kind = self.kinds[endpoint].min(self.batches.len() - 1);
+        let most = self.batches[kind];
+        match calls.iter_mut().find(|c| c.endpoint == endpoint && c.letters.len() < most) {
+            Some(call) => call.letters.push(letter),
+            None => {
+                let address = self.peers[endpoint].address;
+                calls.push(Call { endpoint, address, started: now, letters: vec![letter] });
+                must!(self.counts.broken, calls.len() <= self.slots, "more calls than slots in one turn");
+            }
+        }
+    }
+
+    fn give_up(&mut self, mail: usize, verdict: Verdict) {
+        let serial = self.mails.outside(mail).copied();
+        let owed = serial.and_then(|serial| self.owed.get_mut(&serial));
+        let (Some(serial), Some(owed)) = (serial, owed) else {
+            must!(self.counts.broken, false, "a mail that is not in hand was given up");
+            return;
+        };
+        must!(self.counts.broken, owed.verdict.is_none(), "a mail was given up twice");
+        owed.verdict = Some(verdict);
+        let id = owed.id.clone();
+        self.open -= 1;
+        self.counts.given_up += 1;
+        self.note(&Record::GivenUp { serial, verdict });
+        self.tell(Notice { serial, id, verdict });
+    }
+
+    /// When the next turn is due.
+    fn next_turn(&self) -> Option<Instant> {
+        self.wake.map(|at| self.clock.instant(at))
+    }
+
+    pub fn resolution(&self) -> Time {
+        self.resolution
+    }
+
+    /// No further call begins.
+    pub fn stop(&mut self) {
+        self.stopped = true;
+    }
+
+    /// Mails without an end, notices to come included.
+    pub fn in_hand(&self) -> usize {
+        self.owed.len()
+    }
+
+    /// Connects that have no outcome yet.
+    pub fn in_flight(&self) -> usize {
+        self.flying.iter().flatten().count()
+    }
+}
+
+/// Gives the module its turns: when something was seen, and when it asked for one, but no more often than
+/// the settings say.
+pub async fn drive(shared: Shared) -> io::Result<()> {
+    let (notify, clock, resolution) = {
+        let exchange = shared.borrow();
+        (exchange.notify.clone(), exchange.clock, exchange.resolution)
+    };
+    loop {
+        let due = shared.borrow().next_turn();
+        tokio::select! {
+            () = notify.notified() => {}
+            () = sleep_until(due) => {}
+        }
+        let earliest = clock.instant(shared.borrow().last_turn + resolution);
+        tokio::time::sleep_until(earliest.into()).await;
+        shared.borrow_mut().turn();
+    }
+}
+
+async fn sleep_until(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at.into()).await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/courier/src/http.rs
@@ -0,0 +1,228 @@
+//! HTTP/1.1 as a client of endpoints and discovery speaks it: requests out, answers in. No I/O.
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
+use bytes::{Bytes, BytesMut};
+use serde::Deserialize;
+
+const MOST_HEAD: usize = 16 * 1024;
+const MOST_FIELDS: usize = 64;
+
+#[derive(Debug, PartialEq, Eq)]
+pub struct Malformed(pub &'static str);
+
+/// How an answer's body is told apart from what follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Body {
+    Length(u64),
+    /// Bytes left of the current chunk; `None` between chunks.
+    Chunks(Option<u64>),
+    /// After the last chunk: fields until an empty line.
+    Trailer,
+    UntilEnd,
+}
+
+/// The first part of an answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Head {
+    pub status: u16,
+    pub body: Body,
+    pub keep: bool,
+    pub wait: Option<Duration>,
+    pub over_slots: bool,
+    pub load: Option<String>,
+}
+
+/// Takes the first part of an answer off the buffer; `None` while it has not all come.
+pub fn head(buffer: &mut BytesMut) -> Result<Option<Head>, Malformed> {
+    loop {
+        let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
+        let mut answer = httparse::Response::new(&mut fields);
+        let size = match answer.parse(buffer) {
+            Ok(httparse::Status::Complete(size)) => size,
+            Ok(httparse::Status::Partial) if buffer.len() < MOST_HEAD => return Ok(None),
+            Ok(httparse::Status::Partial) => return Err(Malformed("an answer's head is too long")),
+            Err(_) => return Err(Malformed("an answer's head cannot be read")),
+        };
+        let status = answer.code.unwrap_or(0);
+        let keep = answer.version == Some(1);
+        let mut head = Head { status, body: Body::UntilEnd, keep, wait: None, over_slots: false, load: None };
+        for field in answer.headers.iter() {
+            read_field(&mut head, field)?;
+        }
+        if matches!(status, 204 | 304) || (100..200).contains(&status) {
+            head.body = Body::Length(0);
+        }
+        head.keep &= head.body != Body::UntilEnd;
+        let _ = buffer.split_to(size);
+        // An interim answer: the real one follows.
+        if (100..200).contains(&status) && status != 101 {
+            continue;
+        }
+        return Ok(Some(head));
+    }
+}
+
+fn read_field(head: &mut Head, field: &httparse::Header) -> Result<(), Malformed> {
+    let is = |name: &str| field.name.eq_ignore_ascii_case(name);
+    let text = std::str::from_utf8(field.value).unwrap_or("").trim();
+    let names = |word: &str| text.split(',').any(|part| part.trim().eq_ignore_ascii_case(word));
+    if is("Content-Length") {
+        let length = text.parse().map_err(|_| Malformed("a length cannot be read"))?;
+        if matches!(head.body, Body::Length(other) if other != length) {
+            return Err(Malformed("an answer has two lengths"));
+        }
+        if head.body == Body::UntilEnd {
+            head.body = Body::Length(length);
+        }
+    } else if is("Transfer-Encoding") && names("chunked") {
+        head.body = Body::Chunks(None);
+    } else if is("Connection") {
+        head.keep &= !names("close");
+    } else if is("Retry-After") {
+        head.wait = seconds(text);
+    } else if is("X-Over-Slots") {
+        head.over_slots = text == "1";
+    } else if is("X-Load") {
+        head.load = Some(text.to_string());
+    }
+    Ok(())
+}
+
+/// Seconds with decimals; nothing that is no time, and no more than an hour.
+fn seconds(text: &str) -> Option<Duration> {
+    let value: f64 = text.parse().ok()?;
+    (value.is_finite() && value > 0.0).then(|| Duration::from_secs_f64(value.min(3600.0)))
+}
+
+/// The value of one name in a list of names and values.
+pub fn pair<'a>(text: &'a str, name: &str) -> Option<&'a str> {
+    let pairs = text.split(',').filter_map(|pair| pair.split_once('='));
+    pairs.filter(|(key, _)| key.trim() == name).map(|(_, value)| value.trim()).next()
+}
+
+/// Takes the next part of a body off the buffer: some bytes, or `Ended`, or `More` once more has come.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Piece {
+    Bytes(Bytes),
+    More,
+    Ended,
+}
+
+impl Body {
+    pub fn next(&mut self, buffer: &mut BytesMut) -> Result<Piece, Malformed> {
+        loop {
+            match self {
+                Body::Length(0) => return Ok(Piece::Ended),
+                Body::UntilEnd if buffer.is_empty() => return Ok(Piece::More),
+                Body::UntilEnd => return Ok(Piece::Bytes(buffer.split().freeze())),
+                Body::Length(left) => return Ok(cut(buffer, left)),
+                Body::Chunks(Some(0)) => {
+                    if buffer.len() < 2 {
+                        return Ok(Piece::More);
+                    }
+                    if buffer.split_to(2) != b"\r\n"[..] {
+                        return Err(Malformed("a chunk does not end where it should"));
+                    }
+                    *self = Body::Chunks(None);
+                }
+                Body::Chunks(Some(left)) => return Ok(cut(buffer, left)),
+                Body::Chunks(None) => match httparse::parse_chunk_size(buffer) {
+                    Ok(httparse::Status::Complete((size, length))) => {
+                        let _ = buffer.split_to(size);
+                        *self = if length == 0 { Body::Trailer } else { Body::Chunks(Some(length)) };
+                    }
+                    Ok(httparse::Status::Partial) if buffer.len() < MOST_HEAD => return Ok(Piece::More),
+                    _ => return Err(Malformed("a chunk's size cannot be read")),
+                },
+                Body::Trailer => {
+                    let Some(end) = buffer.iter().position(|&b| b == b'\n') else {
+                        let long = buffer.len() >= MOST_HEAD;
+                        return if long { Err(Malformed("a trailer is too long")) } else { Ok(Piece::More) };
+                    };
+                    let line = buffer.split_to(end + 1);
+                    if line.iter().all(|&b| b == b'\r' || b == b'\n') {
+                        *self = Body::Length(0);
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn cut(buffer: &mut BytesMut, left: &mut u64) -> Piece {
+    if buffer.is_empty() {
+        return Piece::More;
+    }
+    let size = buffer.len().min(usize::try_from(*left).unwrap_or(usize::MAX));
+    *left -= size as u64;
+    Piece::Bytes(buffer.split_to(size).freeze())
+}
+
+pub fn get(out: &mut BytesMut, path: &str, host: &str) {
+    line(out, format_args!("GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n"));
+}
+
+pub fn post(out: &mut BytesMut, path: &str, host: &str, more: std::fmt::Arguments, body: &[u8]) {
+    let length = body.len();
+    line(out, format_args!("POST {path} HTTP/1.1\r\nHost: {host}\r\n{more}Content-Length: {length}\r\n\r\n"));
+    out.extend_from_slice(body);
+}
+
+fn line(out: &mut BytesMut, text: std::fmt::Arguments) {
+    // Writing to a buffer that grows cannot fail.
+    let _ = out.write_fmt(text);
+}
+
+/// A mail as a call carries it.
+pub struct Letter<'a> {
+    pub id: &'a str,
+    pub key: &'a str,
+    pub body: &'a [u8],
+}
+
+/// A call with one mail.
+pub fn hook(out: &mut BytesMut, host: &str, letter: &Letter, wait: Duration) {
+    let (id, key, wait) = (letter.id, letter.key, wait.as_secs_f64());
+    let fields = |key: std::fmt::Arguments, out: &mut BytesMut| {
+        let more = format_args!("X-Request-Id: {id}\r\n{key}X-Deadline: {wait:.3}\r\n");
+        post(out, "/hook", host, more, letter.body);
+    };
+    match key {
+        "" => fields(format_args!(""), out),
+        key => fields(format_args!("Idempotency-Key: {key}\r\n"), out),
+    }
+}
+
+/// A call with several mails. Ids and keys hold nothing that JSON would want escaped.
+pub fn hook_batch(out: &mut BytesMut, host: &str, letters: &[Letter], wait: Duration) {
+    let mut body = String::from("[");
+    for (i, letter) in letters.iter().enumerate() {
+        let comma = if i > 0 { "," } else { "" };
+        let _ = write!(body, "{comma}{{\"id\":\"{}\",", letter.id);
+        if !letter.key.is_empty() {
+            let _ = write!(body, "\"key\":\"{}\",", letter.key);
+        }
+        body.push_str("\"body\":\"");
+        STANDARD.encode_string(letter.body, &mut body);
+        body.push_str("\"}");
+    }
+    body.push(']');
+    let wait = wait.as_secs_f64();
+    let more = format_args!("X-Deadline: {wait:.3}\r\nContent-Type: application/json\r\n");
+    post(out, "/hook/batch", host, more, body.as_bytes());
+}
+
+/// What a batch answer says of one mail.
+#[derive(Debug, Deserialize, PartialEq, Eq)]
+pub struct Item {
+    pub id: String,
+    pub state: String,
+}
+
+pub fn items(body: &[u8]) -> Option<Vec<Item>> {
+    serde_json::from_slice(body).ok()
+}
--- /dev/null
+++ b/crates/courier/src/journal.rs
@@ -0,0 +1,350 @@
+//! The journal: what a courier has taken on, on file, so that it outlasts the process.
+//! One file of records, each with its length and checksum; what does not add up ends the reading. When it
+//! has grown, a file with only what is still owed takes its place by a rename.
+
+use std::collections::BTreeMap;
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+use bytes::{Buf, BufMut, Bytes};
+use meadowhold::interface::Time;
+
+/// A send: when, and to which zone.
+pub type Sent = (Time, u16);
+
+/// What goes to the platform about a mail that was given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Dead,
+    /// With a time to come back, in tenths of a millisecond; 0: none named.
+    Bounced(Time),
+}
+
+/// A mail that is owed its end. Times are by the system's clock, in tenths of a millisecond.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Owed {
+    pub id: Bytes,
+    /// The idempotency key; empty: none.
+    pub key: Bytes,
+    /// What the mail is about, in a queue class that keeps its order; empty: nothing.
+    pub item: Bytes,
+    pub class: u16,
+    pub dest: u64,
+    pub due: Time,
+    pub body: Bytes,
+    pub connects: u32,
+    /// The first connect that may have run.
+    pub ran: Option<Sent>,
+    /// A connect that is out.
+    pub out: Option<Sent>,
+    /// Given up: only the notice is owed.
+    pub verdict: Option<Verdict>,
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Record<'a> {
+    Taken {
+        serial: u64,
+        owed: &'a Owed,
+    },
+    Out {
+        serial: u64,
+        sent: Sent,
+    },
+    /// The connect that was out has an outcome; `ran`: it may have run. `rests`: it may be running still.
+    Back {
+        serial: u64,
+        ran: bool,
+        rests: bool,
+        at: Time,
+    },
+    GivenUp {
+        serial: u64,
+        verdict: Verdict,
+    },
+    Over {
+        serial: u64,
+    },
+    Rest {
+        item: &'a [u8],
+        since: Time,
+    },
+}
+
+/// What a journal held at its opening.
+#[derive(Debug, Default, PartialEq)]
+pub struct Found {
+    pub owed: BTreeMap<u64, Owed>,
+    /// Keys of which a connect may be running still, and since when.
+    pub rests: Vec<(Bytes, Time)>,
+}
+
+const NAME: &str = "journal";
+const FRESH: &str = "journal.new";
+const MAGIC: &[u8] = b"meadowhold journal 1\n";
+const HEADER: usize = 8;
+const BLOCK: u64 = 512;
+/// Parts of the allowance, in hundredths: what is owed may take so much, the file grows to so much before
+/// it is written anew. The two files together then stay under nine tenths.
+const OWED_PART: u64 = 36;
+const FILE_PART: u64 = 52;
+
+pub struct Journal {
+    folder: PathBuf,
+    file: File,
+    size: u64,
+    allowance: u64,
+    /// Bytes that the mails owed would take in a fresh file.
+    live: u64,
+    buffer: Vec<u8>,
+}
+
+fn short(out: &mut Vec<u8>, bytes: &[u8]) {
+    out.put_u16(bytes.len() as u16);
+    out.extend_from_slice(bytes);
+}
+
+fn maybe(out: &mut Vec<u8>, sent: Option<Sent>) {
+    out.put_u8(u8::from(sent.is_some()));
+    let (at, zone) = sent.unwrap_or_default();
+    out.put_u64(at);
+    out.put_u16(zone);
+}
+
+fn write(out: &mut Vec<u8>, record: &Record) {
+    let start = out.len();
+    out.extend_from_slice(&[0; HEADER]);
+    match *record {
+        Record::Taken { serial, owed } => {
+            out.put_u8(1);
+            out.put_u64(serial);
+            [&owed.id, &owed.key, &owed.item].into_iter().for_each(|bytes| short(out, bytes));
+            out.put_u16(owed.class);
+            out.put_u64(owed.dest);
+            out.put_u64(owed.due);
+            out.put_u32(owed.connects);
+            maybe(out, owed.ran);
+            maybe(out, owed.out);
+            out.extend_from_slice(&owed.body);
+        }
+        Record::Out { serial, sent } => {
+            out.put_u8(2);
+            out.put_u64(serial);
+            out.put_u64(sent.0);
+            out.put_u16(sent.1);
+        }
+        Record::Back { serial, ran, rests, at } => {
+            out.put_u8(3);
+            out.put_u64(serial);
+            out.put_u8(u8::from(ran) | u8::from(rests) << 1);
+            out.put_u64(at);
+        }
+        Record::GivenUp { serial, verdict } => {
+            out.put_u8(4);
+            out.put_u64(serial);
+            match verdict {
+                Verdict::Dead => out.put_u64(u64::MAX),
+                Verdict::Bounced(wait) => out.put_u64(wait),
+            }
+        }
+        Record::Over { serial } => {
+            out.put_u8(5);
+            out.put_u64(serial);
+        }
+        Record::Rest { item, since } => {
+            out.put_u8(6);
+            out.put_u64(since);
+            short(out, item);
+        }
+    }
+    let length = (out.len() - start - HEADER) as u32;
+    let sum = crc32fast::hash(&out[start + HEADER..]);
+    out[start..start + 4].copy_from_slice(&length.to_be_bytes());
+    out[start + 4..start + HEADER].copy_from_slice(&sum.to_be_bytes());
+}
+
+/// The size of a mail's first record.
+fn weight(owed: &Owed) -> u64 {
+    (HEADER + 64 + owed.id.len() + owed.key.len() + owed.item.len() + owed.body.len()) as u64
+}
+
+/// Reads fields off the front of a record; `None` where it is too short.
+struct Fields(Bytes);
+
+impl Fields {
+    fn u8(&mut self) -> Option<u8> {
+        self.0.try_get_u8().ok()
+    }
+
+    fn u16(&mut self) -> Option<u16> {
+        self.0.try_get_u16().ok()
+    }
+
+    fn u32(&mut self) -> Option<u32> {
+        self.0.try_get_u32().ok()
+    }
+
+    fn u64(&mut self) -> Option<u64> {
+        self.0.try_get_u64().ok()
+    }
+
+    fn short(&mut self) -> Option<Bytes> {
+        let length = usize::from(self.u16()?);
+        (length <= self.0.len()).then(|| self.0.split_to(length))
+    }
+
+    fn maybe(&mut self) -> Option<Option<Sent>> {
+        let is = self.u8()? != 0;
+        let sent = (self.u64()?, self.u16()?);
+        Some(is.then_some(sent))
+    }
+}
+
+impl Found {
+    /// What the bytes of a journal say, up to the first that do not add up; and how many those are.
+    pub fn read(bytes: &Bytes) -> (Found, usize) {
+        let mut found = Found::default();
+        if !bytes.starts_with(MAGIC) {
+            return (found, 0);
+        }
+        let mut at = MAGIC.len();
+        while let Some(mut header) = bytes.get(at..at + HEADER) {
+            let (length, sum) = (header.get_u32() as usize, header.get_u32());
+            let Some(end) = (at + HEADER).checked_add(length).filter(|&end| end <= bytes.len()) else {
+                break;
+            };
+            let record = bytes.slice(at + HEADER..end);
+            if crc32fast::hash(&record) != sum || found.apply(Fields(record)).is_none() {
+                break;
+            }
+            at = end;
+        }
+        (found, at)
+    }
+
+    fn apply(&mut self, mut f: Fields) -> Option<()> {
+        let (code, serial) = (f.u8()?, f.u64()?);
+        match code {
+            1 => {
+                let (id, key, item) = (f.short()?, f.short()?, f.short()?);
+                let (class, dest, due, connects) = (f.u16()?, f.u64()?, f.u64()?, f.u32()?);
+                let (ran, out) = (f.maybe()?, f.maybe()?);
+                let body = f.0;
+                let verdict = None;
+                let owed = Owed { id, key, item, class, dest, due, body, connects, ran, out, verdict };
+                self.owed.insert(serial, owed);
+            }
+            2 => {
+                let sent = (f.u64()?, f.u16()?);
+                let owed = self.owed.get_mut(&serial)?;
+                owed.out = Some(sent);
+                owed.connects += 1;
+            }
+            3 => {
+                let (flags, at) = (f.u8()?, f.u64()?);
+                let owed = self.owed.get_mut(&serial)?;
+                let sent = owed.out.take().filter(|_| flags & 1 != 0);
+                owed.ran = owed.ran.or(sent);
+                if flags & 2 != 0 && !owed.item.is_empty() {
+                    self.rests.push((owed.item.clone(), at));
+                }
+            }
+            4 => {
+                let wait = f.u64()?;
+                let verdict = if wait == u64::MAX { Verdict::Dead } else { Verdict::Bounced(wait) };
+                self.owed.get_mut(&serial)?.verdict = Some(verdict);
+            }
+            5 => {
+                self.owed.remove(&serial)?;
+            }
+            // The place of the serial holds the time.
+            6 => self.rests.push((f.short()?, serial)),
+            _ => return None,
+        }
+        Some(())
+    }
+}
+
+impl Journal {
+    /// Opens the folder's journal, or a new one, and tells what it held. It is written anew at once, so that
+    /// a torn tail is gone.
+    pub fn open(folder: &Path, allowance: u64) -> io::Result<(Journal, Found)> {
+        fs::create_dir_all(folder)?;
+        let bytes = match fs::read(folder.join(NAME)) {
+            Ok(bytes) => Bytes::from(bytes),
+            Err(e) if e.kind() == io::ErrorKind::NotFound => Bytes::new(),
+            Err(e) => return Err(e),
+        };
+        let (found, good) = Found::read(&bytes);
+        if good < bytes.len() {
+            log::warn!("the journal's last {} bytes cannot be read and are passed over", bytes.len() - good);
+        }
+        let file = OpenOptions::new().create(true).append(true).open(folder.join(NAME))?;
+        let (folder, size) = (folder.to_path_buf(), bytes.len() as u64);
+        let live = found.owed.values().map(weight).sum();
+        let mut journal = Journal { folder, file, size, allowance, live, buffer: Vec::new() };
+        journal.compact(&found.owed, &found.rests)?;
+        Ok((journal, found))
+    }
+
+    fn part(&self, hundredths: u64) -> u64 {
+        (self.allowance / 100 * hundredths).saturating_sub(BLOCK)
+    }
+
+    /// Whether one more mail may be taken on.
+    pub fn has_room(&self, owed: &Owed) -> bool {
+        self.live + weight(owed) <= self.part(OWED_PART)
+    }
+
+    /// Whether the file should be written anew: it is full, or holds far more than is owed.
+    pub fn is_grown(&self) -> bool {
+        self.size > self.part(FILE_PART)
+    }
+
+    pub fn append(&mut self, record: &Record) -> io::Result<()> {
+        self.buffer.clear();
+        write(&mut self.buffer, record);
+        if self.size + self.buffer.len() as u64 > self.part(FILE_PART + 2) {
+            return Err(io::Error::new(io::ErrorKind::StorageFull, "the journal is full"));
+        }
+        if let Err(e) = self.file.write_all(&self.buffer) {
+            // Guards against half a record in the middle, behind which nothing would be read again.
+            let _ = self.file.set_len(self.size);
+            return Err(e);
+        }
+        self.size += self.buffer.len() as u64;
+        if let Record::Taken { owed, .. } = record {
+            self.live += weight(owed);
+        }
+        Ok(())
+    }
+
+    /// A mail's record counts no more in what is owed.
+    pub fn forget(&mut self, owed: &Owed) {
+        self.live = self.live.saturating_sub(weight(owed));
+    }
+
+    /// Writes a fresh file of what is owed and puts it in the place of the old one.
+    pub fn compact(&mut self, owed: &BTreeMap<u64, Owed>, rests: &[(Bytes, Time)]) -> io::Result<()> {
+        let mut bytes = MAGIC.to_vec();
+        for (&serial, owed) in owed {
+            write(&mut bytes, &Record::Taken { serial, owed });
+            if let Some(verdict) = owed.verdict {
+                write(&mut bytes, &Record::GivenUp { serial, verdict });
+            }
+        }
+        for (item, since) in rests {
+            write(&mut bytes, &Record::Rest { item, since: *since });
+        }
+        let path = self.folder.join(FRESH);
+        let mut file = OpenOptions::new().create(true).write(true).truncate(true).open(&path)?;
+        let written = file.write_all(&bytes).and_then(|()| fs::rename(&path, self.folder.join(NAME)));
+        if let Err(e) = written {
+            let _ = fs::remove_file(&path);
+            return Err(e);
+        }
+        (self.file, self.size) = (file, bytes.len() as u64);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/courier/src/lib.rs
@@ -0,0 +1,108 @@
+//! A courier on sockets, round meadowhold's decisions. `serve` runs one; each file has one job, and clients
+//! and endpoints meet only in the exchange.
+#![forbid(unsafe_code)]
+
+pub mod clients;
+pub mod command;
+pub mod config;
+pub mod discovery;
+pub mod endpoints;
+pub mod exchange;
+pub mod http;
+pub mod journal;
+pub mod link;
+pub mod notices;
+pub mod resp;
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{sleep, timeout, Instant};
+
+use clients::Phase;
+use config::Config;
+use exchange::{Exchange, Shared};
+use journal::Journal;
+
+/// What must hold: asserted in debug builds, counted and logged in release builds.
+#[macro_export]
+macro_rules! must {
+    ($count:expr, $holds:expr, $words:expr) => {
+        if !$holds {
+            debug_assert!(false, $words);
+            $count += 1;
+            log::error!($words);
+        }
+    };
+}
+
+/// Descriptors kept for the process itself, the journal, discovery and notices.
+const OWN_SOCKETS: usize = 32;
+/// At a planned end: for so long new clients are still served, calls begin, and calls out are waited for.
+/// The platform kills no sooner than 3.7 s after it asks.
+const ACCEPT_ON: Duration = Duration::from_millis(500);
+const BEGIN_ON: Duration = Duration::from_millis(2500);
+const WAIT_ON: Duration = Duration::from_millis(3400);
+
+/// Runs a courier on this thread until `stop` is done and what is out has ended.
+pub fn run(config: Config, stop: impl Future<Output = ()>) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let local = LocalSet::new();
+    let ended = local.block_on(&runtime, serve(config, stop));
+    runtime.shutdown_background();
+    ended
+}
+
+/// The same within a `LocalSet` of the caller's.
+pub async fn serve(config: Config, stop: impl Future<Output = ()>) -> io::Result<()> {
+    let Config { name, listen, discovery, state, sockets, disk, known, decoded } = config;
+    let limits = endpoints::Limits {
+        connect: exchange::duration(decoded.settings.connect_timeout),
+        idle: exchange::duration(decoded.keep_idle),
+        connections: (sockets - OWN_SOCKETS) / 2,
+        may_overlap: decoded.may_overlap,
+    };
+    let (orders, orders_in) = mpsc::unbounded_channel();
+    let (notices, notices_in) = mpsc::unbounded_channel();
+    let journal = Journal::open(&state, disk)?;
+    let mut exchange = Exchange::new(decoded, journal, orders, notices);
+    exchange.listed(&discovery::List { snapshot: true, ..known.clone() });
+    let shared: Shared = Rc::new(RefCell::new(exchange));
+    let listener = TcpListener::bind(listen).await?;
+    let (phase, phase_in) = watch::channel(Phase::Serving);
+    spawn_local(exchange::drive(shared.clone()));
+    spawn_local(endpoints::run(shared.clone(), orders_in, limits));
+    spawn_local(notices::tell(shared.clone(), discovery, notices_in));
+    spawn_local(discovery::follow(shared.clone(), discovery, known.index));
+    let most = (sockets - OWN_SOCKETS) / 2;
+    let listening = spawn_local(clients::listen(shared.clone(), listener, most, phase_in));
+    log::info!("{name} serves at {listen}");
+    stop.await;
+
+    log::info!("{name} ends: {} mails in hand", shared.borrow().in_hand());
+    let asked = Instant::now();
+    // New clients and mails are served as ever for as long as the platform still sends them here.
+    phase.send_replace(Phase::MovingOff);
+    sleep(ACCEPT_ON).await;
+    listening.abort();
+    let none = |count: fn(&Exchange) -> usize| {
+        let shared = shared.clone();
+        async move {
+            while count(&shared.borrow()) > 0 {
+                sleep(Duration::from_millis(5)).await;
+            }
+        }
+    };
+    let _ = timeout(BEGIN_ON.saturating_sub(asked.elapsed()), none(Exchange::in_hand)).await;
+    shared.borrow_mut().stop();
+    let _ = timeout(WAIT_ON.saturating_sub(asked.elapsed()), none(Exchange::in_flight)).await;
+    let exchange = shared.borrow();
+    log::info!("{name} has ended: {} mails in hand, {:?}", exchange.in_hand(), exchange.counts);
+    Ok(())
+}
--- /dev/null
+++ b/crates/courier/src/main.rs
@@ -0,0 +1,14 @@
+//! The command `meadowhold`.
+#![forbid(unsafe_code)]
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match meadowhold_courier::command::run(pico_args::Arguments::from_env()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(words) => {
+            eprintln!("meadowhold: {words}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/courier/src/notices.rs
@@ -0,0 +1,100 @@
+//! Tells the platform of mails that were given up, until it has heard of each.
+
+use std::collections::VecDeque;
+use std::fmt::Write;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::timeout;
+
+use crate::exchange::{Notice, Shared};
+use crate::http;
+use crate::journal::Verdict;
+use crate::link::Link;
+
+const MOST_LINES: usize = 256;
+const MOST_ANSWER: usize = 64 * 1024;
+const PATIENCE: Duration = Duration::from_secs(1);
+const PAUSES: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(640));
+
+fn lines(notices: &[Notice]) -> String {
+    let mut text = String::new();
+    for notice in notices {
+        // Ids hold nothing that JSON would want escaped.
+        let id = String::from_utf8_lossy(&notice.id);
+        let _ = match notice.verdict {
+            Verdict::Dead => writeln!(text, "{{\"ref\":\"{id}\",\"result\":\"dead\"}}"),
+            Verdict::Bounced(0) => writeln!(text, "{{\"ref\":\"{id}\",\"result\":\"bounced\"}}"),
+            Verdict::Bounced(wait) => {
+                let wait = wait.div_ceil(10);
+                writeln!(text, "{{\"ref\":\"{id}\",\"result\":\"bounced\",\"wait_ms\":{wait}}}")
+            }
+        };
+    }
+    text
+}
+
+struct Teller {
+    address: SocketAddr,
+    link: Option<Link>,
+}
+
+impl Teller {
+    /// Sends some notices on the connection that is kept, or a new one; the status of the answer.
+    async fn post(&mut self, notices: &[Notice]) -> io::Result<u16> {
+        let mut link = match self.link.take().filter(Link::usable) {
+            Some(link) => link,
+            None => Link::open(self.address).await?,
+        };
+        let mut request = BytesMut::new();
+        let host = self.address.to_string();
+        let kind = format_args!("Content-Type: application/x-ndjson\r\n");
+        http::post(&mut request, "/v1/notices", &host, kind, lines(notices).as_bytes());
+        link.send(&request).await?;
+        let head = link.head().await?;
+        link.whole(head.body, MOST_ANSWER).await?;
+        self.link = head.keep.then_some(link);
+        Ok(head.status)
+    }
+}
+
+pub async fn tell(shared: Shared, address: SocketAddr, mut queue: UnboundedReceiver<Notice>) {
+    let mut teller = Teller { address, link: None };
+    let mut waiting: VecDeque<Notice> = VecDeque::new();
+    let (mut most, mut pause) = (MOST_LINES, PAUSES.0);
+    loop {
+        if waiting.is_empty() {
+            match queue.recv().await {
+                Some(notice) => waiting.push_back(notice),
+                None => return,
+            }
+        }
+        while let Ok(notice) = queue.try_recv() {
+            waiting.push_back(notice);
+        }
+        let some: Vec<Notice> = waiting.iter().take(most).cloned().collect();
+        match timeout(PATIENCE, teller.post(&some)).await {
+            Ok(Ok(204)) => {
+                waiting.drain(..some.len());
+                some.iter().for_each(|notice| shared.borrow_mut().told(notice.serial));
+                (most, pause) = (MOST_LINES, PAUSES.0);
+                continue;
+            }
+            Ok(Ok(status)) => {
+                // One that the platform cannot read must not hold up the others: singly from here, it last.
+                log::warn!("{} notices were answered {status}", some.len());
+                if some.len() == 1 {
+                    waiting.rotate_left(1);
+                }
+                most = 1;
+            }
+            Ok(Err(e)) => log::debug!("notices cannot be sent: {e}"),
+            Err(_) => log::debug!("notices are not answered"),
+        }
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(PAUSES.1);
+    }
+}
--- a/crates/adapter/src/settings.rs
+++ b/crates/settings/src/lib.rs
@@ -1,23 +1,87 @@
-//! Decodes the settings of a courier's first message, once. Unknown keys are passed over.
+//! Decodes the settings that a courier is given, from the bench's lines or from nested JSON: one set of
+//! names, one decoder. Unknown keys are passed over.
+#![forbid(unsafe_code)]
 
 use std::collections::HashMap;
 use std::str::FromStr;
 
 use meadowhold::interface::{Effect, Kind, QueueClass, Settings, Time};
+use serde_json::Value;
 
-use crate::wire::tenths;
+/// Microseconds in a tenth of a millisecond.
+const TENTH: u64 = 100;
+
+pub fn tenths(us: u64) -> Time {
+    us / TENTH
+}
 
 pub struct Decoded {
     pub settings: Settings,
     /// Places of the limit's two values in a load report.
     pub report: [Option<usize>; 2],
+    /// Names of the report's values, and of what else is numbered by its place in a list.
+    pub fields: Vec<String>,
+    pub classes: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    /// The far side closes a connection left idle for so long.
+    pub keep_idle: Time,
+    /// A mail may have two connects out at once.
+    pub may_overlap: bool,
+}
+
+/// Settings by path, every value as text.
+struct Pairs(HashMap<String, String>);
+
+impl Pairs {
+    fn from_lines(text: &str) -> Pairs {
+        let pairs = text.lines().filter_map(|line| line.split_once('='));
+        Pairs(pairs.map(|(key, value)| (key.to_string(), value.to_string())).collect())
+    }
+
+    fn from_json(value: &Value) -> Pairs {
+        let mut pairs = Pairs(HashMap::new());
+        pairs.flatten("", value);
+        pairs
+    }
+
+    /// Nested objects become paths, plain lists are joined with commas, other lists are numbered.
+    fn flatten(&mut self, path: &str, value: &Value) {
+        let below = |name: &str| if path.is_empty() { name.to_string() } else { format!("{path}.{name}") };
+        match value {
+            Value::Object(map) => map.iter().for_each(|(name, value)| self.flatten(&below(name), value)),
+            Value::Array(items) if items.iter().any(Value::is_object) => {
+                self.0.insert(below("count"), items.len().to_string());
+                items.iter().enumerate().for_each(|(i, item)| self.flatten(&below(&i.to_string()), item));
+            }
+            Value::Array(items) => {
+                let items: Vec<String> = items.iter().map(plain).collect();
+                self.0.insert(path.to_string(), items.join(","));
+            }
+            value => {
+                self.0.insert(path.to_string(), plain(value));
+            }
+        }
+    }
 }
 
-struct Pairs<'a>(HashMap<&'a str, &'a str>);
+/// A single value as the lines would hold it.
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => name(text),
+        Value::Null => String::new(),
+        value => value.to_string(),
+    }
+}
+
+/// A name as settings spell it.
+pub fn name(text: &str) -> String {
+    text.replace([' ', ','], "_")
+}
 
-impl<'a> Pairs<'a> {
-    fn text(&self, key: &str) -> Result<&'a str, String> {
-        self.0.get(key).copied().ok_or_else(|| format!("setting {key} is missing"))
+impl Pairs {
+    fn text(&self, key: &str) -> Result<&str, String> {
+        self.0.get(key).map(String::as_str).ok_or_else(|| format!("setting {key} is missing"))
     }
 
     fn get<T: FromStr>(&self, key: &str) -> Result<T, String> {
@@ -46,7 +110,7 @@
     }
 
     fn list<T: FromStr>(&self, key: &str) -> Result<Vec<T>, String> {
-        let whole = self.0.get(key).copied().unwrap_or("");
+        let whole = self.0.get(key).map_or("", String::as_str);
         let items = whole.split(',').filter(|item| !item.is_empty());
         items.map(|item| item.parse().map_err(|_| format!("setting {key} cannot be read"))).collect()
     }
@@ -57,15 +121,24 @@
     }
 }
 
+/// From the bench's lines.
 pub fn decode(seed: u64, info: &[u8]) -> Result<Decoded, String> {
     let text = std::str::from_utf8(info).map_err(|_| "the settings are not text".to_string())?;
-    let p = Pairs(text.lines().filter_map(|line| line.split_once('=')).collect());
+    read(seed, &Pairs::from_lines(text))
+}
+
+/// From the nested JSON of a courier's configuration.
+pub fn decode_json(seed: u64, settings: &Value) -> Result<Decoded, String> {
+    read(seed, &Pairs::from_json(settings))
+}
+
+fn read(seed: u64, p: &Pairs) -> Result<Decoded, String> {
     let fields: Vec<String> = p.list("Telemetry.Fields")?;
-    let inline = p.0.get("Telemetry.How").is_some_and(|how| *how == "inline");
+    let inline = p.0.get("Telemetry.How").is_some_and(|how| how == "inline");
     let place = |name: &str| fields.iter().position(|f| inline && f == name);
     let batches: Vec<usize> = p.list("FamilyInfo.KindBatch")?;
     let apart: Vec<bool> = p.list("FamilyInfo.OwnLimits")?;
-    let kinds = p.list::<String>("Kinds")?.len().max(1);
+    let kinds: Vec<String> = p.list("Kinds")?;
     let settings = Settings {
         seed,
         couriers: p.get::<usize>("NInstances")?.max(1),
@@ -82,21 +155,30 @@
         tip_multiple: p.figure("Rules.TipMultiple", 1.0)?,
         overload_for: tenths(p.or("Rules.OverloadForUs", 0)?),
         turn_gap: tenths(p.or("Rules.TurnGapUs", 0)?),
-        by_half: p.0.get("FamilyInfo.Late").is_some_and(|late| *late == "by_half"),
-        rates_listed: matches!(p.0.get("Weights").copied(), Some("nominal" | "rough")),
+        by_half: p.0.get("FamilyInfo.Late").is_some_and(|late| late == "by_half"),
+        rates_listed: matches!(p.0.get("Weights").map(String::as_str), Some("nominal" | "rough")),
         fees: p.list("FamilyInfo.Carriage")?,
-        kinds: (0..kinds)
+        kinds: (0..kinds.len().max(1))
             .map(|i| Kind {
                 batch: batches.get(i).or(batches.last()).copied().unwrap_or(1).max(1),
                 apart: apart.get(i).or(apart.last()).copied().unwrap_or(false),
             })
             .collect(),
-        classes: p.each("Profiles", |at| queue_class(&p, at))?,
+        classes: p.each("Profiles", |at| queue_class(p, at))?,
     };
     if settings.classes.is_empty() {
         return Err("setting Profiles.count is missing".to_string());
     }
-    Ok(Decoded { settings, report: [place("x0"), place("x1")] })
+    Ok(Decoded {
+        settings,
+        report: [place("x0"), place("x1")],
+        classes: p.each("Profiles", |at| p.or(&format!("{at}Name"), String::new()))?,
+        zones: p.list("Dcs")?,
+        kinds,
+        keep_idle: tenths(p.or("Limits.KeepaliveUs", 10_000_000)?),
+        may_overlap: p.or("Limits.MayDuplicate", false)?,
+        fields,
+    })
 }
 
 fn queue_class(p: &Pairs, at: &str) -> Result<QueueClass, String> {
@@ -108,7 +190,7 @@
             "non_idempotent" => Effect::OnceOnly,
             _ => return Err(format!("setting {at}Effect cannot be read")),
         },
-        by_zone: p.0.get(key("Group").as_str()).is_some_and(|group| *group != "all"),
+        by_zone: p.0.get(&key("Group")).is_some_and(|group| group != "all"),
         window: tenths(p.or(&key("DedupWindowUs"), 0)?),
         target: p.time(&key("PromiseUs"))?,
         lifetime: p.time(&key("HardLimitUs"))?,
--- a/src/control.rs
+++ b/src/control.rs
@@ -3,7 +3,7 @@
 //! What goes in and out is in `interface.rs`, indices come from `door.rs`; no I/O, no clock, no names.
 //! The ordinary path is the design's: a cap on each destination's calls in flight, what is over it is parked.
 
-use crate::interface::{Action, Effect, Ended, Input, Life, Listed, Outcome, Settings, Time, SECOND};
+use crate::interface::{Action, Effect, Ended, Input, Life, Listed, Outcome, Settings, Taken, Time, SECOND};
 use crate::state::{grow, seconds, Call, Dest, Endpoint, Fading, Key, Latency, Mail, Place, Saved, Unit};
 
 /// Headroom of Little's law; the design's figure for arrivals in batches.
@@ -16,8 +16,7 @@
 const CLAMP: (usize, usize) = (3, 4);
 const SICK: (usize, usize) = (1, 2);
 const SICK_WHOLE: (usize, usize) = (1, 4);
-/// Time-out in tails of the endpoint: redeliverable, tagged, and once-only while calls get lost; else that
-/// runs as long as it may, for a time-out loses it.
+/// Time-out in tails: redeliverable, tagged, once-only while calls get lost; else that may run to its end.
 const PATIENCE: [f64; 3] = [3.0, 4.0, 12.0];
 /// What is kept of the count of lost calls at each served one.
 const LOST_KEPT: f64 = 0.95;
@@ -130,12 +129,16 @@
         }
     }
 
+    /// Whether a call may still begin: its endpoint was neither told of as leaving nor held since.
+    pub fn may_begin(&self, endpoint: usize, now: Time) -> bool {
+        let e = &self.endpoints[endpoint];
+        e.life == Life::Ready && now >= self.units[e.unit].hold_until
+    }
+
     /// One turn: read all inputs, then decide. Returns when the next turn is wanted at the latest.
     pub fn round(&mut self, now: Time, inputs: &[Input], out: &mut Vec<Action>) -> Option<Time> {
         self.now = self.now.max(now);
-        for input in inputs {
-            self.read(input, out);
-        }
+        inputs.iter().for_each(|input| self.read(input, out));
         self.watch_calls();
         if self.ask_at.take_if(|at| *at <= now).is_some() {
             out.push(Action::WatchList);
@@ -167,7 +170,12 @@
                 self.asks_failed = (self.asks_failed + 1).min(4);
                 self.ask_at = Some(self.now + ((self.set.ask_within / 32) << self.asks_failed));
             }
-            Input::Arrived { mail, dest, class, key, due } => self.arrive(mail, dest, class, key, due),
+            Input::Taken(ref taken) => self.arrive(taken),
+            Input::Rested { key, since } => {
+                grow(&mut self.keys, key);
+                self.keys[key].rest_until = self.keys[key].rest_until.max(since + self.set.turn_gap);
+                self.resting.push(key);
+            }
             Input::Hangup { mail } => {
                 if self.mails.get(mail).is_some_and(|m| matches!(m.place, Place::Parked | Place::Out)) {
                     self.end(mail, out);
@@ -225,7 +233,8 @@
         }
     }
 
-    fn arrive(&mut self, mail: usize, dest: usize, class: usize, key: Option<usize>, due: Time) {
+    fn arrive(&mut self, taken: &Taken) {
+        let Taken { mail, dest, class, key, due, connects, ran } = *taken;
         let class = class.min(self.set.classes.len() - 1);
         let c = &self.set.classes[class];
         if let Some(key) = key {
@@ -234,12 +243,12 @@
         }
         let target = due.saturating_sub(c.lifetime) + c.target;
         grow(&mut self.mails, mail);
-        let place = Place::Parked;
-        self.mails[mail] = Mail { place, dest, class, key, target, due, ..Mail::default() };
+        self.mails[mail] =
+            Mail { place: Place::Parked, dest, class, key, target, due, connects, ran, call: 0 };
         grow(&mut self.dests, dest);
         self.dests[dest].arrivals.count(self.now, WINDOW);
         self.dests[dest].steady.count(self.now, self.set.cold.max(WINDOW));
-        self.dests[dest].lines[0].push(mail);
+        self.dests[dest].lines[usize::from(connects > 0)].push(mail);
         self.open += 1;
     }
 
@@ -285,8 +294,7 @@
 
     /// A connect has its outcome: the slot returns, the endpoint is judged, the mail goes on or ends.
     fn settle(&mut self, ended: &Ended, out: &mut Vec<Action>) {
-        let Ended { mail, outcome, over, took, .. } = *ended;
-        let wait = if outcome == Outcome::Refused { ended.wait } else { 0 };
+        let Ended { mail, outcome, over, wait, took, .. } = *ended;
         let now = self.now;
         let m = &mut self.mails[mail];
         let was_over = m.place == Place::Over;
@@ -530,11 +538,10 @@
         }
         order.sort_by(|a, b| b.0.total_cmp(&a.0));
         for &(_, dest) in &order {
-            while self.out < self.set.slots && self.dests[dest].out < self.cap(dest) {
-                if !self.connect(dest, out) {
-                    break;
-                }
-            }
+            while self.out < self.set.slots
+                && self.dests[dest].out < self.cap(dest)
+                && self.connect(dest, out)
+            {}
         }
         self.order = order;
     }
@@ -622,14 +629,9 @@
             }
             seen += 1;
             // Keeps two of those seen so far, each pair as likely as any other.
-            match seen {
-                1 | 2 => pair[seen - 1] = Some(endpoint),
-                _ => {
-                    let place = self.chance.usize(..seen);
-                    if place < 2 {
-                        pair[place] = Some(endpoint);
-                    }
-                }
+            let place = if seen <= 2 { seen - 1 } else { self.chance.usize(..seen) };
+            if place < 2 {
+                pair[place] = Some(endpoint);
             }
         }
         pair.into_iter().flatten().min_by(|&a, &b| self.cost(a).total_cmp(&self.cost(b)))
@@ -675,8 +677,7 @@
         }
     }
 
-    /// Calls a second that this courier may send a returning endpoint, so that the rule holds by its conduct
-    /// alone: its even part of what the endpoint can take, as cold as the settings allow.
+    /// Calls a second for a returning endpoint: this courier's even part of what it takes at its coldest.
     fn paced_share(&self, endpoint: usize, warm: f64) -> f64 {
         let e = &self.endpoints[endpoint];
         let d = &self.dests[e.dest];
--- a/src/door.rs
+++ b/src/door.rs
@@ -17,7 +17,7 @@
     }
 }
 
-impl<K: Copy + Eq + Hash> Door<K> {
+impl<K: Clone + Eq + Hash> Door<K> {
     /// The index of an id, a free one if it is new here.
     pub fn enter(&mut self, id: K) -> usize {
         if let Some(&index) = self.inside.get(&id) {
@@ -27,17 +27,26 @@
             self.outside.push(None);
             self.outside.len() - 1
         });
-        self.outside[index] = Some(id);
+        self.outside[index] = Some(id.clone());
         self.inside.insert(id, index);
         index
     }
 
-    pub fn find(&self, id: K) -> Option<usize> {
-        self.inside.get(&id).copied()
+    pub fn find(&self, id: &K) -> Option<usize> {
+        self.inside.get(id).copied()
     }
 
-    pub fn outside(&self, index: usize) -> Option<K> {
-        self.outside.get(index).copied().flatten()
+    pub fn outside(&self, index: usize) -> Option<&K> {
+        self.outside.get(index)?.as_ref()
+    }
+
+    /// Ids that have an index now.
+    pub fn len(&self) -> usize {
+        self.inside.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.inside.is_empty()
     }
 
     /// The index may be given to another id from now on.
@@ -59,8 +68,8 @@
         assert_eq!([door.enter(70), door.enter(9), door.enter(70)], [0, 1, 0]);
         door.leave(0);
         door.leave(0);
-        assert_eq!((door.find(70), door.outside(0)), (None, None));
+        assert_eq!((door.find(&70), door.outside(0)), (None, None));
         assert_eq!([door.enter(5), door.enter(6)], [0, 2]);
-        assert_eq!((door.outside(0), door.outside(9)), (Some(5), None));
+        assert_eq!((door.outside(0), door.outside(9)), (Some(&5), None));
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -105,6 +105,19 @@
     pub rate: f64,
 }
 
+/// A mail that is taken on, or that an earlier process of this courier took on and still owes its end.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Taken {
+    pub mail: usize,
+    pub dest: usize,
+    pub class: usize,
+    pub key: Option<usize>,
+    pub due: Time,
+    /// Connects used by earlier processes, and the send and zone of the first that may have run.
+    pub connects: usize,
+    pub ran: Option<(Time, usize)>,
+}
+
 /// The outcome of one mail's connect.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Ended {
@@ -127,12 +140,12 @@
     Listed(Listed),
     ListEnd,
     ListFailed,
-    Arrived {
-        mail: usize,
-        dest: usize,
-        class: usize,
-        key: Option<usize>,
-        due: Time,
+    Taken(Taken),
+    /// A connect of a mail of this key may have been running at this time: it was out when the courier's
+    /// last process ended, or ended without an answer shortly before.
+    Rested {
+        key: usize,
+        since: Time,
     },
     /// The client is gone: nothing more is owed.
     Hangup {
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -2,7 +2,8 @@
 
 use meadowhold::control::Control;
 use meadowhold::interface::{
-    Action, Effect, Ended, Input, Kind, Life, Listed, Outcome, QueueClass, Report, Settings, Time, SECOND,
+    Action, Effect, Ended, Input, Kind, Life, Listed, Outcome, QueueClass, Report, Settings, Taken, Time,
+    SECOND,
 };
 
 const REDELIVERABLE: usize = 0;
@@ -70,7 +71,7 @@
     fn arrival(&mut self, ms: Time, class: usize) -> Input {
         self.next += 1;
         let due = SECOND + ms * 10 + 10 * SECOND;
-        Input::Arrived { mail: self.next - 1, dest: 0, class, key: None, due }
+        Input::Taken(Taken { mail: self.next - 1, class, due, ..Taken::default() })
     }
 
     fn arrive(&mut self, ms: Time, class: usize, count: usize) -> Vec<Action> {
@@ -247,8 +248,7 @@
     for resolution in [1, 50, 2000] {
         let mut control = Control::new(Settings { resolution, ..settings() });
         let (mut now, mut out) = (SECOND, Vec::new());
-        let arrival =
-            Input::Arrived { mail: 0, dest: 0, class: ONCE_ONLY, key: None, due: now + 10 * SECOND };
+        let arrival = Input::Taken(Taken { class: ONCE_ONLY, due: now + 10 * SECOND, ..Taken::default() });
         let mut wake = control.round(now, &[arrival], &mut out);
         while let Some(at) = wake {
             now = at;
@@ -367,9 +367,7 @@
 fn mails_of_one_key_go_one_at_a_time_in_order_and_rest_after_silence() {
     let mut rig = Rig::new(settings(), SINGLE, 2, 0.0);
     let keyed = |rig: &mut Rig| match rig.arrival(0, TAGGED) {
-        Input::Arrived { mail, dest, class, due, .. } => {
-            Input::Arrived { mail, dest, class, key: Some(0), due }
-        }
+        Input::Taken(taken) => Input::Taken(Taken { key: Some(0), ..taken }),
         other => other,
     };
     let three = [keyed(&mut rig), keyed(&mut rig), keyed(&mut rig)];
