--- a/crates/courier/src/clients.rs
+++ b/crates/courier/src/clients.rs
@@ -17,7 +17,6 @@
 /// A command that has begun must have come by then, and an answer must have been read.
 const PATIENCE: Duration = Duration::from_secs(5);
 const READ: usize = 4096;
-/// A connection's buffer holds a command at most, or what several small ones need.
 const MOST_ID: usize = 128;
 const MOST_LIFETIME: Duration = Duration::from_secs(7 * 24 * 3600);
 
@@ -68,7 +67,7 @@
     async fn converse(&self, mut stream: TcpStream, mut phase: watch::Receiver<Phase>) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let (mut buffer, mut out) = (BytesMut::new(), BytesMut::new());
-        let mut taken = Vec::new();
+        let (mut taken, mut served) = (Vec::new(), false);
         loop {
             let open = self.answer_all(&mut buffer, &mut out, &mut taken);
             if !out.is_empty() {
@@ -79,10 +78,12 @@
                     return Ok(());
                 }
                 out.clear();
+                served = true;
             }
             taken.clear();
+            // A new connection still has its first request read: its client tries only once more.
             let moving = *phase.borrow() == Phase::MovingOff;
-            if !open || (moving && buffer.is_empty()) {
+            if !open || (moving && served && buffer.is_empty()) {
                 return stream.shutdown().await;
             }
             buffer.reserve(READ);
--- a/crates/courier/src/endpoints.rs
+++ b/crates/courier/src/endpoints.rs
@@ -257,16 +257,13 @@
     async fn waited<T>(&self, letters: &mut [Letter], answer: impl Future<Output = T>) -> Option<T> {
         let mut answer = std::pin::pin!(answer);
         loop {
-            let next: Option<Time> = letters.iter().filter(|l| l.until > 0).map(|l| l.until).min();
-            let next = self.clock.instant(next?);
+            let next: Time = letters.iter().filter(|l| l.until > 0).map(|l| l.until).min()?;
             tokio::select! {
                 biased;
                 answer = &mut answer => return Some(answer),
-                () = sleep_until(next.into()) => {}
+                () = sleep_until(self.clock.instant(next).into()) => {}
             }
-            let now = self.clock.now().max(1);
-            for letter in letters.iter_mut().filter(|l| l.until > 0 && self.clock.instant(l.until) <= next) {
-                must_be_due(letter.until, now);
+            for letter in letters.iter_mut().filter(|l| l.until == next) {
                 letter.until = 0; // told
                 self.shared.borrow_mut().seen(letter.serial, seen(Outcome::Silent));
             }
@@ -299,10 +296,6 @@
     http::Letter { id: text(&letter.id), key: text(&letter.key), body: &letter.body }
 }
 
-fn must_be_due(until: Time, now: Time) {
-    debug_assert!(until <= now + 1, "a time-out is told before its time");
-}
-
 /// An answer's head; with the body too where a 200 tells of several mails, one by one.
 async fn read_answer(link: &mut Link, several: bool) -> io::Result<(Head, Option<BytesMut>)> {
     let head = link.head().await?;
--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -11,13 +11,13 @@
 use bytes::Bytes;
 use meadowhold::control::Control;
 use meadowhold::door::Door;
-use meadowhold::interface::{Action, Ended, Input, Listed, Outcome, Report, Taken, Time};
+use meadowhold::interface::{Action, Ended, Input, Life, Listed, Outcome, Report, Taken, Time};
 use meadowhold_settings::{name, Decoded};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::Notify;
 
 use crate::discovery::List;
-use crate::journal::{Found, Journal, Owed, Record, Sent, Verdict};
+use crate::journal::{weight, Found, Journal, Owed, Record, Sent, Verdict};
 use crate::{http, must};
 
 /// Destinations that may be named before the list names them.
@@ -99,6 +99,8 @@
     pub address: Option<SocketAddr>,
     pub started: Time,
     pub letters: Vec<Letter>,
+    /// Bytes of its body where it carries several mails; a call holds no more than a body may.
+    pub size: usize,
 }
 
 /// What the component that calls endpoints is to do.
@@ -127,14 +129,15 @@
 }
 
 struct Peer {
-    name: Bytes,
     address: Option<SocketAddr>,
     since: u64,
     zone: u16,
+    group: u64,
+    kind: usize,
 }
 
 /// Figures since the start, for the log.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
     pub taken: u64,
     pub busy: u64,
@@ -154,7 +157,6 @@
     pub clock: Clock,
     names: Names,
     room: usize,
-    slots: usize,
     batches: Vec<usize>,
     in_turn: Vec<bool>,
     turn_gap: Time,
@@ -163,9 +165,8 @@
     endpoints: Door<Bytes>,
     dests: Door<u64>,
     keys: Door<Bytes>,
+    /// Endpoints by index.
     peers: Vec<Peer>,
-    /// Kind of each endpoint, by index.
-    kinds: Vec<usize>,
     /// Mails by index with a connect that has no outcome yet, and when it began.
     flying: Vec<Option<Time>>,
     owed: BTreeMap<u64, Owed>,
@@ -217,7 +218,6 @@
         let mut exchange = Exchange {
             names: Names { classes: classes.collect(), zones, kinds, report, fields },
             room: settings.room,
-            slots: settings.slots,
             batches: settings.kinds.iter().map(|kind| kind.batch).collect(),
             in_turn: settings.classes.iter().map(|class| class.in_turn).collect(),
             turn_gap: settings.turn_gap,
@@ -229,7 +229,6 @@
             dests: Door::default(),
             keys: Door::default(),
             peers: Vec::new(),
-            kinds: Vec::new(),
             flying: Vec::new(),
             owed: BTreeMap::new(),
             ids: HashMap::new(),
@@ -340,7 +339,7 @@
 
     /// Puts a record on file; whether it is there.
     fn note(&mut self, record: &Record) -> bool {
-        if self.journal.is_grown() {
+        if self.journal.is_grown(record) {
             let now = self.clock.now();
             self.rests.retain(|(_, since)| since + self.turn_gap > now);
             self.counts.compactions += 1;
@@ -361,7 +360,7 @@
     fn over(&mut self, serial: u64) {
         if let Some(owed) = self.owed.remove(&serial) {
             self.ids.remove(&owed.id);
-            self.journal.forget(&owed);
+            self.journal.shrink(weight(&owed));
             self.open -= usize::from(owed.verdict.is_none());
             // Where this can't be noted the mail comes back after a restart, as one that may have run.
             self.note(&Record::Over { serial });
@@ -404,26 +403,26 @@
             let zone = place(&self.names.zones, &entry.zone).unwrap_or(usize::from(u16::MAX));
             let kind = place(&self.names.kinds, &entry.kind).unwrap_or(self.names.kinds.len());
             let endpoint = self.endpoints.enter(Bytes::copy_from_slice(entry.name.as_bytes()));
-            let (address, since) = (entry.address.parse().ok(), entry.since_ms);
-            let peer = Peer { name: Bytes::new(), address, since, zone: zone as u16 };
+            let (address, since, group) = (entry.address.parse().ok(), entry.since_ms, entry.group);
+            let mut life = entry.life();
             match self.peers.get_mut(endpoint) {
+                None => self.peers.push(Peer { address, since, zone: zone as u16, group, kind }),
+                // Guards against a name that turns up at another destination: mails for the old one stay away.
+                Some(old) if old.group != group => life = Life::Gone,
                 // Moved or started anew: what is open leads nowhere.
-                Some(old) if (old.address, old.since) != (peer.address, peer.since) => {
-                    *old = Peer { name: std::mem::take(&mut old.name), ..peer };
+                Some(old) if (old.address, old.since) != (address, since) => {
+                    (old.address, old.since) = (address, since);
                     let _ = self.orders.send(Order::LetGo(endpoint));
                 }
                 Some(_) => {}
-                None => {
-                    self.peers.push(Peer { name: entry.name.clone().into(), ..peer });
-                    self.kinds.push(kind);
-                }
             }
+            let group = self.peers[endpoint].group;
             self.inputs.push(Input::Listed(Listed {
                 endpoint,
-                dest: self.dests.enter(entry.group),
+                dest: self.dests.enter(group),
                 zone,
                 kind,
-                life: entry.life(),
+                life,
                 rate: entry.weight,
             }));
         }
@@ -542,14 +541,18 @@
             until: now + timeout,
             due: owed.due,
         };
-        let kind = self.kinds[endpoint].min(self.batches.len() - 1);
-        let most = self.batches[kind];
-        match calls.iter_mut().find(|c| c.endpoint == endpoint && c.letters.len() < most) {
-            Some(call) => call.letters.push(letter),
+        let peer = &self.peers[endpoint];
+        let most = self.batches[peer.kind.min(self.batches.len() - 1)];
+        let size = http::size_in_batch(&letter.id, &letter.key, &letter.body);
+        let fits = |c: &Call| c.letters.len() < most && c.size + size <= http::MOST_BODY;
+        match calls.iter_mut().find(|c| c.endpoint == endpoint && fits(c)) {
+            Some(call) => {
+                call.letters.push(letter);
+                call.size += size;
+            }
             None => {
-                let address = self.peers[endpoint].address;
-                calls.push(Call { endpoint, address, started: now, letters: vec![letter] });
-                must!(self.counts.broken, calls.len() <= self.slots, "more calls than slots in one turn");
+                let (address, letters) = (peer.address, vec![letter]);
+                calls.push(Call { endpoint, address, started: now, letters, size });
             }
         }
     }
@@ -563,6 +566,8 @@
         };
         must!(self.counts.broken, owed.verdict.is_none(), "a mail was given up twice");
         owed.verdict = Some(verdict);
+        self.journal.shrink(owed.body.len() as u64);
+        owed.body.clear();
         let id = owed.id.clone();
         self.open -= 1;
         self.counts.given_up += 1;
@@ -575,10 +580,6 @@
         self.wake.map(|at| self.clock.instant(at))
     }
 
-    pub fn resolution(&self) -> Time {
-        self.resolution
-    }
-
     /// No further call begins.
     pub fn stop(&mut self) {
         self.stopped = true;
--- a/crates/courier/src/http.rs
+++ b/crates/courier/src/http.rs
@@ -11,6 +11,9 @@
 const MOST_HEAD: usize = 16 * 1024;
 const MOST_FIELDS: usize = 64;
 
+/// The longest body, either way.
+pub const MOST_BODY: usize = 64 * 1024;
+
 #[derive(Debug, PartialEq, Eq)]
 pub struct Malformed(pub &'static str);
 
@@ -197,6 +200,11 @@
     }
 }
 
+/// Bytes that a mail takes in a call with several, at most.
+pub fn size_in_batch(id: &[u8], key: &[u8], body: &[u8]) -> usize {
+    id.len() + key.len() + body.len().div_ceil(3) * 4 + 32
+}
+
 /// A call with several mails. Ids and keys hold nothing that JSON would want escaped.
 pub fn hook_batch(out: &mut BytesMut, host: &str, letters: &[Letter], wait: Duration) {
     let mut body = String::from("[");
--- a/crates/courier/src/journal.rs
+++ b/crates/courier/src/journal.rs
@@ -73,7 +73,7 @@
 }
 
 /// What a journal held at its opening.
-#[derive(Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Found {
     pub owed: BTreeMap<u64, Owed>,
     /// Keys of which a connect may be running still, and since when.
@@ -86,9 +86,9 @@
 const HEADER: usize = 8;
 const BLOCK: u64 = 512;
 /// Parts of the allowance, in hundredths: what is owed may take so much, the file grows to so much before
-/// it is written anew. The two files together then stay under nine tenths.
-const OWED_PART: u64 = 36;
-const FILE_PART: u64 = 52;
+/// it is written anew. For that moment both files stand there.
+const OWED_PART: u64 = 34;
+const FILE_PART: u64 = 44;
 
 pub struct Journal {
     folder: PathBuf,
@@ -164,9 +164,9 @@
     out[start + 4..start + HEADER].copy_from_slice(&sum.to_be_bytes());
 }
 
-/// The size of a mail's first record.
-fn weight(owed: &Owed) -> u64 {
-    (HEADER + 64 + owed.id.len() + owed.key.len() + owed.item.len() + owed.body.len()) as u64
+/// What a mail takes in a fresh file, with its verdict, at most.
+pub fn weight(owed: &Owed) -> u64 {
+    (HEADER + 96 + owed.id.len() + owed.key.len() + owed.item.len() + owed.body.len()) as u64
 }
 
 /// Reads fields off the front of a record; `None` where it is too short.
@@ -297,9 +297,10 @@
         self.live + weight(owed) <= self.part(OWED_PART)
     }
 
-    /// Whether the file should be written anew: it is full, or holds far more than is owed.
-    pub fn is_grown(&self) -> bool {
-        self.size > self.part(FILE_PART)
+    /// Whether the file should be written anew before this record.
+    pub fn is_grown(&self, record: &Record) -> bool {
+        let more = if let Record::Taken { owed, .. } = record { weight(owed) } else { 0 };
+        self.size + more > self.part(FILE_PART)
     }
 
     pub fn append(&mut self, record: &Record) -> io::Result<()> {
@@ -320,9 +321,9 @@
         Ok(())
     }
 
-    /// A mail's record counts no more in what is owed.
-    pub fn forget(&mut self, owed: &Owed) {
-        self.live = self.live.saturating_sub(weight(owed));
+    /// So many bytes less are owed, once the file is written anew.
+    pub fn shrink(&mut self, bytes: u64) {
+        self.live = self.live.saturating_sub(bytes);
     }
 
     /// Writes a fresh file of what is owed and puts it in the place of the old one.
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -49,6 +49,8 @@
 const ACCEPT_ON: Duration = Duration::from_millis(500);
 const BEGIN_ON: Duration = Duration::from_millis(2500);
 const WAIT_ON: Duration = Duration::from_millis(3400);
+/// Figures are logged so often.
+const EVERY: Duration = Duration::from_secs(60);
 
 /// Runs a courier on this thread until `stop` is done and what is out has ended.
 pub fn run(config: Config, stop: impl Future<Output = ()>) -> io::Result<()> {
@@ -70,11 +72,14 @@
     };
     let (orders, orders_in) = mpsc::unbounded_channel();
     let (notices, notices_in) = mpsc::unbounded_channel();
-    let journal = Journal::open(&state, disk)?;
+    let journal = Journal::open(&state, disk);
+    let journal =
+        journal.map_err(|e| io::Error::new(e.kind(), format!("the journal in {}: {e}", state.display())))?;
     let mut exchange = Exchange::new(decoded, journal, orders, notices);
     exchange.listed(&discovery::List { snapshot: true, ..known.clone() });
     let shared: Shared = Rc::new(RefCell::new(exchange));
-    let listener = TcpListener::bind(listen).await?;
+    let bound = TcpListener::bind(listen).await;
+    let listener = bound.map_err(|e| io::Error::new(e.kind(), format!("cannot listen at {listen}: {e}")))?;
     let (phase, phase_in) = watch::channel(Phase::Serving);
     spawn_local(exchange::drive(shared.clone()));
     spawn_local(endpoints::run(shared.clone(), orders_in, limits));
@@ -82,6 +87,7 @@
     spawn_local(discovery::follow(shared.clone(), discovery, known.index));
     let most = (sockets - OWN_SOCKETS) / 2;
     let listening = spawn_local(clients::listen(shared.clone(), listener, most, phase_in));
+    spawn_local(log_counts(shared.clone()));
     log::info!("{name} serves at {listen}");
     stop.await;
 
@@ -106,3 +112,16 @@
     log::info!("{name} has ended: {} mails in hand, {:?}", exchange.in_hand(), exchange.counts);
     Ok(())
 }
+
+/// A line a minute while there is something to say.
+async fn log_counts(shared: Shared) {
+    let mut last = exchange::Counts::default();
+    loop {
+        sleep(EVERY).await;
+        let (counts, in_hand) = (shared.borrow().counts, shared.borrow().in_hand());
+        if counts != last {
+            log::info!("{in_hand} mails in hand, {counts:?}");
+            last = counts;
+        }
+    }
+}
--- a/crates/courier/src/resp.rs
+++ b/crates/courier/src/resp.rs
@@ -2,8 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// A body of 64 KiB, with room for the words before it.
-pub const MOST_BODY: usize = 64 * 1024;
+use crate::http::MOST_BODY;
+
+/// A body, with room for the words before it.
 const MOST_COMMAND: usize = MOST_BODY + 4096;
 const MOST_WORDS: usize = 16;
 /// A line that counts or measures something is never longer.
--- /dev/null
+++ b/crates/courier/tests/courier.rs
@@ -0,0 +1,371 @@
+//! The courier among stand-ins on loopback: outcomes, restarts, the list, clients of all sorts.
+
+mod common;
+
+use std::net::{Shutdown, TcpListener};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::{
+    command, output, own_address, put, until, Client, Courier, Endpoint, Folder, Platform, Reply, OK,
+};
+use serde_json::{json, Value};
+
+const LATE: &str = "d=4000";
+
+fn unchanged(_: &mut Value) {}
+
+/// A courier with one endpoint of this kind that goes through a script.
+fn world(kind: &str, script: &[Reply]) -> (Platform, Endpoint, Courier) {
+    let (platform, endpoint) = (Platform::new(), Endpoint::new(script));
+    platform.list("e1", endpoint.address, kind, 7, "SERVING");
+    let courier = Courier::start(&platform, unchanged);
+    (platform, endpoint, courier)
+}
+
+#[test]
+fn each_outcome_of_a_single_call_has_its_end() {
+    use Reply::{Break, Silence, Status};
+    // (class, the endpoint's first reply, calls in all, notice, least time before the second call in ms)
+    let rows: [(&str, Reply, usize, &str, u64); 14] = [
+        ("once", OK, 1, "", 0),
+        ("once", Status(500, ""), 1, "dead", 0),
+        ("again", Status(500, ""), 2, "", 0),
+        ("once", Status(429, "Retry-After: 0.400\r\n"), 2, "", 400),
+        ("once", Status(503, ""), 2, "", 0),
+        ("once", Status(503, "X-Over-Slots: 1\r\n"), 2, "", 0),
+        ("once", Status(504, ""), 2, "", 0),
+        ("once", Status(410, ""), 1, "", 0),
+        ("again", Status(410, ""), 1, "", 0),
+        ("once", Status(418, ""), 1, "dead", 0),
+        ("once", Break, 1, "dead", 0),
+        ("tagged", Break, 2, "", 0),
+        ("again", Silence, 2, "", 100),
+        ("tagged", Silence, 2, "", 100),
+    ];
+    thread::scope(|scope| {
+        for (class, reply, calls, notice, pause) in rows {
+            scope.spawn(move || {
+                let name = format!("{class} {reply:?}");
+                let (platform, endpoint, courier) = world("single", &[reply]);
+                let answered = courier.client().put("9b1f", class, "d=4000,k=5c0f");
+                assert_eq!(answered, "+OK", "{name}");
+                until(&name, || courier.owes_nothing());
+                let seen = endpoint.calls();
+                assert_eq!(endpoint.ids(), vec!["9b1f"; calls], "{name}");
+                let expected = if notice.is_empty() { vec![] } else { vec![("9b1f".into(), notice.into())] };
+                assert_eq!(platform.notices(), expected, "{name}");
+                assert_eq!(
+                    (seen[0].field("Idempotency-Key"), &seen[0].body[..]),
+                    (Some("5c0f"), &b"hello"[..])
+                );
+                let wait: f64 = seen[0].field("X-Deadline").unwrap().parse().unwrap();
+                assert!(wait > 0.0 && wait <= 4.0);
+                if calls == 2 {
+                    assert!(seen[1].at - seen[0].at >= Duration::from_millis(pause), "{name}");
+                }
+            });
+        }
+    });
+}
+
+#[test]
+fn what_found_nobody_never_ran_and_is_refused_when_its_time_is_up() {
+    let platform = Platform::new();
+    platform.list("e1", own_address(), "single", 7, "SERVING");
+    let courier = Courier::start(&platform, unchanged);
+    let start = Instant::now();
+    assert_eq!(courier.client().put("9b1f", "once", "d=500"), "+OK");
+    until("the notice", || !platform.notices().is_empty());
+    assert_eq!(platform.notices(), [("9b1f".to_string(), "bounced".to_string())]);
+    assert!(start.elapsed() < Duration::from_millis(800));
+    until("its end on file", || courier.owes_nothing());
+}
+
+#[test]
+fn a_batch_is_answered_mail_by_mail() {
+    use Reply::{Break, Items, Status};
+    const MIXED: &[&str] = &["ok", "error", "later", "gone", "exhausted"];
+    // (class, first reply, ids that come again, ids given up)
+    let rows: [(&str, Reply, &[&str], &[&str]); 8] = [
+        ("again", Items(MIXED, "Retry-After: 0.100\r\n"), &["b", "c", "e"], &[]),
+        ("once", Items(MIXED, ""), &["c", "e"], &["b"]),
+        ("once", Items(&["ok", "ok", "ok", "what"], ""), &[], &["d", "e"]),
+        ("once", Status(200, ""), &[], &["a", "b", "c", "d", "e"]),
+        ("once", Status(413, ""), &["a", "b", "c", "d", "e"], &[]),
+        ("once", Status(400, ""), &["a", "b", "c", "d", "e"], &[]),
+        ("once", Status(429, "Retry-After: 0.200\r\n"), &["a", "b", "c", "d", "e"], &[]),
+        ("once", Break, &[], &["a", "b", "c", "d", "e"]),
+    ];
+    thread::scope(|scope| {
+        for (class, reply, again, dead) in rows {
+            scope.spawn(move || {
+                let name = format!("{class} {reply:?}");
+                let (platform, endpoint, courier) = world("many", &[reply]);
+                let mut mails = Vec::new();
+                for id in ["a", "b", "c", "d", "e"] {
+                    mails.extend(put("0", id, class, LATE, id.as_bytes()));
+                }
+                let mut client = courier.client();
+                client.say(&mails);
+                (1..5).for_each(|_| assert_eq!(client.line(), "+OK"));
+                until(&name, || courier.owes_nothing());
+                let calls = endpoint.calls();
+                assert_eq!((&calls[0].target[..], calls[0].ids().len()), ("/hook/batch", 5), "{name}");
+                let mut later: Vec<String> = calls[1..].iter().flat_map(|call| call.ids()).collect();
+                later.sort();
+                assert_eq!(later, again, "{name}");
+                let mut notices: Vec<String> = platform.notices().into_iter().map(|n| n.0).collect();
+                notices.sort();
+                assert_eq!(notices, dead, "{name}");
+            });
+        }
+    });
+}
+
+#[test]
+fn one_mail_of_a_batch_may_time_out_and_still_turn_out_to_be_served() {
+    let reply = Reply::After(1000, Box::new(Reply::Items(&["ok", "ok"], "")));
+    let (platform, endpoint, courier) = world("many", &[reply]);
+    let mut mails = put("0", "again", "again", "d=500", b"x");
+    mails.extend(put("0", "once", "once", LATE, b"x"));
+    assert_eq!(courier.client().say(&mails), "+OK");
+    until("both ends", || courier.owes_nothing());
+    assert_eq!(endpoint.calls().len(), 1, "one call for both");
+    assert_eq!(platform.notices(), [("again".to_string(), "bounced".to_string())], "it ended in its time");
+}
+
+#[test]
+fn a_killed_courier_still_owes_each_mail_its_end() {
+    // First calls are never answered; all that come after a restart are.
+    let silence = vec![Reply::Silence; 3];
+    let (platform, endpoint, mut courier) = world("single", &silence);
+    platform.told.lock().unwrap().refuse = 2;
+    let mut client = courier.client();
+    for (id, class) in [("01", "again"), ("02", "once"), ("03", "tagged")] {
+        // Time-outs are long while nothing was measured; the kill comes before them.
+        assert_eq!(client.put(id, class, "d=4000,k=77"), "+OK");
+    }
+    until("the calls", || endpoint.calls().len() == 3);
+    assert_eq!(client.put("04", "again", "d=900,dest=9"), "+OK");
+    courier.kill();
+    assert_eq!(courier.owed().lines().filter(|line| line.ends_with("a connect is out")).count(), 3);
+    thread::sleep(Duration::from_millis(1000));
+    courier.restart();
+    until("all ends", || courier.owes_nothing());
+    let again: Vec<String> = endpoint.ids()[3..].to_vec();
+    assert!(!again.contains(&"02".to_string()), "a once-only mail whose connect was out is never sent again");
+    assert!(again.contains(&"01".to_string()) && again.contains(&"03".to_string()));
+    let mut notices = platform.notices();
+    notices.sort();
+    let expected = [("02", "dead"), ("04", "bounced")].map(|(id, end)| (id.to_string(), end.to_string()));
+    assert_eq!(notices, expected, "the second's time ran on while the courier was away");
+}
+
+#[test]
+fn mails_of_one_key_keep_their_order_and_rest_across_a_restart() {
+    let (platform, endpoint, mut courier) = world("single", &[Reply::Silence]);
+    let mut client = courier.client();
+    for id in ["01", "02", "03"] {
+        assert_eq!(client.say(&put("beef", id, "turns", LATE, b"x")), "+OK");
+    }
+    until("the first call", || !endpoint.calls().is_empty());
+    courier.kill();
+    courier.restart();
+    let restarted = Instant::now();
+    until("all ends", || courier.owes_nothing());
+    let calls = endpoint.calls();
+    assert_eq!(endpoint.ids(), ["01", "01", "02", "03"]);
+    // Of the first, a connect may have been running when the process ended: 600 ms of rest for the others.
+    let rest = calls[2].at.saturating_duration_since(restarted);
+    assert!(rest > Duration::from_millis(350), "{rest:?}");
+    assert_eq!(platform.notices(), []);
+}
+
+#[test]
+fn killed_again_and_again_it_loses_nothing() {
+    let (platform, endpoint, mut courier) = world("single", &[]);
+    let mut sent = Vec::new();
+    for round in 0..6 {
+        let mut client = courier.client();
+        for i in 0..20 {
+            let id = format!("{round}-{i}");
+            assert_eq!(client.put(&id, if i % 2 == 0 { "again" } else { "once" }, LATE), "+OK");
+            sent.push(id);
+        }
+        thread::sleep(Duration::from_millis(round * 3));
+        courier.kill();
+        courier.restart();
+    }
+    until("all ends", || courier.owes_nothing());
+    let (ids, notices) = (endpoint.ids(), platform.notices());
+    for id in &sent {
+        let came = ids.iter().filter(|other| *other == id).count();
+        let ended = came > 0 || notices.iter().any(|n| n.0 == *id);
+        let once = id.ends_with(['1', '3', '5', '7', '9']);
+        assert!(ended && !(once && came > 1), "{id} came {came} times");
+    }
+}
+
+#[test]
+fn asked_to_end_it_serves_on_for_a_moment_and_finishes_what_is_out() {
+    let (platform, endpoint, mut courier) = world("single", &[Reply::After(1200, Box::new(OK))]);
+    let (mut idle, mut client) = (courier.client(), courier.client());
+    assert_eq!(idle.say(b"PING\r\n"), "+PONG");
+    assert_eq!(client.put("01", "once", LATE), "+OK");
+    until("the call", || !endpoint.calls().is_empty());
+    courier.terminate();
+    assert_eq!(idle.line(), "", "an idle client is moved off");
+    let mut late = courier.client();
+    assert_eq!(late.put("02", "once", LATE), "+OK", "a new client is served");
+    assert_eq!(late.line(), "", "and moved off");
+    until("the end", || courier.ended().is_some());
+    assert!(courier.ended().unwrap().success());
+    assert!(Client::connect(courier.listen).is_err());
+    assert_eq!((endpoint.ids(), platform.notices()), (vec!["01".into(), "02".into()], vec![]));
+    assert!(courier.owes_nothing());
+}
+
+#[test]
+fn clients_of_all_sorts_get_a_plain_answer_or_the_end() {
+    let (_platform, _endpoint, courier) = world("single", &[]);
+    let big = put("0", "01", "again", LATE, &[b'x'; 65_537]);
+    let most = put("0", "02", "again", LATE, &[b'\n'; 65_536]);
+    let rows: [(&[u8], &str); 14] = [
+        (b"PING\r\n", "+PONG"),
+        (b"\r\nping\r\n", "+PONG"),
+        (b"*1\r\n$4\r\nQUIT\r\n", "+OK"),
+        (b"GET / HTTP/1.1\r\n\r\n", "-ERR unknown command"),
+        (b"*1\r\n$7\r\nMSG.PUT\r\n", "-ERR wrong number of arguments"),
+        (b"*99\r\n", "-ERR a command has too many words"),
+        (b"\x16\x03\x01\x02\x00\x01\xfc\n", "-ERR unknown command"),
+        (&put("0", "0\r\nX: y", "again", LATE, b""), "-ERR an id is 1 to 128 plain characters"),
+        (&put("0", "01", "again", "d=9,k=\"", b""), "-ERR a key is up to 128 plain characters"),
+        (&put("0", "01", "what", LATE, b""), "-ERR unknown class"),
+        (&put("0", "01", "again", "d=x", b""), "-ERR no time"),
+        (&big, "-ERR a word is too long"),
+        (&most, "+OK"),
+        (&put("0", "03", "again", "d=99999999999999999", b""), "+OK"),
+    ];
+    for (bytes, answer) in rows {
+        let name = String::from_utf8_lossy(&bytes[..bytes.len().min(60)]).into_owned();
+        assert_eq!(courier.client().say(bytes), answer, "{name}");
+    }
+    // Gone in the middle, and a flood of connections beyond what is kept open for clients.
+    let mut half = courier.client();
+    half.stream.get_mut().shutdown(Shutdown::Write).unwrap();
+    assert_eq!(half.say(b""), "");
+    let many: Vec<Client> = (0..200).filter_map(|_| Client::connect(courier.listen).ok()).collect();
+    let mut answers: Vec<String> = many.into_iter().map(|mut client| client.say(b"PING\r\n")).collect();
+    answers.retain(|answer| answer == "+PONG");
+    assert!((50..200).contains(&answers.len()), "{}", answers.len());
+    until("room again", || courier.client().say(b"PING\r\n") == "+PONG");
+}
+
+#[test]
+fn with_its_room_on_disk_nearly_gone_it_refuses() {
+    let platform = Platform::new();
+    let courier = Courier::start(&platform, |config| {
+        config["limits"]["disk_mb"] = json!(0.5);
+        config["settings"]["Limits"]["MaxOpen"] = json!(10_000);
+    });
+    let mut client = courier.client();
+    let mut answers = Vec::new();
+    for i in 0..60 {
+        answers.push(client.say(&put("0", &format!("{i}"), "again", LATE, &[b'x'; 8000])));
+    }
+    let taken = answers.iter().filter(|answer| *answer == "+OK").count();
+    assert!((10..30).contains(&taken) && answers[59] == "-BUSY", "{taken}");
+    let state = courier.folder.path.join("state");
+    let size: u64 = std::fs::read_dir(state).unwrap().map(|f| f.unwrap().metadata().unwrap().len()).sum();
+    assert!(size < 300_000, "{size}");
+}
+
+#[test]
+fn the_list_is_followed_through_breaks_silence_and_moves() {
+    let (platform, first, courier) = world("single", &[]);
+    let second = Endpoint::new(&[]);
+    let mut client = courier.client();
+    let mut next = 0;
+    let mut goes_to = |endpoint: &Endpoint, what: &str| {
+        until(what, || {
+            next += 1;
+            let (id, before) = (next.to_string(), endpoint.calls().len());
+            assert_eq!(client.put(&id, "again", LATE), "+OK");
+            thread::sleep(Duration::from_millis(50));
+            endpoint.calls().len() > before
+        });
+    };
+    goes_to(&first, "the first endpoint");
+    platform.list("e1", second.address, "single", 7, "SERVING");
+    goes_to(&second, "the new address of an endpoint");
+    platform.told.lock().unwrap().end_watches = 1;
+    platform.list("e1", second.address, "single", 7, "DRAINING");
+    platform.list("e2", first.address, "single", 7, "SERVING");
+    goes_to(&first, "what a watch opened anew tells");
+    let drained = second.calls().len();
+    goes_to(&first, "only the one that does not drain");
+    assert_eq!(second.calls().len(), drained);
+    // A watch that says nothing any more, not even an empty line.
+    let watches = platform.told.lock().unwrap().watches;
+    platform.told.lock().unwrap().silent = true;
+    until("a new watch", || platform.told.lock().unwrap().watches > watches);
+}
+
+#[test]
+fn a_mail_waits_for_a_destination_that_is_not_listed_yet() {
+    let platform = Platform::new();
+    let courier = Courier::start(&platform, unchanged);
+    assert_eq!(courier.client().put("01", "once", LATE), "+OK");
+    let endpoint = Endpoint::new(&[]);
+    platform.list("e9", endpoint.address, "single", 8, "SERVING");
+    platform.list("e1", endpoint.address, "single", 7, "SERVING");
+    until("its end", || courier.owes_nothing());
+    assert_eq!((endpoint.ids(), platform.notices()), (vec!["01".to_string()], vec![]));
+}
+
+#[test]
+fn connections_are_kept_and_closed_before_the_far_side_does() {
+    let (_platform, endpoint, courier) = world("single", &[]);
+    let mut client = courier.client();
+    for i in 0..5 {
+        assert_eq!(client.put(&i.to_string(), "again", LATE), "+OK");
+        until("the call", || endpoint.calls().len() == i + 1);
+    }
+    // One connection serves calls that follow each other; it is closed within two seconds of idleness.
+    assert_eq!(endpoint.connections(), (1, 1));
+    let idle = Instant::now();
+    until("the close", || endpoint.connections() == (1, 0));
+    let idle = idle.elapsed();
+    assert!(idle > Duration::from_millis(1500) && idle < Duration::from_millis(2500), "{idle:?}");
+}
+
+#[test]
+fn a_bad_configuration_ends_with_one_plain_message() {
+    let platform = Platform::new();
+    let good = common::config(&platform, "127.0.0.1:0".parse().unwrap());
+    type Change = fn(&mut Value);
+    let rows: [(Change, &str); 8] = [
+        (|c| c["listen"] = json!("nowhere"), "ROUTER_LISTEN is no address: nowhere"),
+        (|c| c["discovery"] = Value::Null, "ROUTER_DISCOVERY is not set"),
+        (|c| c["settings"] = json!({}), "setting NInstances is missing"),
+        (|c| c["settings"]["FamilyInfo"]["Slots"] = json!("x"), "setting FamilyInfo.Slots cannot be read"),
+        (|c| c["settings"]["Limits"]["ConnectTimeoutUs"] = json!(u64::MAX), "ConnectTimeoutUs is no time"),
+        (|c| c["limits"]["sockets"] = json!(3), "limits.sockets is under 64"),
+        (|c| c["limits"]["disk_mb"] = json!(0), "limits.disk_mb is no size"),
+        (|c| c["known"] = json!("x"), "invalid type"),
+    ];
+    for (change, words) in rows {
+        let (folder, mut config) = (Folder::new(), good.clone());
+        change(&mut config);
+        let (success, said) = output(command(&folder, &config, "serve"));
+        assert!(!success && said.contains(words) && said.trim_end().lines().count() == 1, "{said}");
+    }
+    let folder = Folder::new();
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let config = common::config(&platform, taken.local_addr().unwrap());
+    let (success, said) = output(command(&folder, &config, "serve"));
+    assert!(!success && said.contains("cannot listen at"), "{said}");
+    assert_eq!(output(command(&folder, &config, "check")), (true, String::new()));
+    assert!(!output(command(&folder, &config, "what")).0);
+}
--- /dev/null
+++ b/crates/courier/tests/journal.rs
@@ -0,0 +1,151 @@
+//! The journal: what it holds after a cut, a flipped byte, a rename that never came; and its size.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::fs;
+
+use bytes::Bytes;
+use common::Folder;
+use meadowhold_courier::journal::{Found, Journal, Owed, Record, Verdict};
+
+fn owed(id: &str, body: usize) -> Owed {
+    let (id, item) = (Bytes::copy_from_slice(id.as_bytes()), Bytes::from_static(b"7f3a"));
+    Owed { id, item, class: 1, dest: 7, due: 90_000, body: vec![b'x'; body].into(), ..Owed::default() }
+}
+
+fn bytes(folder: &Folder) -> Bytes {
+    fs::read(folder.path.join("journal")).unwrap().into()
+}
+
+/// A journal of every kind of record, with what was owed after each.
+fn written(folder: &Folder) -> Vec<(usize, Found)> {
+    let (mut journal, found) = Journal::open(&folder.path, 3_000_000).unwrap();
+    assert_eq!(found, Found::default());
+    let (first, second) = (owed("a1", 3), owed("b2", 300));
+    let records = [
+        Record::Taken { serial: 1, owed: &first },
+        Record::Taken { serial: 2, owed: &second },
+        Record::Out { serial: 1, sent: (500, 2) },
+        Record::Out { serial: 2, sent: (510, 0) },
+        Record::Back { serial: 1, ran: true, rests: true, at: 600 },
+        Record::Back { serial: 2, ran: false, rests: false, at: 610 },
+        Record::Out { serial: 1, sent: (700, 1) },
+        Record::GivenUp { serial: 2, verdict: Verdict::Bounced(250) },
+        Record::Rest { item: b"99", since: 720 },
+        Record::Over { serial: 1 },
+        Record::GivenUp { serial: 2, verdict: Verdict::Dead },
+    ];
+    let mut states = vec![(bytes(folder).len(), Found::default())];
+    for record in &records {
+        journal.append(record).unwrap();
+        let bytes = bytes(folder);
+        states.push((bytes.len(), Found::read(&bytes).0));
+    }
+    states
+}
+
+#[test]
+fn every_record_changes_what_is_owed() {
+    let folder = Folder::new();
+    let states = written(&folder);
+    let at = |i: usize, serial: u64| states[i].1.owed.get(&serial).cloned();
+    assert_eq!(at(2, 1), Some(owed("a1", 3)));
+    assert_eq!(at(4, 2).map(|o| (o.out, o.ran, o.connects)), Some((Some((510, 0)), None, 1)));
+    assert_eq!(at(5, 1).map(|o| (o.out, o.ran)), Some((None, Some((500, 2)))));
+    assert_eq!(at(6, 2).map(|o| (o.out, o.ran)), Some((None, None)), "it never ran");
+    let again = at(7, 1).map(|o| (o.out, o.ran, o.connects));
+    assert_eq!(again, Some((Some((700, 1)), Some((500, 2)), 2)), "the first send that may have run counts");
+    assert_eq!(at(8, 2).unwrap().verdict, Some(Verdict::Bounced(250)));
+    let rests = |i: usize| states[i].1.rests.iter().map(|r| (r.0.to_vec(), r.1)).collect::<Vec<_>>();
+    assert_eq!(rests(10), [(b"7f3a".to_vec(), 600), (b"99".to_vec(), 720)]);
+    assert_eq!((at(10, 1), at(11, 2).unwrap().verdict), (None, Some(Verdict::Dead)));
+}
+
+#[test]
+fn a_journal_cut_anywhere_holds_all_records_before_the_cut() {
+    let folder = Folder::new();
+    let states = written(&folder);
+    let whole = bytes(&folder);
+    for cut in 0..=whole.len() {
+        let (found, good) = Found::read(&whole.slice(..cut));
+        let before = states.iter().rev().find(|state| state.0 <= cut);
+        let (end, expected) = before.map_or((0, Found::default()), |(end, state)| (*end, state.clone()));
+        assert_eq!((good, found), (end, expected), "cut at {cut}");
+    }
+}
+
+#[test]
+fn a_flipped_byte_ends_the_reading_and_never_panics() {
+    let folder = Folder::new();
+    let states = written(&folder);
+    let whole = bytes(&folder);
+    for at in 0..whole.len() {
+        let mut broken = whole.to_vec();
+        broken[at] ^= 0x41;
+        let (found, good) = Found::read(&broken.into());
+        assert!(good <= at && states.iter().any(|state| state.1 == found), "flipped at {at}");
+    }
+}
+
+#[test]
+fn a_torn_journal_is_taken_up_again() {
+    let folder = Folder::new();
+    written(&folder);
+    let mut torn = bytes(&folder).to_vec();
+    torn.truncate(torn.len() - 3);
+    fs::write(folder.path.join("journal"), torn).unwrap();
+    // A process that ended between writing a fresh file and its rename.
+    fs::write(folder.path.join("journal.new"), b"meadowhold journal 1\nhalf").unwrap();
+    let (mut journal, found) = Journal::open(&folder.path, 3_000_000).unwrap();
+    assert_eq!(found.owed[&2].verdict, Some(Verdict::Bounced(250)));
+    journal.append(&Record::Over { serial: 2 }).unwrap();
+    drop(journal);
+    let (_, found) = Journal::open(&folder.path, 3_000_000).unwrap();
+    assert_eq!(found.owed, BTreeMap::new());
+    assert_eq!(found.rests.len(), 2, "rests outlast a file that is written anew");
+    assert!(!folder.path.join("journal.new").exists());
+}
+
+#[test]
+fn the_folder_stays_under_its_allowance() {
+    let (folder, allowance) = (Folder::new(), 40_000);
+    let (mut journal, _) = Journal::open(&folder.path, allowance).unwrap();
+    let (mut owing, mut refused, mut most) = (BTreeMap::new(), 0, 0);
+    for serial in 1..2000 {
+        let mail = owed(&serial.to_string(), 400 + serial as usize % 700);
+        if journal.is_grown(&Record::Taken { serial, owed: &mail }) {
+            journal.compact(&owing, &[]).unwrap();
+            // Both files stood there for a moment.
+            most = most.max(allowance * 44 / 100 + bytes(&folder).len() as u64);
+        }
+        if !journal.has_room(&mail) {
+            refused += 1;
+            // The oldest ends.
+            let (serial, oldest): (u64, Owed) = owing.pop_first().unwrap();
+            journal.shrink(meadowhold_courier::journal::weight(&oldest));
+            journal.append(&Record::Over { serial }).unwrap();
+        } else {
+            journal.append(&Record::Taken { serial, owed: &mail }).unwrap();
+            owing.insert(serial, mail);
+        }
+        most = most.max(bytes(&folder).len() as u64);
+    }
+    assert!(refused > 900 && owing.len() > 5, "{refused} {}", owing.len());
+    assert!(most < allowance * 85 / 100, "{most}");
+    drop(journal);
+    let (_, found) = Journal::open(&folder.path, allowance).unwrap();
+    assert_eq!(found.owed, owing, "nothing owed is lost by writing the file anew");
+}
+
+#[test]
+fn a_full_journal_refuses_whole_records() {
+    let folder = Folder::new();
+    let (mut journal, _) = Journal::open(&folder.path, 10_000).unwrap();
+    let mail = owed("a", 1000);
+    let fits =
+        (1..).take_while(|&serial| journal.append(&Record::Taken { serial, owed: &mail }).is_ok()).count();
+    assert!((2..10).contains(&fits));
+    let (found, good) = Found::read(&bytes(&folder));
+    assert_eq!((found.owed.len(), good), (fits, bytes(&folder).len()));
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -97,7 +97,16 @@
     }
 
     fn time(&self, key: &str) -> Result<Time, String> {
-        self.get(key).map(tenths)
+        self.time_or(key, None)
+    }
+
+    /// Guards against times that would overflow once they are added up: none is longer than ten years.
+    fn time_or(&self, key: &str, absent: Option<u64>) -> Result<Time, String> {
+        let us: u64 = absent.map_or_else(|| self.get(key), |absent| self.or(key, absent))?;
+        if us > 10 * 366 * 86_400 * 1_000_000 {
+            return Err(format!("setting {key} is no time"));
+        }
+        Ok(tenths(us))
     }
 
     fn figure(&self, key: &str, absent: f64) -> Result<f64, String> {
@@ -149,12 +158,12 @@
         connect_timeout: p.time("Limits.ConnectTimeoutUs")?,
         max_pause: if p.or("Limits.RetryAfter", false)? { p.time("Limits.MaxRetryAfterUs")? } else { 0 },
         ask_list: p.text("MembershipMode")? == "ask",
-        ask_within: tenths(p.or("Rules.AskWithinUs", 10_000_000)?),
+        ask_within: p.time_or("Rules.AskWithinUs", Some(10_000_000))?,
         cold_from: p.figure("Rules.ColdFrom", 1.0)?,
-        cold: tenths(p.or("Rules.ColdUs", 0)?),
+        cold: p.time_or("Rules.ColdUs", Some(0))?,
         tip_multiple: p.figure("Rules.TipMultiple", 1.0)?,
-        overload_for: tenths(p.or("Rules.OverloadForUs", 0)?),
-        turn_gap: tenths(p.or("Rules.TurnGapUs", 0)?),
+        overload_for: p.time_or("Rules.OverloadForUs", Some(0))?,
+        turn_gap: p.time_or("Rules.TurnGapUs", Some(0))?,
         by_half: p.0.get("FamilyInfo.Late").is_some_and(|late| late == "by_half"),
         rates_listed: matches!(p.0.get("Weights").map(String::as_str), Some("nominal" | "rough")),
         fees: p.list("FamilyInfo.Carriage")?,
@@ -175,7 +184,7 @@
         classes: p.each("Profiles", |at| p.or(&format!("{at}Name"), String::new()))?,
         zones: p.list("Dcs")?,
         kinds,
-        keep_idle: tenths(p.or("Limits.KeepaliveUs", 10_000_000)?),
+        keep_idle: p.time_or("Limits.KeepaliveUs", Some(10_000_000))?,
         may_overlap: p.or("Limits.MayDuplicate", false)?,
         fields,
     })
@@ -191,7 +200,7 @@
             _ => return Err(format!("setting {at}Effect cannot be read")),
         },
         by_zone: p.0.get(&key("Group")).is_some_and(|group| group != "all"),
-        window: tenths(p.or(&key("DedupWindowUs"), 0)?),
+        window: p.time_or(&key("DedupWindowUs"), Some(0))?,
         target: p.time(&key("PromiseUs"))?,
         lifetime: p.time(&key("HardLimitUs"))?,
         importance: p.figure(&key("Worth"), 1.0)?,
