Silent clients make way in a flood; a failed part ends the courier; tests of restarts

Seen while reading: at the limit of client connections the newcomer was refused, so that a flood of silent ones shut out all others. Now whoever has been silent longest is closed, which clients answer by coming again (clients.rs, touch). A task that fails ends the process with a message instead of leaving half a courier. Notices are asked again after 200 ms, since their answer comes at once. Idle connections are swept within half of the margin before the far side closes them.

--- a/crates/courier/src/clients.rs
+++ b/crates/courier/src/clients.rs
@@ -1,6 +1,7 @@
 //! Listens, reads what clients hand in, and answers.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,7 +9,7 @@
 use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 use tokio::time::timeout;
 
 use crate::exchange::{Answer, Offer, Shared};
@@ -29,13 +30,15 @@
 
 struct Clients {
     shared: Shared,
-    open: Cell<usize>,
     most: usize,
+    /// Open connections by the turn in which they last asked for something.
+    open: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    turn: Cell<u64>,
 }
 
 /// Accepts until it is dropped.
 pub async fn listen(shared: Shared, listener: TcpListener, most: usize, phase: watch::Receiver<Phase>) {
-    let clients = Rc::new(Clients { shared, open: Cell::new(0), most });
+    let clients = Rc::new(Clients { shared, most, open: RefCell::default(), turn: Cell::new(0) });
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -52,19 +55,37 @@
 
 impl Clients {
     async fn serve(self: Rc<Self>, stream: TcpStream, phase: watch::Receiver<Phase>) {
-        self.open.set(self.open.get() + 1);
-        let ended = if self.open.get() > self.most {
-            refuse(stream).await
-        } else {
-            self.converse(stream, phase).await
-        };
-        self.open.set(self.open.get() - 1);
-        if let Err(e) = ended {
+        let (closed, mut turn) = (Rc::new(Notify::new()), 0);
+        self.touch(&mut turn, &closed);
+        // Guards against floods that leave no room: whoever has been silent longest makes way, and a client
+        // whose connection is closed between requests comes again.
+        if self.open.borrow().len() > self.most {
+            if let Some((_, oldest)) = self.open.borrow_mut().pop_first() {
+                oldest.notify_one();
+            }
+        }
+        if let Err(e) = self.converse(stream, phase, &closed, &mut turn).await {
             log::debug!("a client's connection ended: {e}");
         }
+        self.open.borrow_mut().remove(&turn);
+    }
+
+    /// A connection asks for something, and goes to the end of those that may have to make way.
+    fn touch(&self, turn: &mut u64, closed: &Rc<Notify>) {
+        let mut open = self.open.borrow_mut();
+        open.remove(turn);
+        self.turn.set(self.turn.get() + 1);
+        *turn = self.turn.get();
+        open.insert(*turn, closed.clone());
     }
 
-    async fn converse(&self, mut stream: TcpStream, mut phase: watch::Receiver<Phase>) -> io::Result<()> {
+    async fn converse(
+        &self,
+        mut stream: TcpStream,
+        mut phase: watch::Receiver<Phase>,
+        closed: &Rc<Notify>,
+        turn: &mut u64,
+    ) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let (mut buffer, mut out) = (BytesMut::new(), BytesMut::new());
         let (mut taken, mut served) = (Vec::new(), false);
@@ -73,10 +94,14 @@
             if !out.is_empty() {
                 let written = timeout(PATIENCE, stream.write_all(&out)).await;
                 if !matches!(written, Ok(Ok(()))) {
-                    // Gone before it heard: what it handed in counts for nothing and may come again.
-                    taken.drain(..).for_each(|serial| self.shared.borrow_mut().hangup(serial));
+                    // Gone before it heard: what it handed in counts for nothing and may come again. Of
+                    // several it may have heard some, and those are still owed their end.
+                    if let [serial] = taken[..] {
+                        self.shared.borrow_mut().hangup(serial);
+                    }
                     return Ok(());
                 }
+                self.touch(turn, closed);
                 out.clear();
                 served = true;
             }
@@ -92,6 +117,7 @@
                 biased;
                 read = stream.read_buf(&mut buffer) => read?,
                 () = tokio::time::sleep(PATIENCE), if partial => return Ok(()),
+                () = closed.notified() => return Ok(()),
                 changed = phase.changed(), if !partial && !moving => {
                     changed.map_err(io::Error::other)?;
                     continue;
@@ -149,12 +175,6 @@
     }
 }
 
-/// One too many: a plain answer, harmless to whoever hands a mail in.
-async fn refuse(mut stream: TcpStream) -> io::Result<()> {
-    timeout(Duration::from_millis(200), stream.write_all(b"-BUSY\r\n")).await??;
-    stream.shutdown().await
-}
-
 /// Whether a text can stand in a header and in JSON as it is.
 fn is_plain(text: &[u8]) -> bool {
     text.len() <= MOST_ID && text.iter().all(|&b| b.is_ascii_graphic() && b != b'"' && b != b'\\')
--- a/crates/courier/src/endpoints.rs
+++ b/crates/courier/src/endpoints.rs
@@ -20,7 +20,6 @@
 const MOST_ANSWER: usize = 1 << 20;
 /// A served connection is kept if the rest of its answer comes within this time.
 const REST: Duration = Duration::from_secs(1);
-const SWEEP: Duration = Duration::from_millis(250);
 
 /// What the calls keep to.
 pub struct Limits {
@@ -65,7 +64,9 @@
     let clock = shared.borrow().clock;
     let endpoints = Endpoints { shared, clock, limits, idle: RefCell::default(), open: Cell::new(0) };
     let endpoints = Rc::new(endpoints);
-    let mut sweep = tokio::time::interval(SWEEP);
+    // Half of the margin at which idle connections are closed.
+    let every = (endpoints.limits.idle / 40).max(Duration::from_millis(5));
+    let mut sweep = tokio::time::interval(every);
     sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -3,7 +3,6 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
@@ -175,6 +174,7 @@
     open: usize,
     next_serial: u64,
     journal: Journal,
+    unwritten: bool,
     inputs: Vec<Input>,
     actions: Vec<Action>,
     wake: Option<Time>,
@@ -236,6 +236,7 @@
             open: 0,
             next_serial: found.owed.keys().next_back().map_or(1, |last| last + 1),
             journal,
+            unwritten: false,
             inputs: Vec::new(),
             actions: Vec::new(),
             wake: None,
@@ -347,13 +348,18 @@
                 log::warn!("the journal cannot be written anew: {e}");
             }
         }
-        match self.journal.append(record) {
-            Ok(()) => true,
-            Err(e) => {
+        let written = self.journal.append(record);
+        if let Err(e) = &written {
+            // One line for as long as it lasts.
+            if std::mem::replace(&mut self.unwritten, true) {
+                log::debug!("the journal still cannot be written: {e}");
+            } else {
                 log::warn!("the journal cannot be written: {e}");
-                false
             }
+            return false;
         }
+        self.unwritten = false;
+        true
     }
 
     /// Nothing more is owed for a mail.
@@ -598,7 +604,7 @@
 
 /// Gives the module its turns: when something was seen, and when it asked for one, but no more often than
 /// the settings say.
-pub async fn drive(shared: Shared) -> io::Result<()> {
+pub async fn drive(shared: Shared) {
     let (notify, clock, resolution) = {
         let exchange = shared.borrow();
         (exchange.notify.clone(), exchange.clock, exchange.resolution)
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -22,7 +22,7 @@
 
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
-use tokio::task::{spawn_local, LocalSet};
+use tokio::task::{JoinSet, LocalSet};
 use tokio::time::{sleep, timeout, Instant};
 
 use clients::Phase;
@@ -81,15 +81,20 @@
     let bound = TcpListener::bind(listen).await;
     let listener = bound.map_err(|e| io::Error::new(e.kind(), format!("cannot listen at {listen}: {e}")))?;
     let (phase, phase_in) = watch::channel(Phase::Serving);
-    spawn_local(exchange::drive(shared.clone()));
-    spawn_local(endpoints::run(shared.clone(), orders_in, limits));
-    spawn_local(notices::tell(shared.clone(), discovery, notices_in));
-    spawn_local(discovery::follow(shared.clone(), discovery, known.index));
+    let mut parts = JoinSet::new();
+    parts.spawn_local(exchange::drive(shared.clone()));
+    parts.spawn_local(endpoints::run(shared.clone(), orders_in, limits));
+    parts.spawn_local(notices::tell(shared.clone(), discovery, notices_in));
+    parts.spawn_local(discovery::follow(shared.clone(), discovery, known.index));
     let most = (sockets - OWN_SOCKETS) / 2;
-    let listening = spawn_local(clients::listen(shared.clone(), listener, most, phase_in));
-    spawn_local(log_counts(shared.clone()));
+    let listening = parts.spawn_local(clients::listen(shared.clone(), listener, most, phase_in));
+    parts.spawn_local(log_counts(shared.clone()));
     log::info!("{name} serves at {listen}");
-    stop.await;
+    tokio::select! {
+        () = stop => {}
+        // Guards against a courier that seems to run with a part of it gone.
+        _ = parts.join_next() => return Err(io::Error::other("a part of the courier has failed")),
+    }
 
     log::info!("{name} ends: {} mails in hand", shared.borrow().in_hand());
     let asked = Instant::now();
--- a/crates/courier/src/notices.rs
+++ b/crates/courier/src/notices.rs
@@ -17,7 +17,8 @@
 
 const MOST_LINES: usize = 256;
 const MOST_ANSWER: usize = 64 * 1024;
-const PATIENCE: Duration = Duration::from_secs(1);
+/// The platform answers at once; one that hangs is asked again while the answer still counts.
+const PATIENCE: Duration = Duration::from_millis(200);
 const PAUSES: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(640));
 
 fn lines(notices: &[Notice]) -> String {
--- /dev/null
+++ b/crates/courier/tests/exchange.rs
@@ -0,0 +1,172 @@
+//! The exchange by itself: what clients and endpoints see of it, without sockets.
+
+mod common;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use common::{settings, Folder};
+use meadowhold::interface::Outcome;
+use meadowhold_courier::discovery::List;
+use meadowhold_courier::exchange::{Answer, Call, Exchange, Notice, Offer, Order, Seen};
+use meadowhold_courier::journal::{Journal, Verdict};
+use meadowhold_settings::decode_json;
+use serde_json::json;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
+
+struct World {
+    exchange: Exchange,
+    orders: UnboundedReceiver<Order>,
+    notices: UnboundedReceiver<Notice>,
+    _folder: Folder,
+}
+
+fn list(status: &str, kind: &str) -> List {
+    let entry = json!({"name": "e1", "address": "127.0.0.1:9", "zone": "a", "type": kind, "group": 7,
+        "status": status, "weight": 1000.0});
+    serde_json::from_value(json!({"index": 2, "snapshot": true, "endpoints": [entry]})).unwrap()
+}
+
+fn world(kind: &str) -> World {
+    let folder = Folder::new();
+    let (orders_in, orders) = unbounded_channel();
+    let (notices_in, notices) = unbounded_channel();
+    let decoded = decode_json(1, &settings()).unwrap();
+    let journal = Journal::open(&folder.path, 3_000_000).unwrap();
+    let mut exchange = Exchange::new(decoded, journal, orders_in, notices_in);
+    exchange.listed(&list("SERVING", kind));
+    World { exchange, orders, notices, _folder: folder }
+}
+
+impl World {
+    fn put(&mut self, id: &str, class: &str, body: usize) -> Answer {
+        let text = |text: &str| Bytes::copy_from_slice(text.as_bytes());
+        self.exchange.hand_in(Offer {
+            id: text(id),
+            key: Bytes::new(),
+            item: text("0000"),
+            class: text(class),
+            dest: 7,
+            lifetime: Duration::from_secs(4),
+            body: vec![b'x'; body].into(),
+        })
+    }
+
+    fn calls(&mut self) -> Vec<Call> {
+        self.exchange.turn();
+        let mut calls = Vec::new();
+        while let Ok(order) = self.orders.try_recv() {
+            calls.extend(if let Order::Call(call) = order { Some(call) } else { None });
+        }
+        calls
+    }
+
+    fn call(&mut self) -> Call {
+        let mut calls = self.calls();
+        assert_eq!(calls.len(), 1);
+        calls.remove(0)
+    }
+}
+
+fn seen(outcome: Outcome) -> Seen {
+    let wait = Duration::from_secs(if outcome == Outcome::Refused { 2 } else { 0 });
+    Seen { outcome, over: outcome == Outcome::Relayed, wait, load: None }
+}
+
+fn serial(answer: Answer) -> u64 {
+    match answer {
+        Answer::Taken(serial) => serial,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_call_does_not_begin_at_an_endpoint_that_drains_or_wants_to_be_left_alone() {
+    for told in ["drain", "wait"] {
+        let mut world = world("single");
+        let first = serial(world.put("01", "once", 1));
+        let call = world.call();
+        serial(world.put("02", "once", 1));
+        // While the first waits for its connection.
+        if told == "drain" {
+            world.exchange.listed(&list("DRAINING", "single"));
+            world.exchange.turn();
+        } else {
+            let second = world.call();
+            assert_eq!(world.exchange.begin(second.endpoint, second.letters.clone()).len(), 1);
+            world.exchange.seen(second.letters[0].serial, seen(Outcome::Refused));
+            world.exchange.turn();
+        }
+        assert!(world.exchange.begin(call.endpoint, call.letters).is_empty(), "{told}");
+        assert!(world.calls().is_empty(), "{told}: it waits");
+        // Never sent, so it can be served later; nothing was given up.
+        assert_eq!((first, world.exchange.in_hand(), world.exchange.in_flight()), (1, 2, 0));
+        assert!(world.notices.try_recv().is_err());
+    }
+}
+
+#[test]
+fn a_client_that_is_gone_before_its_answer_is_owed_nothing() {
+    for out in [false, true] {
+        let mut world = world("single");
+        let mail = serial(world.put("01", "once", 1));
+        let call = out.then(|| world.call());
+        let begun = call.map(|call| world.exchange.begin(call.endpoint, call.letters));
+        world.exchange.hangup(mail);
+        assert_eq!((world.calls().len(), world.exchange.in_hand()), (0, 0));
+        if begun.is_some_and(|letters| letters.len() == 1) {
+            world.exchange.seen(mail, seen(Outcome::Broken));
+            assert_eq!((world.calls().len(), world.exchange.in_flight()), (0, 0));
+        }
+        assert!(world.notices.try_recv().is_err());
+        assert_eq!(world.put("01", "once", 1), Answer::Taken(mail + 1));
+    }
+}
+
+#[test]
+fn a_mail_handed_in_twice_is_taken_once_and_a_full_room_refuses() {
+    let mut world = world("single");
+    assert_eq!([world.put("01", "again", 1), world.put("01", "again", 1)], [Answer::Taken(1); 2]);
+    assert_eq!(world.put("02", "what", 1), Answer::Failed("ERR unknown class"));
+    let answers: Vec<Answer> = (10..80).map(|id| world.put(&id.to_string(), "again", 1)).collect();
+    assert_eq!(answers.iter().filter(|a| **a == Answer::Busy).count(), 70 - 63);
+}
+
+#[test]
+fn a_timed_out_connect_that_was_served_after_all_ends_its_mail() {
+    let mut world = world("single");
+    let mail = serial(world.put("01", "again", 1));
+    let call = world.call();
+    assert_eq!(world.exchange.begin(call.endpoint, call.letters).len(), 1);
+    world.exchange.seen(mail, seen(Outcome::Silent));
+    world.exchange.turn();
+    world.exchange.relayed_late(mail);
+    world.exchange.relayed_late(mail);
+    world.exchange.turn();
+    assert_eq!((world.exchange.in_hand(), world.exchange.counts.late), (0, 1));
+}
+
+#[test]
+fn a_once_only_mail_that_may_have_run_is_given_up_at_once_with_a_notice() {
+    let mut world = world("single");
+    let mail = serial(world.put("01", "once", 1));
+    let call = world.call();
+    world.exchange.begin(call.endpoint, call.letters);
+    world.exchange.seen(mail, seen(Outcome::Broken));
+    assert!(world.calls().is_empty());
+    let notice = world.notices.try_recv().unwrap();
+    assert_eq!((notice.serial, notice.verdict), (mail, Verdict::Dead));
+    assert_eq!(world.exchange.in_hand(), 1, "until the platform has heard of it");
+    world.exchange.told(mail);
+    assert_eq!(world.exchange.in_hand(), 0);
+}
+
+#[test]
+fn a_batch_holds_no_more_than_a_body_may() {
+    let mut world = world("many");
+    (0..5).for_each(|id| assert_ne!(world.put(&id.to_string(), "again", 20_000), Answer::Busy));
+    let calls = world.calls();
+    let sizes: Vec<usize> = calls.iter().map(|call| call.letters.len()).collect();
+    assert_eq!(sizes, [2, 2, 1]);
+    assert!(calls.iter().all(|call| call.size <= 64 * 1024));
+}
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -577,3 +577,65 @@
     let seconds: usize = (0..40).map(first).sum();
     assert!((10..=30).contains(&seconds), "{seconds}");
 }
+
+#[test]
+fn a_mail_of_an_earlier_process_goes_on_where_it_was() {
+    let now = SECOND + 50_000;
+    // (class, connects used, seconds since the send of the first that may have run, what becomes of it)
+    let rows = [
+        (REDELIVERABLE, 1, Some(9), "sent"),
+        (REDELIVERABLE, 4, None, "deferred"),
+        (TAGGED, 1, Some(3), "sent"),
+        (TAGGED, 1, Some(5), "deferred"),
+        (ONCE_ONLY, 1, None, "sent"),
+        (ONCE_ONLY, 1, Some(1), "bounced"),
+    ];
+    for (class, connects, since, expected) in rows {
+        let mut rig = Rig::new(settings(), SINGLE, 2, 0.0);
+        let ran = since.map(|seconds| (now - seconds.min(5) * SECOND, 0));
+        let mail = Taken { class, connects, ran, due: now + 4 * SECOND, ..Taken::default() };
+        let acts = rig.at(5000, &[Input::Taken(mail)]);
+        let became = match acts[0] {
+            Action::Connect { .. } => "sent",
+            Action::Defer { .. } => "deferred",
+            Action::Bounce { .. } => "bounced",
+            _ => "?",
+        };
+        assert_eq!(became, expected, "{class} {connects} {since:?}");
+    }
+}
+
+#[test]
+fn a_key_rests_after_a_restart_but_not_the_mail_whose_connect_was_out() {
+    let now = SECOND;
+    let mail = |mail, connects, ran| {
+        let due = now + 10 * SECOND;
+        Input::Taken(Taken { mail, class: TAGGED, key: Some(0), due, connects, ran, ..Taken::default() })
+    };
+    let rested = Input::Rested { key: 0, since: now };
+    let mut rig = Rig::new(settings(), SINGLE, 2, 0.0);
+    let sent = connects(&rig.at(0, &[mail(0, 1, Some((now, 0))), mail(1, 0, None), rested.clone()]));
+    assert_eq!(sent.iter().map(|c| c.0).collect::<Vec<_>>(), [0]);
+    assert_eq!(connects(&rig.at(50, &[ended(0, Outcome::Relayed, 50)])), []);
+    assert_eq!(connects(&rig.at(1001, &[])).iter().map(|c| c.0).collect::<Vec<_>>(), [1]);
+    // A key that only rests is given back at its end.
+    let mut rig = Rig::new(settings(), SINGLE, 2, 0.0);
+    assert_eq!(rig.at(0, &[rested]), []);
+    assert_eq!(rig.at(1000, &[]), [Action::FreeKey(0)]);
+}
+
+#[test]
+fn a_call_may_begin_unless_its_endpoint_leaves_or_waits() {
+    let mut rig = Rig::new(settings(), SINGLE, 2, 0.0);
+    let now = |ms: Time| SECOND + ms * 10;
+    assert!(rig.control.may_begin(0, now(0)));
+    let (mail, endpoint) = connects(&rig.arrive(0, REDELIVERABLE, 1))[0];
+    let refused =
+        Ended { mail, outcome: Outcome::Refused, over: false, wait: 2 * SECOND, took: 50, report: None };
+    rig.at(5, &[Input::Ended(refused)]);
+    let other = 1 - endpoint;
+    assert!(!rig.control.may_begin(endpoint, now(2004)) && !rig.control.may_begin(other, now(2004)));
+    assert!(rig.control.may_begin(endpoint, now(2006)));
+    rig.at(2007, &[listed(endpoint, SINGLE, Life::Draining, 0.0)]);
+    assert!(!rig.control.may_begin(endpoint, now(2008)) && rig.control.may_begin(other, now(2008)));
+}
