--- a/crates/courier/src/journal.rs
+++ b/crates/courier/src/journal.rs
@@ -3,7 +3,7 @@
 //! has grown, a file with only what is still owed takes its place by a rename.
 
 use std::collections::BTreeMap;
-use std::fs::{self, File, OpenOptions};
+use std::fs::{self, File, OpenOptions, TryLockError};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 
@@ -82,6 +82,7 @@
 
 const NAME: &str = "journal";
 const FRESH: &str = "journal.new";
+const LOCK: &str = "lock";
 const MAGIC: &[u8] = b"meadowhold journal 1\n";
 const HEADER: usize = 8;
 const BLOCK: u64 = 512;
@@ -92,6 +93,8 @@
 
 pub struct Journal {
     folder: PathBuf,
+    /// Held for as long as the journal is open.
+    _lock: File,
     file: File,
     size: u64,
     allowance: u64,
@@ -271,6 +274,13 @@
     /// a torn tail is gone.
     pub fn open(folder: &Path, allowance: u64) -> io::Result<(Journal, Found)> {
         fs::create_dir_all(folder)?;
+        // Guards against a second courier on the folder, which would put a file of its own in the place of ours.
+        let lock = File::create(folder.join(LOCK))?;
+        match lock.try_lock() {
+            Err(TryLockError::WouldBlock) => return Err(io::Error::other("another courier has it open")),
+            Err(TryLockError::Error(e)) => log::warn!("the folder cannot be locked: {e}"),
+            Ok(()) => {}
+        }
         let bytes = match fs::read(folder.join(NAME)) {
             Ok(bytes) => Bytes::from(bytes),
             Err(e) if e.kind() == io::ErrorKind::NotFound => Bytes::new(),
@@ -283,7 +293,7 @@
         let file = OpenOptions::new().create(true).append(true).open(folder.join(NAME))?;
         let (folder, size) = (folder.to_path_buf(), bytes.len() as u64);
         let live = found.owed.values().map(weight).sum();
-        let mut journal = Journal { folder, file, size, allowance, live, buffer: Vec::new() };
+        let mut journal = Journal { folder, _lock: lock, file, size, allowance, live, buffer: Vec::new() };
         journal.compact(&found.owed, &found.rests)?;
         Ok((journal, found))
     }
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -70,16 +70,17 @@
         connections: (sockets - OWN_SOCKETS) / 2,
         may_overlap: decoded.may_overlap,
     };
-    let (orders, orders_in) = mpsc::unbounded_channel();
-    let (notices, notices_in) = mpsc::unbounded_channel();
+    // First, so that a second start by mistake touches nothing.
+    let bound = TcpListener::bind(listen).await;
+    let listener = bound.map_err(|e| io::Error::new(e.kind(), format!("cannot listen at {listen}: {e}")))?;
     let journal = Journal::open(&state, disk);
     let journal =
         journal.map_err(|e| io::Error::new(e.kind(), format!("the journal in {}: {e}", state.display())))?;
+    let (orders, orders_in) = mpsc::unbounded_channel();
+    let (notices, notices_in) = mpsc::unbounded_channel();
     let mut exchange = Exchange::new(decoded, journal, orders, notices);
     exchange.listed(&discovery::List { snapshot: true, ..known.clone() });
     let shared: Shared = Rc::new(RefCell::new(exchange));
-    let bound = TcpListener::bind(listen).await;
-    let listener = bound.map_err(|e| io::Error::new(e.kind(), format!("cannot listen at {listen}: {e}")))?;
     let (phase, phase_in) = watch::channel(Phase::Serving);
     let mut parts = JoinSet::new();
     parts.spawn_local(exchange::drive(shared.clone()));
--- a/crates/courier/tests/journal.rs
+++ b/crates/courier/tests/journal.rs
@@ -138,6 +138,16 @@
     assert_eq!(found.owed, owing, "nothing owed is lost by writing the file anew");
 }
 
+#[test]
+fn a_folder_serves_one_courier_at_a_time() {
+    let folder = Folder::new();
+    let (journal, _) = Journal::open(&folder.path, 10_000).unwrap();
+    let second = Journal::open(&folder.path, 10_000).err().unwrap();
+    assert_eq!(second.to_string(), "another courier has it open");
+    drop(journal);
+    assert!(Journal::open(&folder.path, 10_000).is_ok());
+}
+
 #[test]
 fn a_full_journal_refuses_whole_records() {
     let folder = Folder::new();
