Log lines per mail at debug level; an unreadable entry of the list costs only itself

One entry that could not be read made the courier pass over the whole list (discovery.rs, readable).

--- a/crates/courier/src/discovery.rs
+++ b/crates/courier/src/discovery.rs
@@ -7,7 +7,8 @@
 
 use bytes::{Buf, BytesMut};
 use meadowhold::interface::Life;
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
+use serde_json::Value;
 use tokio::time::timeout;
 
 use crate::exchange::Shared;
@@ -25,10 +26,18 @@
     pub index: u64,
     #[serde(default)]
     pub snapshot: bool,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "readable")]
     pub endpoints: Vec<Entry>,
 }
 
+/// Guards against one entry that cannot be read and would cost all the others: it counts as not listed.
+fn readable<'de, D: Deserializer<'de>>(list: D) -> Result<Vec<Entry>, D::Error> {
+    let entries = Vec::<Value>::deserialize(list)?.into_iter().map(serde_json::from_value);
+    Ok(entries
+        .filter_map(|entry| entry.inspect_err(|e| log::warn!("an entry of the list: {e}")).ok())
+        .collect())
+}
+
 #[derive(Clone, Debug, Deserialize)]
 pub struct Entry {
     pub name: String,
--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -323,6 +323,7 @@
             ..Owed::default()
         };
         let serial = self.next_serial;
+        log::debug!("mail {serial} for {} of class {class} has come", owed.dest);
         if self.open >= self.room
             || !self.journal.has_room(&owed)
             || !self.note(&Record::Taken { serial, owed: &owed })
@@ -487,6 +488,10 @@
                 self.note(&Record::Back { serial, ran, rests, at: now });
             }
         }
+        log::debug!(
+            "mail {serial}: {outcome:?} after {} ms, wait {wait:?}",
+            now.saturating_sub(started) / 10
+        );
         let report = load.and_then(|load| self.names.report(&load));
         let took = now.saturating_sub(started);
         self.inputs.push(Input::Ended(Ended { mail, outcome, over, wait: tenths(wait), took, report }));
@@ -539,6 +544,7 @@
         }
         must!(self.counts.broken, self.flying[mail].is_none(), "a mail has two connects out at once");
         self.flying[mail] = Some(now);
+        log::debug!("mail {serial} for {}: connect to endpoint {endpoint}, {timeout}", owed.dest);
         let letter = Letter {
             serial,
             id: owed.id.clone(),
@@ -571,6 +577,7 @@
             return;
         };
         must!(self.counts.broken, owed.verdict.is_none(), "a mail was given up twice");
+        log::debug!("mail {serial} for {}: given up, {verdict:?}", owed.dest);
         owed.verdict = Some(verdict);
         self.journal.shrink(owed.body.len() as u64);
         owed.body.clear();
--- a/crates/courier/tests/common/mod.rs
+++ b/crates/courier/tests/common/mod.rs
@@ -263,6 +263,9 @@
         told.entries.retain(|entry| entry["name"] != name);
         told.entries.push(json!({"name": name, "address": address.to_string(), "zone": "a", "type": kind,
             "group": group, "status": status, "weight": 1000.0, "since_ms": 0}));
+        // An entry that cannot be read is always among them.
+        told.entries.retain(|entry| entry["name"] != "odd");
+        told.entries.push(json!({"name": "odd", "group": -1}));
         told.index += 1;
     }
 
