A broken batch tells only of mails without an outcome; a mail past its time-out is not sent

Seen while reading endpoints.rs, call: when a batch broke after one of its mails had been told of as silent, that mail was told of once more. Where it was out again, its second connect would have been taken as over, and it could have been sent a third time beside it. Both new tests fail with the code before. A mail whose time-out passed while its call waited for a connection was still sent (exchange.rs, begin). No room for a connection counts as finding nobody, so that the module backs off instead of using up a mail's connects in a few turns.

--- a/crates/courier/src/endpoints.rs
+++ b/crates/courier/src/endpoints.rs
@@ -182,7 +182,7 @@
         let address = call.address.ok_or(Outcome::Unreached)?;
         if !self.make_room() {
             log::warn!("no room for one more connection to endpoints");
-            return Err(Outcome::Unsent);
+            return Err(Outcome::Unreached);
         }
         self.open.set(self.open.get() + 1);
         let until = until.min(Instant::now() + self.limits.connect);
@@ -237,7 +237,11 @@
                     self.keep(call.endpoint, counted);
                 }
             }
-            Err(_) => self.tell(&letters, &seen(Outcome::Broken)),
+            Err(_) => {
+                // Guards against a second outcome for a mail that was told of as silent: it may be out again.
+                letters.retain(|letter| letter.until > 0);
+                self.tell(&letters, &seen(Outcome::Broken));
+            }
         }
     }
 
--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -447,7 +447,9 @@
         for letter in letters {
             let serial = letter.serial;
             let owed = self.owed.contains_key(&serial);
-            if may && owed && self.note(&Record::Out { serial, sent }) {
+            // Guards against a mail whose time passed while its call waited for a connection.
+            let in_time = now < letter.until;
+            if may && owed && in_time && self.note(&Record::Out { serial, sent }) {
                 let owed = self.owed.get_mut(&serial);
                 owed.into_iter().for_each(|owed| {
                     owed.out = Some(sent);
--- a/crates/courier/tests/courier.rs
+++ b/crates/courier/tests/courier.rs
@@ -135,6 +135,19 @@
     assert_eq!(platform.notices(), [("again".to_string(), "bounced".to_string())], "it ended in its time");
 }
 
+#[test]
+fn a_call_that_breaks_after_one_of_its_mails_timed_out_tells_only_of_the_others() {
+    let (platform, endpoint, courier) = world("many", &[Reply::After(1000, Box::new(Reply::Break))]);
+    let mut mails = put("0", "again", "again", "d=500", b"x");
+    mails.extend(put("0", "once", "once", LATE, b"x"));
+    assert_eq!(courier.client().say(&mails), "+OK");
+    until("both ends", || courier.owes_nothing());
+    assert_eq!(endpoint.calls().len(), 1);
+    let expected =
+        [("again", "bounced"), ("once", "dead")].map(|(id, end)| (id.to_string(), end.to_string()));
+    assert_eq!(platform.notices(), expected);
+}
+
 #[test]
 fn a_killed_courier_still_owes_each_mail_its_end() {
     // First calls are never answered; all that come after a restart are.
--- a/crates/courier/tests/exchange.rs
+++ b/crates/courier/tests/exchange.rs
@@ -105,6 +105,20 @@
     }
 }
 
+#[test]
+fn a_mail_whose_time_passed_while_its_call_waited_for_a_connection_is_not_sent() {
+    let mut world = world("many");
+    for (id, class) in [("01", "again"), ("02", "once")] {
+        serial(world.put(id, class, 1));
+    }
+    let mut call = world.call();
+    let late = call.letters.iter().position(|letter| letter.id == "01").unwrap();
+    call.letters[late].until = world.exchange.clock.now();
+    let going = world.exchange.begin(call.endpoint, call.letters);
+    assert_eq!(going.iter().map(|letter| &letter.id[..]).collect::<Vec<_>>(), [b"02"]);
+    assert_eq!((world.exchange.in_hand(), world.exchange.in_flight()), (2, 1));
+}
+
 #[test]
 fn a_client_that_is_gone_before_its_answer_is_owed_nothing() {
     for out in [false, true] {
