--- a/crates/courier/src/discovery.rs
+++ b/crates/courier/src/discovery.rs
@@ -134,7 +134,9 @@
                 continue;
             }
             Ok(()) => log::debug!("the watch on the list has ended"),
-            Err(e) => log::debug!("the list cannot be followed: {e}"),
+            // The first failure in a row is worth a line, the others are not.
+            Err(e) if follower.heard || pause == PAUSES.0 => log::warn!("the list cannot be followed: {e}"),
+            Err(e) => log::debug!("the list still cannot be followed: {e}"),
         }
         pause = if follower.heard { PAUSES.0 } else { (pause * 2).min(PAUSES.1) };
         tokio::time::sleep(pause).await;
--- a/crates/courier/src/notices.rs
+++ b/crates/courier/src/notices.rs
@@ -38,6 +38,15 @@
     text
 }
 
+/// The first failure in a row is worth a line, the others are not.
+fn failed(pause: Duration) -> log::Level {
+    if pause == PAUSES.0 {
+        log::Level::Warn
+    } else {
+        log::Level::Debug
+    }
+}
+
 struct Teller {
     address: SocketAddr,
     link: Option<Link>,
@@ -92,8 +101,8 @@
                 }
                 most = 1;
             }
-            Ok(Err(e)) => log::debug!("notices cannot be sent: {e}"),
-            Err(_) => log::debug!("notices are not answered"),
+            Ok(Err(e)) => log::log!(failed(pause), "notices cannot be sent: {e}"),
+            Err(_) => log::log!(failed(pause), "notices are not answered"),
         }
         tokio::time::sleep(pause).await;
         pause = (pause * 2).min(PAUSES.1);
