--- a/crates/courier/src/http.rs
+++ b/crates/courier/src/http.rs
@@ -107,15 +107,17 @@
     pairs.filter(|(key, _)| key.trim() == name).map(|(_, value)| value.trim()).next()
 }
 
-/// Takes the next part of a body off the buffer: some bytes, or `Ended`, or `More` once more has come.
+/// The next part of a body.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Piece {
     Bytes(Bytes),
+    /// Not before more has been read.
     More,
     Ended,
 }
 
 impl Body {
+    /// Takes the next part off the buffer.
     pub fn next(&mut self, buffer: &mut BytesMut) -> Result<Piece, Malformed> {
         loop {
             match self {
