--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -261,6 +261,7 @@
             owed.ran = owed.ran.or(out);
             if out.is_some() && !owed.item.is_empty() {
                 self.rests.push((owed.item.clone(), now));
+                self.note(&Record::Rest { item: &owed.item, since: now });
             }
             self.ids.insert(owed.id.clone(), serial);
             match owed.verdict {
--- a/crates/courier/src/journal.rs
+++ b/crates/courier/src/journal.rs
@@ -241,7 +241,9 @@
             2 => {
                 let sent = (f.u64()?, f.u16()?);
                 let owed = self.owed.get_mut(&serial)?;
-                owed.out = Some(sent);
+                // Guards against a second restart that forgets the first: what was out then may have run.
+                let lost = owed.out.replace(sent);
+                owed.ran = owed.ran.or(lost);
                 owed.connects += 1;
             }
             3 => {
--- a/crates/courier/tests/journal.rs
+++ b/crates/courier/tests/journal.rs
@@ -62,6 +62,23 @@
     assert_eq!((at(10, 1), at(11, 2).unwrap().verdict), (None, Some(Verdict::Dead)));
 }
 
+#[test]
+fn a_connect_that_a_process_left_without_an_outcome_may_have_run_for_good() {
+    let folder = Folder::new();
+    let sends = [(500, 2), (900, 1)];
+    for sent in sends {
+        let (mut journal, found) = Journal::open(&folder.path, 3_000_000).unwrap();
+        if found.owed.is_empty() {
+            journal.append(&Record::Taken { serial: 1, owed: &owed("a1", 3) }).unwrap();
+        }
+        journal.append(&Record::Out { serial: 1, sent }).unwrap();
+    }
+    let (mut journal, _) = Journal::open(&folder.path, 3_000_000).unwrap();
+    journal.append(&Record::Back { serial: 1, ran: false, rests: false, at: 950 }).unwrap();
+    let mail = Found::read(&bytes(&folder)).0.owed[&1].clone();
+    assert_eq!((mail.ran, mail.out, mail.connects), (Some(sends[0]), None, 2));
+}
+
 #[test]
 fn a_journal_cut_anywhere_holds_all_records_before_the_cut() {
     let folder = Folder::new();
