A command is waited for one second, and not cut off by a flood in its middle

Seen while reading clients.rs, converse: a connection that had to make way was closed also in the middle of a command, whose client may already have written its last byte; and a command that came byte by byte held its place for ever. Now it is read on for a second, more than a client waits for its answer, and closed then.

--- a/crates/courier/src/clients.rs
+++ b/crates/courier/src/clients.rs
@@ -10,13 +10,13 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 use crate::exchange::{Answer, Offer, Shared};
 use crate::{http, resp};
 
-/// A command that has begun must have come by then, and an answer must have been read.
-const PATIENCE: Duration = Duration::from_secs(5);
+/// A command that has begun must have come by then, and an answer must have been read: clients wait for less.
+const PATIENCE: Duration = Duration::from_secs(1);
 const READ: usize = 4096;
 const MOST_ID: usize = 128;
 const MOST_LIFETIME: Duration = Duration::from_secs(7 * 24 * 3600);
@@ -89,6 +89,7 @@
         stream.set_nodelay(true)?;
         let (mut buffer, mut out) = (BytesMut::new(), BytesMut::new());
         let (mut taken, mut served) = (Vec::new(), false);
+        let mut begun = Instant::now();
         loop {
             let open = self.answer_all(&mut buffer, &mut out, &mut taken);
             if !out.is_empty() {
@@ -103,7 +104,7 @@
                 }
                 self.touch(turn, closed);
                 out.clear();
-                served = true;
+                (served, begun) = (true, Instant::now());
             }
             taken.clear();
             // A new connection still has its first request read: its client tries only once more.
@@ -112,12 +113,14 @@
                 return stream.shutdown().await;
             }
             buffer.reserve(READ);
+            // In the middle of a command the connection is not ended until nobody waits for its answer any
+            // more, however slowly the rest comes.
             let partial = !buffer.is_empty();
             let read = tokio::select! {
                 biased;
+                () = tokio::time::sleep_until(begun + PATIENCE), if partial => return Ok(()),
                 read = stream.read_buf(&mut buffer) => read?,
-                () = tokio::time::sleep(PATIENCE), if partial => return Ok(()),
-                () = closed.notified() => return Ok(()),
+                () = closed.notified(), if !partial => return Ok(()),
                 changed = phase.changed(), if !partial && !moving => {
                     changed.map_err(io::Error::other)?;
                     continue;
@@ -126,6 +129,9 @@
             if read == 0 {
                 return Ok(());
             }
+            if !partial {
+                begun = Instant::now();
+            }
         }
     }
 
--- a/crates/courier/tests/courier.rs
+++ b/crates/courier/tests/courier.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::io::Write;
 use std::net::{Shutdown, TcpListener};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -264,6 +265,23 @@
         let name = String::from_utf8_lossy(&bytes[..bytes.len().min(60)]).into_owned();
         assert_eq!(courier.client().say(bytes), answer, "{name}");
     }
+    // Commands that follow each other without a gap, each cut in two, are none that come slowly.
+    let (start, mut steady) = (Instant::now(), courier.client());
+    steady.stream.get_mut().write_all(b"PI").unwrap();
+    while start.elapsed() < Duration::from_millis(1300) {
+        assert_eq!(steady.say(b"NG\r\nPI"), "+PONG");
+        thread::sleep(Duration::from_millis(20));
+    }
+    // A command that comes byte by byte is not waited for longer than a client waits for its answer.
+    let (start, mut slow) = (Instant::now(), courier.client());
+    let mut drip = slow.stream.get_ref().try_clone().unwrap();
+    thread::spawn(move || {
+        while drip.write_all(b" ").is_ok() {
+            thread::sleep(Duration::from_millis(50));
+        }
+    });
+    assert_eq!(slow.line(), "");
+    assert!(start.elapsed() > Duration::from_millis(400) && start.elapsed() < Duration::from_secs(5));
     // Gone in the middle, and a flood of connections beyond what is kept open for clients.
     let mut half = courier.client();
     half.stream.get_mut().shutdown(Shutdown::Write).unwrap();
