What an outcome proves stands once, with the outcome

The module and the exchange each had the two lists: which outcomes prove that a connect never ran, and after which it may be running still. They are facts of the protocol; a change of one list alone would have let a restarted courier and a running one differ. No behaviour changes.

--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -477,8 +477,7 @@
         };
         let Seen { outcome, over, wait, load } = seen;
         self.counts.relayed += u64::from(outcome == Outcome::Relayed);
-        let ran = !matches!(outcome, Outcome::Refused | Outcome::Unreached | Outcome::Unsent);
-        let rests = matches!(outcome, Outcome::Silent | Outcome::Broken | Outcome::CalledOff);
+        let (ran, rests) = (!outcome.never_ran(), outcome.may_run_on());
         if over {
             self.over(serial);
         } else if let Some(owed) = self.owed.get_mut(&serial) {
--- a/src/control.rs
+++ b/src/control.rs
@@ -312,11 +312,10 @@
             e.out -= 1;
             e.late -= usize::from(call.late);
         }
-        let proven = matches!(outcome, Outcome::Refused | Outcome::Unreached | Outcome::Unsent);
-        if !proven {
+        if !outcome.never_ran() {
             m.ran = m.ran.or(Some((started, e.zone)));
         }
-        if let (Some(key), Outcome::Silent | Outcome::Broken | Outcome::CalledOff) = (m.key, outcome) {
+        if let Some(key) = m.key.filter(|_| outcome.may_run_on()) {
             self.keys[key].rest_until = self.keys[key].rest_until.max(now + self.set.turn_gap);
         }
         m.place = if was_over { Place::Over } else { Place::Parked };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -87,6 +87,18 @@
     Unsent,
 }
 
+impl Outcome {
+    /// It proves that the connect never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Refused | Outcome::Unreached | Outcome::Unsent)
+    }
+
+    /// The connect may be running still.
+    pub fn may_run_on(self) -> bool {
+        matches!(self, Outcome::Silent | Outcome::Broken | Outcome::CalledOff)
+    }
+}
+
 /// What a destination told of its limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Report {
