--- a/crates/courier/src/command.rs
+++ b/crates/courier/src/command.rs
@@ -2,7 +2,6 @@
 
 use std::path::{Path, PathBuf};
 
-use bytes::Bytes;
 use tokio::signal::unix::{signal, SignalKind};
 
 use crate::config::Config;
@@ -77,10 +76,8 @@
 }
 
 fn owed(folder: &Path) -> Result<(), String> {
-    let path = folder.join("journal");
-    let bytes = std::fs::read(&path).map_err(|e| format!("{}: {e}", path.display()))?;
-    let bytes = Bytes::from(bytes);
-    let (found, good) = Found::read(&bytes);
+    let loaded = Found::load(folder);
+    let (found, unread) = loaded.map_err(|e| format!("the journal in {}: {e}", folder.display()))?;
     for owed in found.owed.values() {
         let id = String::from_utf8_lossy(&owed.id);
         let state = match (owed.verdict, owed.out, owed.ran) {
@@ -91,6 +88,6 @@
         };
         println!("{id} destination {} connects {} {state}", owed.dest, owed.connects);
     }
-    println!("{} mails owed; {} bytes cannot be read", found.owed.len(), bytes.len() - good);
+    println!("{} mails owed; {unread} bytes cannot be read", found.owed.len());
     Ok(())
 }
--- a/crates/courier/src/journal.rs
+++ b/crates/courier/src/journal.rs
@@ -205,6 +205,13 @@
 }
 
 impl Found {
+    /// What a folder's journal says, and how many of its last bytes cannot be read.
+    pub fn load(folder: &Path) -> io::Result<(Found, usize)> {
+        let bytes = Bytes::from(fs::read(folder.join(NAME))?);
+        let (found, good) = Found::read(&bytes);
+        Ok((found, bytes.len() - good))
+    }
+
     /// What the bytes of a journal say, up to the first that do not add up; and how many those are.
     pub fn read(bytes: &Bytes) -> (Found, usize) {
         let mut found = Found::default();
@@ -283,21 +290,17 @@
             Err(TryLockError::Error(e)) => log::warn!("the folder cannot be locked: {e}"),
             Ok(()) => {}
         }
-        let bytes = match fs::read(folder.join(NAME)) {
-            Ok(bytes) => Bytes::from(bytes),
-            Err(e) if e.kind() == io::ErrorKind::NotFound => Bytes::new(),
-            Err(e) => return Err(e),
+        let (found, unread) = match Found::load(folder) {
+            Err(e) if e.kind() == io::ErrorKind::NotFound => (Found::default(), 0),
+            loaded => loaded?,
         };
-        let (found, good) = Found::read(&bytes);
-        if good < bytes.len() {
-            log::warn!("the journal's last {} bytes cannot be read and are passed over", bytes.len() - good);
+        if unread > 0 {
+            log::warn!("the journal's last {unread} bytes cannot be read and are passed over");
         }
-        let file = OpenOptions::new().create(true).append(true).open(folder.join(NAME))?;
-        let (folder, size) = (folder.to_path_buf(), bytes.len() as u64);
+        let (file, size) = write_anew(folder, &found.owed, &found.rests)?;
         let live = found.owed.values().map(weight).sum();
-        let mut journal = Journal { folder, _lock: lock, file, size, allowance, live, buffer: Vec::new() };
-        journal.compact(&found.owed, &found.rests)?;
-        Ok((journal, found))
+        let (folder, buffer) = (folder.to_path_buf(), Vec::new());
+        Ok((Journal { folder, _lock: lock, file, size, allowance, live, buffer }, found))
     }
 
     fn part(&self, hundredths: u64) -> u64 {
@@ -338,26 +341,35 @@
         self.live = self.live.saturating_sub(bytes);
     }
 
-    /// Writes a fresh file of what is owed and puts it in the place of the old one.
+    /// Puts a fresh file of what is owed in the place of the old one.
     pub fn compact(&mut self, owed: &BTreeMap<u64, Owed>, rests: &[(Bytes, Time)]) -> io::Result<()> {
-        let mut bytes = MAGIC.to_vec();
-        for (&serial, owed) in owed {
-            write(&mut bytes, &Record::Taken { serial, owed });
-            if let Some(verdict) = owed.verdict {
-                write(&mut bytes, &Record::GivenUp { serial, verdict });
-            }
-        }
-        for (item, since) in rests {
-            write(&mut bytes, &Record::Rest { item, since: *since });
-        }
-        let path = self.folder.join(FRESH);
-        let mut file = OpenOptions::new().create(true).write(true).truncate(true).open(&path)?;
-        let written = file.write_all(&bytes).and_then(|()| fs::rename(&path, self.folder.join(NAME)));
-        if let Err(e) = written {
-            let _ = fs::remove_file(&path);
-            return Err(e);
-        }
-        (self.file, self.size) = (file, bytes.len() as u64);
+        (self.file, self.size) = write_anew(&self.folder, owed, rests)?;
         Ok(())
     }
 }
+
+/// Writes a file of what is owed and renames it to be the folder's journal; the file, for appending, and its
+/// size.
+fn write_anew(folder: &Path, owed: &BTreeMap<u64, Owed>, rests: &[(Bytes, Time)]) -> io::Result<(File, u64)> {
+    let mut bytes = MAGIC.to_vec();
+    for (&serial, owed) in owed {
+        write(&mut bytes, &Record::Taken { serial, owed });
+        if let Some(verdict) = owed.verdict {
+            write(&mut bytes, &Record::GivenUp { serial, verdict });
+        }
+    }
+    for (item, since) in rests {
+        write(&mut bytes, &Record::Rest { item, since: *since });
+    }
+    let path = folder.join(FRESH);
+    // One that an earlier process left behind half written.
+    let _ = fs::remove_file(&path);
+    // Appending, so that a write that is cut back is followed by no gap.
+    let mut file = OpenOptions::new().create_new(true).append(true).open(&path)?;
+    let written = file.write_all(&bytes).and_then(|()| fs::rename(&path, folder.join(NAME)));
+    if let Err(e) = written {
+        let _ = fs::remove_file(&path);
+        return Err(e);
+    }
+    Ok((file, bytes.len() as u64))
+}
