--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -3,7 +3,6 @@
 use meadowhold::control::Control;
 use meadowhold::door::Door;
 use meadowhold::interface::{Action, Ended, Input, Listed, Taken, Time};
-
 use meadowhold_settings::{decode, tenths, Decoded};
 
 use crate::wire::{self, Address, Event, Frame, Malformed, Reply};
--- a/crates/courier/src/endpoints.rs
+++ b/crates/courier/src/endpoints.rs
@@ -55,7 +55,7 @@
 impl Drop for Counted {
     fn drop(&mut self) {
         if self.link.is_some() {
-            self.endpoints.open.set(self.endpoints.open.get() - 1);
+            self.endpoints.close(1);
         }
     }
 }
@@ -82,11 +82,6 @@
     }
 }
 
-/// How the calls of an answered or broken connection fared, all alike.
-fn seen(outcome: Outcome) -> Seen {
-    Seen { outcome, over: outcome == Outcome::Relayed, wait: Duration::ZERO, load: None }
-}
-
 /// The table of answers: what a status says of every mail of the call.
 pub fn read_status(head: &Head, several: bool) -> Seen {
     let (outcome, over) = match head.status {
@@ -100,7 +95,7 @@
         400 | 413 if several => (Outcome::Unsent, false),
         _ => (Outcome::Error, false),
     };
-    Seen { outcome, over, wait: head.wait.unwrap_or_default(), load: head.load.clone() }
+    with_head(outcome, over, head)
 }
 
 /// The table of a batch's answers, item by item; a mail that is not named may have run.
@@ -112,6 +107,11 @@
         Some("exhausted") => (Outcome::Unsent, false),
         _ => (Outcome::Error, false),
     };
+    with_head(outcome, over, head)
+}
+
+/// What an answer's head tells goes with each of its mails.
+fn with_head(outcome: Outcome, over: bool, head: &Head) -> Seen {
     Seen { outcome, over, wait: head.wait.unwrap_or_default(), load: head.load.clone() }
 }
 
@@ -201,7 +201,7 @@
     }
 
     async fn call(self: Rc<Self>, mut call: Call) {
-        let last = call.letters.iter().map(|letter| letter.until).max().unwrap_or(call.started);
+        let last = call.letters.iter().map(|letter| letter.until).max().unwrap_or_default();
         if !self.limits.may_overlap {
             // A mail whose time-out comes first may go again only once this call is closed.
             call.letters.iter_mut().for_each(|letter| letter.until = last.min(letter.due));
@@ -209,7 +209,7 @@
         let until = self.clock.instant(last);
         let mut counted = match self.connection(&call, until).await {
             Ok(counted) => counted,
-            Err(outcome) => return self.tell(&call.letters, &seen(outcome)),
+            Err(outcome) => return self.tell(&call.letters, &Seen::only(outcome)),
         };
         let letters = std::mem::take(&mut call.letters);
         let mut letters = self.shared.borrow_mut().begin(call.endpoint, letters);
@@ -220,7 +220,7 @@
         let Some(link) = counted.link.as_mut() else { return };
         // Before the last byte is written nothing can have run.
         if !matches!(timeout_at(until.into(), link.send(&request)).await, Ok(Ok(()))) {
-            return self.tell(&letters, &seen(Outcome::Unreached));
+            return self.tell(&letters, &Seen::only(Outcome::Unreached));
         }
         let several = letters.len() > 1;
         let Some(answer) = self.waited(&mut letters, read_answer(link, several)).await else { return };
@@ -240,7 +240,7 @@
             Err(_) => {
                 // Guards against a second outcome for a mail that was told of as silent: it may be out again.
                 letters.retain(|letter| letter.until > 0);
-                self.tell(&letters, &seen(Outcome::Broken));
+                self.tell(&letters, &Seen::only(Outcome::Broken));
             }
         }
     }
@@ -270,7 +270,7 @@
             }
             for letter in letters.iter_mut().filter(|l| l.until == next) {
                 letter.until = 0; // told
-                self.shared.borrow_mut().seen(letter.serial, seen(Outcome::Silent));
+                self.shared.borrow_mut().seen(letter.serial, Seen::only(Outcome::Silent));
             }
         }
     }
--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -96,7 +96,6 @@
 pub struct Call {
     pub endpoint: usize,
     pub address: Option<SocketAddr>,
-    pub started: Time,
     pub letters: Vec<Letter>,
     /// Bytes of its body where it carries several mails; a call holds no more than a body may.
     pub size: usize,
@@ -127,6 +126,13 @@
     pub load: Option<String>,
 }
 
+impl Seen {
+    /// Where nothing but the outcome is known.
+    pub fn only(outcome: Outcome) -> Seen {
+        Seen { outcome, over: outcome == Outcome::Relayed, wait: Duration::ZERO, load: None }
+    }
+}
+
 struct Peer {
     address: Option<SocketAddr>,
     since: u64,
@@ -270,7 +276,7 @@
             }
             self.owed.insert(serial, owed);
         }
-        self.rests.retain(|(_, since)| since + self.turn_gap > now);
+        self.forget_rests();
         for i in 0..self.rests.len() {
             let (item, since) = self.rests[i].clone();
             let key = self.keys.enter(item);
@@ -340,11 +346,16 @@
         Answer::Taken(serial)
     }
 
+    /// Rests that are over need not be kept.
+    fn forget_rests(&mut self) {
+        let now = self.clock.now();
+        self.rests.retain(|(_, since)| since + self.turn_gap > now);
+    }
+
     /// Puts a record on file; whether it is there.
     fn note(&mut self, record: &Record) -> bool {
         if self.journal.is_grown(record) {
-            let now = self.clock.now();
-            self.rests.retain(|(_, since)| since + self.turn_gap > now);
+            self.forget_rests();
             self.counts.compactions += 1;
             if let Err(e) = self.journal.compact(&self.owed, &self.rests) {
                 log::warn!("the journal cannot be written anew: {e}");
@@ -461,8 +472,7 @@
                 staying.push(serial);
             }
         }
-        let unsent = Seen { outcome: Outcome::Unsent, over: false, wait: Duration::ZERO, load: None };
-        staying.into_iter().for_each(|serial| self.seen(serial, unsent.clone()));
+        staying.into_iter().for_each(|serial| self.seen(serial, Seen::only(Outcome::Unsent)));
         going
     }
 
@@ -566,7 +576,7 @@
             }
             None => {
                 let (address, letters) = (peer.address, vec![letter]);
-                calls.push(Call { endpoint, address, started: now, letters, size });
+                calls.push(Call { endpoint, address, letters, size });
             }
         }
     }
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -64,10 +64,12 @@
 /// The same within a `LocalSet` of the caller's.
 pub async fn serve(config: Config, stop: impl Future<Output = ()>) -> io::Result<()> {
     let Config { name, listen, discovery, state, sockets, disk, known, decoded } = config;
+    // Clients and endpoints get a half each.
+    let half = (sockets - OWN_SOCKETS) / 2;
     let limits = endpoints::Limits {
         connect: exchange::duration(decoded.settings.connect_timeout),
         idle: exchange::duration(decoded.keep_idle),
-        connections: (sockets - OWN_SOCKETS) / 2,
+        connections: half,
         may_overlap: decoded.may_overlap,
     };
     // First, so that a second start by mistake touches nothing.
@@ -79,16 +81,16 @@
     let (orders, orders_in) = mpsc::unbounded_channel();
     let (notices, notices_in) = mpsc::unbounded_channel();
     let mut exchange = Exchange::new(decoded, journal, orders, notices);
-    exchange.listed(&discovery::List { snapshot: true, ..known.clone() });
+    let index = known.index;
+    exchange.listed(&discovery::List { snapshot: true, ..known });
     let shared: Shared = Rc::new(RefCell::new(exchange));
     let (phase, phase_in) = watch::channel(Phase::Serving);
     let mut parts = JoinSet::new();
     parts.spawn_local(exchange::drive(shared.clone()));
     parts.spawn_local(endpoints::run(shared.clone(), orders_in, limits));
     parts.spawn_local(notices::tell(shared.clone(), discovery, notices_in));
-    parts.spawn_local(discovery::follow(shared.clone(), discovery, known.index));
-    let most = (sockets - OWN_SOCKETS) / 2;
-    let listening = parts.spawn_local(clients::listen(shared.clone(), listener, most, phase_in));
+    parts.spawn_local(discovery::follow(shared.clone(), discovery, index));
+    let listening = parts.spawn_local(clients::listen(shared.clone(), listener, half, phase_in));
     parts.spawn_local(log_counts(shared.clone()));
     log::info!("{name} serves at {listen}");
     tokio::select! {
