SIGHUP reads the configuration anew and follows discovery to its new address

Ruled out: memory and descriptors (0 of 48 MB, 58 of 384).

command.rs now holds the three handlers before anything is touched; config.rs reads the file again without the variable that is as old as the process; discovery.rs and notices.rs take their address from a watch channel, and leave the old one at once: list and watch begin anew, a kept connection for notices is dropped, waiting ones go to the new address. Pauses between tries at the platform end at 160 ms, not 640: a mail's end counts for 300 ms after its time.

The test fails without the handler (the process ends).

--- a/crates/courier/src/command.rs
+++ b/crates/courier/src/command.rs
@@ -1,8 +1,10 @@
 //! The command line: sub-commands and what they print.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
 
 use crate::config::Config;
 use crate::journal::Found;
@@ -53,16 +55,39 @@
 fn serve() -> Result<(), String> {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let config = Config::from_environment()?;
-    let stop = async {
-        // Without the handlers the process could not be asked to end; it serves all the same.
-        match (signal(SignalKind::terminate()), signal(SignalKind::interrupt())) {
-            (Ok(mut terminate), Ok(mut interrupt)) => {
-                tokio::select! { _ = terminate.recv() => {}, _ = interrupt.recv() => {} }
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| e.to_string())?;
+    let ended = tokio::task::LocalSet::new().block_on(&runtime, async {
+        // From here on, before anything is touched, none of these signals ends the process by itself.
+        let handler = |kind| signal(kind).map_err(|e| format!("no signal can be heard: {e}"));
+        let (mut terminate, mut interrupt) =
+            (handler(SignalKind::terminate())?, handler(SignalKind::interrupt())?);
+        let mut hangup = handler(SignalKind::hangup())?;
+        let (discovery, discovery_in) = watch::channel(config.discovery);
+        tokio::task::spawn_local(async move {
+            while hangup.recv().await.is_some() {
+                read_again(&discovery);
             }
-            _ => std::future::pending().await,
+        });
+        let stop = async move {
+            tokio::select! { _ = terminate.recv() => {}, _ = interrupt.recv() => {} }
+        };
+        crate::serve(config, discovery_in, stop).await.map_err(|e| e.to_string())
+    });
+    runtime.shutdown_background();
+    ended
+}
+
+/// Of a configuration that is put in the place of the first, a running courier takes up where discovery is.
+fn read_again(discovery: &watch::Sender<SocketAddr>) {
+    match Config::again() {
+        Ok(config) => {
+            log::info!("the configuration is read anew: discovery at {}", config.discovery);
+            discovery.send_if_modified(|now| std::mem::replace(now, config.discovery) != config.discovery);
         }
-    };
-    crate::run(config, stop).map_err(|e| e.to_string())
+        // Guards against a file that is half written or wrong: nothing changes.
+        Err(words) => log::error!("the configuration cannot be read anew: {words}"),
+    }
 }
 
 fn check() -> Result<(), String> {
--- a/crates/courier/src/config.rs
+++ b/crates/courier/src/config.rs
@@ -54,13 +54,27 @@
     text.parse().map_err(|_| format!("{name} is no address: {text}"))
 }
 
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|value| !value.is_empty())
+}
+
 impl Config {
     /// Reads the file that `ROUTER_CONFIG` names; other variables go before what it says.
     pub fn from_environment() -> Result<Config, String> {
-        let variable = |name: &str| std::env::var(name).ok().filter(|value| !value.is_empty());
+        Config::load(&variable)
+    }
+
+    /// The file anew, in a process that runs: what it says of discovery now goes before the variable, which
+    /// is as old as the process.
+    pub fn again() -> Result<Config, String> {
+        let variable = |name: &str| variable(name).filter(|_| name != "ROUTER_DISCOVERY");
+        Config::load(&variable)
+    }
+
+    fn load(variable: &dyn Fn(&str) -> Option<String>) -> Result<Config, String> {
         let path = variable("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
         let text = std::fs::read(&path).map_err(|e| format!("{path} cannot be read: {e}"))?;
-        Config::read(&text, &variable).map_err(|words| format!("{path}: {words}"))
+        Config::read(&text, variable).map_err(|words| format!("{path}: {words}"))
     }
 
     pub fn read(text: &[u8], variable: &dyn Fn(&str) -> Option<String>) -> Result<Config, String> {
--- a/crates/courier/src/discovery.rs
+++ b/crates/courier/src/discovery.rs
@@ -9,6 +9,7 @@
 use meadowhold::interface::Life;
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
+use tokio::sync::watch;
 use tokio::time::timeout;
 
 use crate::exchange::Shared;
@@ -68,7 +69,7 @@
 
 struct Follower {
     shared: Shared,
-    address: SocketAddr,
+    address: watch::Receiver<SocketAddr>,
     index: u64,
     /// A list or a line has come since the last pause.
     heard: bool,
@@ -87,9 +88,10 @@
     }
 
     async fn ask(&self, path: &str) -> io::Result<(Link, http::Head)> {
-        let mut link = timeout(SILENCE, Link::open(self.address)).await??;
+        let address = *self.address.borrow();
+        let mut link = timeout(SILENCE, Link::open(address)).await??;
         let mut request = BytesMut::new();
-        http::get(&mut request, path, &self.address.to_string());
+        http::get(&mut request, path, &address.to_string());
         link.send(&request).await?;
         let head = timeout(SILENCE, link.head()).await??;
         match head.status {
@@ -122,12 +124,20 @@
     }
 }
 
-pub async fn follow(shared: Shared, address: SocketAddr, index: u64) {
-    let mut follower = Follower { shared, address, index, heard: false };
+pub async fn follow(shared: Shared, mut address: watch::Receiver<SocketAddr>, index: u64) {
+    let mut follower = Follower { shared, address: address.clone(), index, heard: false };
     let (mut whole, mut pause) = (false, PAUSES.0);
     loop {
         follower.heard = false;
-        let ended = if whole { follower.watch().await } else { follower.list().await };
+        let ended = tokio::select! {
+            biased;
+            // Another registry: its whole list first, at once.
+            () = moved(&mut address) => {
+                (whole, pause) = (false, PAUSES.0);
+                continue;
+            }
+            ended = async { if whole { follower.watch().await } else { follower.list().await } } => ended,
+        };
         match ended {
             Ok(()) if !whole => {
                 whole = true;
@@ -139,6 +149,17 @@
             Err(e) => log::debug!("the list still cannot be followed: {e}"),
         }
         pause = if follower.heard { PAUSES.0 } else { (pause * 2).min(PAUSES.1) };
-        tokio::time::sleep(pause).await;
+        tokio::select! {
+            () = moved(&mut address) => (whole, pause) = (false, PAUSES.0),
+            () = tokio::time::sleep(pause) => {}
+        }
+    }
+}
+
+/// Done when another address has been given.
+pub async fn moved(address: &mut watch::Receiver<SocketAddr>) {
+    if address.changed().await.is_err() {
+        // Nobody is left to give one.
+        std::future::pending().await
     }
 }
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -17,12 +17,13 @@
 use std::cell::RefCell;
 use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
-use tokio::task::{JoinSet, LocalSet};
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout, Instant};
 
 use clients::Phase;
@@ -52,18 +53,14 @@
 /// Figures are logged so often.
 const EVERY: Duration = Duration::from_secs(60);
 
-/// Runs a courier on this thread until `stop` is done and what is out has ended.
-pub fn run(config: Config, stop: impl Future<Output = ()>) -> io::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let local = LocalSet::new();
-    let ended = local.block_on(&runtime, serve(config, stop));
-    runtime.shutdown_background();
-    ended
-}
-
-/// The same within a `LocalSet` of the caller's.
-pub async fn serve(config: Config, stop: impl Future<Output = ()>) -> io::Result<()> {
-    let Config { name, listen, discovery, state, sockets, disk, known, decoded } = config;
+/// Runs a courier within a `LocalSet` until `stop` is done and what is out has ended. The list is followed, and
+/// notices are told, at the last address that `discovery` gave.
+pub async fn serve(
+    config: Config,
+    discovery: watch::Receiver<SocketAddr>,
+    stop: impl Future<Output = ()>,
+) -> io::Result<()> {
+    let Config { name, listen, state, sockets, disk, known, decoded, .. } = config;
     // Clients and endpoints get a half each.
     let half = (sockets - OWN_SOCKETS) / 2;
     let limits = endpoints::Limits {
@@ -88,7 +85,7 @@
     let mut parts = JoinSet::new();
     parts.spawn_local(exchange::drive(shared.clone()));
     parts.spawn_local(endpoints::run(shared.clone(), orders_in, limits));
-    parts.spawn_local(notices::tell(shared.clone(), discovery, notices_in));
+    parts.spawn_local(notices::tell(shared.clone(), discovery.clone(), notices_in));
     parts.spawn_local(discovery::follow(shared.clone(), discovery, index));
     let listening = parts.spawn_local(clients::listen(shared.clone(), listener, half, phase_in));
     parts.spawn_local(log_counts(shared.clone()));
--- a/crates/courier/src/notices.rs
+++ b/crates/courier/src/notices.rs
@@ -8,8 +8,10 @@
 
 use bytes::BytesMut;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::watch;
 use tokio::time::timeout;
 
+use crate::discovery::moved;
 use crate::exchange::{Notice, Shared};
 use crate::http;
 use crate::journal::Verdict;
@@ -19,7 +21,7 @@
 const MOST_ANSWER: usize = 64 * 1024;
 /// The platform answers at once; one that hangs is asked again while the answer still counts.
 const PATIENCE: Duration = Duration::from_millis(200);
-const PAUSES: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(640));
+const PAUSES: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(160));
 
 fn lines(notices: &[Notice]) -> String {
     let mut text = String::new();
@@ -48,19 +50,23 @@
 }
 
 struct Teller {
-    address: SocketAddr,
+    address: watch::Receiver<SocketAddr>,
     link: Option<Link>,
 }
 
 impl Teller {
     /// Sends some notices on the connection that is kept, or a new one; the status of the answer.
     async fn post(&mut self, notices: &[Notice]) -> io::Result<u16> {
-        let mut link = match self.link.take().filter(Link::usable) {
+        // One that leads to where the platform was is not used again.
+        let kept = self.link.take().filter(Link::usable);
+        let kept = if self.address.has_changed().unwrap_or(false) { None } else { kept };
+        let address = *self.address.borrow_and_update();
+        let mut link = match kept {
             Some(link) => link,
-            None => Link::open(self.address).await?,
+            None => Link::open(address).await?,
         };
         let mut request = BytesMut::new();
-        let host = self.address.to_string();
+        let host = address.to_string();
         let kind = format_args!("Content-Type: application/x-ndjson\r\n");
         http::post(&mut request, "/v1/notices", &host, kind, lines(notices).as_bytes());
         link.send(&request).await?;
@@ -71,8 +77,12 @@
     }
 }
 
-pub async fn tell(shared: Shared, address: SocketAddr, mut queue: UnboundedReceiver<Notice>) {
-    let mut teller = Teller { address, link: None };
+pub async fn tell(
+    shared: Shared,
+    mut address: watch::Receiver<SocketAddr>,
+    mut queue: UnboundedReceiver<Notice>,
+) {
+    let mut teller = Teller { address: address.clone(), link: None };
     let mut waiting: VecDeque<Notice> = VecDeque::new();
     let (mut most, mut pause) = (MOST_LINES, PAUSES.0);
     loop {
@@ -104,7 +114,9 @@
             Ok(Err(e)) => log::log!(failed(pause), "notices cannot be sent: {e}"),
             Err(_) => log::log!(failed(pause), "notices are not answered"),
         }
-        tokio::time::sleep(pause).await;
-        pause = (pause * 2).min(PAUSES.1);
+        tokio::select! {
+            () = moved(&mut address) => pause = PAUSES.0,
+            () = tokio::time::sleep(pause) => pause = (pause * 2).min(PAUSES.1),
+        }
     }
 }
--- a/crates/courier/tests/common/mod.rs
+++ b/crates/courier/tests/common/mod.rs
@@ -353,6 +353,7 @@
     let mut command = Command::new(env!("CARGO_BIN_EXE_meadowhold"));
     command.arg(subcommand).env_clear().env("RUST_LOG", "warn");
     command.env("ROUTER_CONFIG", path).env("ROUTER_STATE", folder.path.join("state"));
+    command.envs(config["discovery"].as_str().map(|address| ("ROUTER_DISCOVERY", address)));
     command
 }
 
@@ -396,9 +397,15 @@
         self.ready();
     }
 
-    pub fn terminate(&self) {
+    pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
+    }
+
+    /// Another text in the place of the configuration, and the signal that says so.
+    pub fn reconfigure(&self, text: &str) {
+        fs::write(self.folder.path.join("config.json"), text).unwrap();
+        self.signal("-HUP");
     }
 
     pub fn ended(&mut self) -> Option<ExitStatus> {
--- a/crates/courier/tests/courier.rs
+++ b/crates/courier/tests/courier.rs
@@ -228,7 +228,7 @@
     assert_eq!(idle.say(b"PING\r\n"), "+PONG");
     assert_eq!(client.put("01", "once", LATE), "+OK");
     until("the call", || !endpoint.calls().is_empty());
-    courier.terminate();
+    courier.signal("-TERM");
     assert_eq!(idle.line(), "", "an idle client is moved off");
     let mut late = courier.client();
     assert_eq!(late.put("02", "once", LATE), "+OK", "a new client is served");
@@ -343,6 +343,43 @@
     until("a new watch", || platform.told.lock().unwrap().watches > watches);
 }
 
+#[test]
+fn a_new_configuration_moves_discovery_and_disturbs_nothing() {
+    let script = [Reply::After(900, Box::new(OK)), Reply::Status(500, "")];
+    let (old, first, courier) = world("single", &script);
+    let (new, second) = (Platform::new(), Endpoint::new(&[]));
+    new.list("e2", second.address, "single", 7, "SERVING");
+    old.told.lock().unwrap().refuse = usize::MAX;
+    let mut client = courier.client();
+    for (id, calls) in [("01", 1), ("02", 2)] {
+        assert_eq!(client.put(id, "once", LATE), "+OK");
+        until("its call", || first.calls().len() == calls);
+    }
+    until("a notice that is not taken", || old.told.lock().unwrap().refuse < usize::MAX);
+    // What cannot be read, or is half written, changes nothing.
+    let mut config = courier.config.clone();
+    config["discovery"] = json!("nowhere");
+    let text = config.to_string();
+    for bad in [&text[..], &text[..text.len() / 2], ""] {
+        courier.reconfigure(bad);
+        assert_eq!(client.say(b"PING\r\n"), "+PONG");
+    }
+    let watches = old.told.lock().unwrap().watches;
+    assert_eq!((watches, new.told.lock().unwrap().watches), (1, 0));
+    config["discovery"] = json!(new.address.to_string());
+    courier.reconfigure(&config.to_string());
+    until("the owed notice at the new address", || new.notices() == [("02".into(), "dead".into())]);
+    until("the list of the new address", || {
+        let id = format!("n{}", second.calls().len());
+        assert_eq!(client.put(&id, "again", LATE), "+OK");
+        thread::sleep(Duration::from_millis(30));
+        !second.calls().is_empty()
+    });
+    until("all ends", || courier.owes_nothing());
+    assert_eq!(first.ids().iter().filter(|id| id.starts_with('0')).count(), 2, "what was out went on");
+    assert_eq!((new.notices().len(), old.notices()), (1, vec![]));
+}
+
 #[test]
 fn a_mail_waits_for_a_destination_that_is_not_listed_yet() {
     let platform = Platform::new();
