Spoilt answers are told apart, connections belong to a place, indices are given back

Lines at fault: endpoints.rs read_answer and call: a 200 whose head cannot be read was a broken call; a 429 or 503 was believed before its body had come, though the call of a spoilt answer has run; a body of 3 GB was read up to 1 MB. link.rs usable: asked only what the runtime had heard of. endpoints.rs keep: a connection went into the pool of an index, even when the endpoint had moved or another had its address since. control.rs: a spoilt answer counted as a failure of its endpoint, of which it says nothing, and the index of an endpoint that had gone stayed for good, with its place in the even shares. Now: Outcome::Spoilt; a pool belongs to a place, a number never given twice; an index comes back one warm-up after its endpoint left, with no call out; waits of a destination stay with the destination.

--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -194,6 +194,7 @@
             Action::WatchList => reply.watch(instance),
             Action::FreeMail(mail) => self.mails.leave(mail),
             Action::FreeKey(key) => self.keys.leave(key),
+            Action::FreeEndpoint(endpoint) => self.endpoints.leave(endpoint),
         }
     }
 }
--- a/crates/courier/src/endpoints.rs
+++ b/crates/courier/src/endpoints.rs
@@ -2,7 +2,7 @@
 //! where and for as long as the exchange says, and what was seen goes back.
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::future::Future;
 use std::io;
 use std::rc::Rc;
@@ -11,15 +11,13 @@
 use bytes::BytesMut;
 use meadowhold::interface::{Outcome, Time};
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::time::{sleep_until, timeout, timeout_at, MissedTickBehavior};
+use tokio::time::{sleep_until, timeout_at, MissedTickBehavior};
 
 use crate::exchange::{Call, Clock, Letter, Order, Seen, Shared};
-use crate::http::{self, Head};
+use crate::http::{self, Body, Head};
 use crate::link::Link;
 
 const MOST_ANSWER: usize = 1 << 20;
-/// A served connection is kept if the rest of its answer comes within this time.
-const REST: Duration = Duration::from_secs(1);
 
 /// What the calls keep to.
 pub struct Limits {
@@ -40,8 +38,8 @@
     shared: Shared,
     clock: Clock,
     limits: Limits,
-    /// Idle connections by endpoint, oldest first.
-    idle: RefCell<Vec<VecDeque<Idle>>>,
+    /// Idle connections by place, oldest first.
+    idle: RefCell<BTreeMap<u64, VecDeque<Idle>>>,
     /// All connections, idle or not.
     open: Cell<usize>,
 }
@@ -74,7 +72,7 @@
                 Some(Order::Call(call)) => {
                     tokio::task::spawn_local(endpoints.clone().call(call));
                 }
-                Some(Order::LetGo(endpoint)) => endpoints.let_go(endpoint),
+                Some(Order::LetGo(place)) => endpoints.let_go(place),
                 None => return,
             },
             _ = sweep.tick() => endpoints.sweep(),
@@ -125,25 +123,25 @@
         self.open.set(self.open.get() - many);
     }
 
-    fn let_go(&self, endpoint: usize) {
-        if let Some(pool) = self.idle.borrow_mut().get_mut(endpoint) {
+    fn let_go(&self, place: u64) {
+        if let Some(pool) = self.idle.borrow_mut().remove(&place) {
             self.close(pool.len());
-            pool.clear();
         }
     }
 
     fn sweep(&self) {
-        for pool in self.idle.borrow_mut().iter_mut() {
+        self.idle.borrow_mut().retain(|_, pool| {
             let before = pool.len();
             pool.retain(|idle| self.fresh(idle) && idle.link.usable());
             self.close(before - pool.len());
-        }
+            !pool.is_empty()
+        });
     }
 
-    /// An idle connection to an endpoint that can still be used, the last one used first.
-    fn take(&self, endpoint: usize) -> Option<Link> {
+    /// An idle connection to a place that can still be used, the last one used first.
+    fn take(&self, place: u64) -> Option<Link> {
         let mut pools = self.idle.borrow_mut();
-        let pool = pools.get_mut(endpoint)?;
+        let pool = pools.get_mut(&place)?;
         while let Some(idle) = pool.pop_back() {
             if self.fresh(&idle) && idle.link.usable() {
                 return Some(idle.link);
@@ -153,13 +151,13 @@
         None
     }
 
-    fn keep(&self, endpoint: usize, mut counted: Counted) {
-        let mut pools = self.idle.borrow_mut();
-        if endpoint >= pools.len() {
-            pools.resize_with(endpoint + 1, VecDeque::new);
-        }
-        if let Some(link) = counted.link.take() {
-            pools[endpoint].push_back(Idle { link, since: Instant::now() });
+    /// Keeps a connection for further calls. Guards against one to a place that was left while its call was
+    /// out: whoever is there now is somebody else.
+    fn keep(&self, call: &Call, mut counted: Counted) {
+        let current = self.shared.borrow().is_current(call);
+        if let Some(link) = if current { counted.link.take() } else { None } {
+            let idle = Idle { link, since: Instant::now() };
+            self.idle.borrow_mut().entry(call.place).or_default().push_back(idle);
         }
     }
 
@@ -169,14 +167,14 @@
             return true;
         }
         let mut pools = self.idle.borrow_mut();
-        let oldest = pools.iter_mut().filter(|pool| !pool.is_empty()).min_by_key(|pool| pool[0].since);
+        let oldest = pools.values_mut().filter(|pool| !pool.is_empty()).min_by_key(|pool| pool[0].since);
         let closed = oldest.and_then(VecDeque::pop_front).is_some();
         self.close(usize::from(closed));
         closed
     }
 
     async fn connection(self: &Rc<Self>, call: &Call, until: Instant) -> Result<Counted, Outcome> {
-        if let Some(link) = self.take(call.endpoint) {
+        if let Some(link) = self.take(call.place) {
             return Ok(Counted { link: Some(link), endpoints: self.clone() });
         }
         let address = call.address.ok_or(Outcome::Unreached)?;
@@ -212,9 +210,9 @@
             Err(outcome) => return self.tell(&call.letters, &Seen::only(outcome)),
         };
         let letters = std::mem::take(&mut call.letters);
-        let mut letters = self.shared.borrow_mut().begin(call.endpoint, letters);
+        let mut letters = self.shared.borrow_mut().begin(&call, letters);
         if letters.is_empty() {
-            return self.keep(call.endpoint, counted);
+            return self.keep(&call, counted);
         }
         let request = self.request(&call, &letters, until);
         let Some(link) = counted.link.as_mut() else { return };
@@ -225,22 +223,16 @@
         let several = letters.len() > 1;
         let Some(answer) = self.waited(&mut letters, read_answer(link, several)).await else { return };
         match answer {
-            Ok((head, body)) => {
+            Answer::Good(head, body) => {
                 self.report(&letters, &head, body.as_deref());
-                let rest = timeout(REST, async {
-                    match body {
-                        Some(_) => true,
-                        None => link.whole(head.body, MOST_ANSWER).await.is_ok(),
-                    }
-                });
-                if head.keep && rest.await == Ok(true) {
-                    self.keep(call.endpoint, counted);
+                let whole = body.is_some() || link.rest(head.body, MOST_ANSWER).await.is_ok();
+                if head.keep && whole {
+                    self.keep(&call, counted);
                 }
             }
-            Err(_) => {
-                // Guards against a second outcome for a mail that was told of as silent: it may be out again.
-                letters.retain(|letter| letter.until > 0);
-                self.tell(&letters, &Seen::only(Outcome::Broken));
+            // Closed: what else has come, or will, belongs to no call.
+            Answer::Ended(outcome) => {
+                self.over(&letters, &Seen::only(outcome));
             }
         }
     }
@@ -276,18 +268,28 @@
     }
 
     fn report(&self, letters: &[Letter], head: &Head, body: Option<&[u8]>) {
-        let items = body.map(|body| http::items(body).unwrap_or_default());
-        let mut exchange = self.shared.borrow_mut();
+        let several = letters.len() > 1;
+        let items =
+            body.filter(|_| several && head.status == 200).map(|body| http::items(body).unwrap_or_default());
         for letter in letters {
             let seen = match &items {
                 Some(items) => {
                     let item = items.iter().find(|item| item.id.as_bytes() == letter.id);
                     read_item(item.map(|item| item.state.as_str()), head)
                 }
-                None => read_status(head, letters.len() > 1),
+                None => read_status(head, several),
             };
+            self.over(std::slice::from_ref(letter), &seen);
+        }
+    }
+
+    /// Guards against a second outcome for a mail that was told of as silent: it may be out again, and only
+    /// its end is news.
+    fn over(&self, letters: &[Letter], seen: &Seen) {
+        let mut exchange = self.shared.borrow_mut();
+        for letter in letters {
             if letter.until > 0 {
-                exchange.seen(letter.serial, seen);
+                exchange.seen(letter.serial, seen.clone());
             } else if seen.over {
                 exchange.relayed_late(letter.serial);
             }
@@ -301,12 +303,37 @@
     http::Letter { id: text(&letter.id), key: text(&letter.key), body: &letter.body }
 }
 
-/// An answer's head; with the body too where a 200 tells of several mails, one by one.
-async fn read_answer(link: &mut Link, several: bool) -> io::Result<(Head, Option<BytesMut>)> {
-    let head = link.head().await?;
-    if several && head.status == 200 {
-        let body = link.whole(head.body, MOST_ANSWER).await?;
-        return Ok((head, Some(body)));
+/// What came back on a call.
+enum Answer {
+    /// Its head, and its body where that has been read.
+    Good(Head, Option<BytesMut>),
+    /// It cannot be read, or there is none.
+    Ended(Outcome),
+}
+
+/// Reads an answer as far as it must be read to be believed. A single mail is relayed once the first line says
+/// so; what tells of several, or that nothing has run, counts only when all of it can be read: a call whose
+/// answer is spoilt may have run.
+async fn read_answer(link: &mut Link, several: bool) -> Answer {
+    let head = match link.head().await {
+        Ok(head) => head,
+        Err(_) if !several && link.says_served() => return Answer::Ended(Outcome::Relayed),
+        Err(e) => return Answer::Ended(spoilt(&e)),
+    };
+    // Where the end of the connection is the end of the body there is nothing to wait for.
+    let told = head.status != 200 && head.body != Body::UntilEnd;
+    if told || (several && head.status == 200) {
+        return match link.rest(head.body, MOST_ANSWER).await {
+            Ok(body) => Answer::Good(head, Some(body)),
+            Err(e) => Answer::Ended(spoilt(&e)),
+        };
+    }
+    Answer::Good(head, None)
+}
+
+fn spoilt(e: &io::Error) -> Outcome {
+    match e.kind() {
+        io::ErrorKind::InvalidData | io::ErrorKind::TimedOut => Outcome::Spoilt,
+        _ => Outcome::Broken,
     }
-    Ok((head, None))
 }
--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -94,6 +94,8 @@
 #[derive(Debug)]
 pub struct Call {
     pub endpoint: usize,
+    /// Where it was when the call was decided on: a number that is never given twice.
+    pub place: u64,
     pub address: Option<SocketAddr>,
     pub letters: Vec<Letter>,
     /// Bytes of its body where it carries several mails; a call holds no more than a body may.
@@ -104,8 +106,8 @@
 #[derive(Debug)]
 pub enum Order {
     Call(Call),
-    /// Close the idle connections to this endpoint.
-    LetGo(usize),
+    /// Close the idle connections to this place.
+    LetGo(u64),
 }
 
 /// What is to be told to the platform.
@@ -133,6 +135,8 @@
 }
 
 struct Peer {
+    /// Given anew when its address or process changes; 0: it is no more.
+    place: u64,
     address: Option<SocketAddr>,
     since: u64,
     zone: u16,
@@ -178,6 +182,7 @@
     rests: Vec<(Bytes, Time)>,
     open: usize,
     next_serial: u64,
+    next_place: u64,
     journal: Journal,
     unwritten: bool,
     inputs: Vec<Input>,
@@ -240,6 +245,7 @@
             rests: Vec::new(),
             open: 0,
             next_serial: found.owed.keys().next_back().map_or(1, |last| last + 1),
+            next_place: 1,
             journal,
             unwritten: false,
             inputs: Vec::new(),
@@ -421,20 +427,29 @@
             let place = |names: &[String], text: &str| names.iter().position(|n| *n == name(text));
             let zone = place(&self.names.zones, &entry.zone).unwrap_or(usize::from(u16::MAX));
             let kind = place(&self.names.kinds, &entry.kind).unwrap_or(self.names.kinds.len());
-            let endpoint = self.endpoints.enter(Bytes::copy_from_slice(entry.name.as_bytes()));
             let (address, since, group) = (entry.address.parse().ok(), entry.since_ms, entry.group);
             let mut life = entry.life();
+            let name = Bytes::copy_from_slice(entry.name.as_bytes());
+            if life == Life::Gone && self.endpoints.find(&name).is_none() {
+                continue;
+            }
+            let endpoint = self.endpoints.enter(name);
+            let place = self.next_place;
+            let new = Peer { place, address, since, zone: zone as u16, group, kind };
             match self.peers.get_mut(endpoint) {
-                None => self.peers.push(Peer { address, since, zone: zone as u16, group, kind }),
+                None => self.peers.push(new),
+                Some(old) if old.place == 0 => *old = new,
                 // Guards against a name that turns up at another destination: mails for the old one stay away.
                 Some(old) if old.group != group => life = Life::Gone,
                 // Moved or started anew: what is open leads nowhere.
                 Some(old) if (old.address, old.since) != (address, since) => {
                     (old.address, old.since) = (address, since);
-                    let _ = self.orders.send(Order::LetGo(endpoint));
+                    let left = std::mem::replace(&mut old.place, place);
+                    let _ = self.orders.send(Order::LetGo(left));
                 }
                 Some(_) => {}
             }
+            self.next_place += 1;
             let group = self.peers[endpoint].group;
             self.inputs.push(Input::Listed(Listed {
                 endpoint,
@@ -450,11 +465,11 @@
     }
 
     /// Just before the first byte of a call goes out: which of its mails still go, with their connects on
-    /// file. None where its endpoint has been told of as leaving, or is to be left alone, since.
-    pub fn begin(&mut self, endpoint: usize, letters: Vec<Letter>) -> Vec<Letter> {
+    /// file. None where its endpoint has moved, has been told of as leaving, or is to be left alone, since.
+    pub fn begin(&mut self, call: &Call, letters: Vec<Letter>) -> Vec<Letter> {
         let now = self.clock.now();
-        let may = !self.stopped && self.control.may_begin(endpoint, now);
-        let sent: Sent = (now, self.peers[endpoint].zone);
+        let may = !self.stopped && self.is_current(call) && self.control.may_begin(call.endpoint, now);
+        let sent: Sent = (now, self.peers[call.endpoint].zone);
         let (mut going, mut staying) = (Vec::with_capacity(letters.len()), Vec::new());
         for letter in letters {
             let serial = letter.serial;
@@ -476,6 +491,11 @@
         going
     }
 
+    /// Whether the endpoint of a call is still where it was when the call was decided on.
+    pub fn is_current(&self, call: &Call) -> bool {
+        self.peers[call.endpoint].place == call.place
+    }
+
     /// The outcome of one mail's connect.
     pub fn seen(&mut self, serial: u64, seen: Seen) {
         let now = self.clock.now();
@@ -529,7 +549,12 @@
                 Action::Defer { mail, pause } => self.give_up(mail, Verdict::Bounced(pause)),
                 Action::Bounce { mail } => self.give_up(mail, Verdict::Dead),
                 Action::LetGo(endpoint) => {
-                    let _ = self.orders.send(Order::LetGo(endpoint));
+                    let _ = self.orders.send(Order::LetGo(self.peers[endpoint].place));
+                }
+                Action::FreeEndpoint(endpoint) => {
+                    let left = std::mem::take(&mut self.peers[endpoint].place);
+                    let _ = self.orders.send(Order::LetGo(left));
+                    self.endpoints.leave(endpoint);
                 }
                 // A watch is always kept open.
                 Action::WatchList => {}
@@ -575,8 +600,8 @@
                 call.size += size;
             }
             None => {
-                let (address, letters) = (peer.address, vec![letter]);
-                calls.push(Call { endpoint, address, letters, size });
+                let (place, address, letters) = (peer.place, peer.address, vec![letter]);
+                calls.push(Call { endpoint, place, address, letters, size });
             }
         }
     }
--- a/crates/courier/src/http.rs
+++ b/crates/courier/src/http.rs
@@ -48,6 +48,8 @@
             Ok(httparse::Status::Complete(size)) => size,
             Ok(httparse::Status::Partial) if buffer.len() < MOST_HEAD => return Ok(None),
             Ok(httparse::Status::Partial) => return Err(Malformed("an answer's head is too long")),
+            // Guards against a good answer that is lost to a load report which cannot be read.
+            Err(_) if cut_load(buffer) => continue,
             Err(_) => return Err(Malformed("an answer's head cannot be read")),
         };
         let status = answer.code.unwrap_or(0);
@@ -69,6 +71,31 @@
     }
 }
 
+/// Cuts the first load report out of a head; whether there was one that has come whole.
+fn cut_load(buffer: &mut BytesMut) -> bool {
+    let name = b"\r\nx-load:";
+    let Some(start) = buffer.windows(name.len()).position(|bytes| bytes.eq_ignore_ascii_case(name)) else {
+        return false;
+    };
+    let head = buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n").unwrap_or(buffer.len());
+    let Some(length) = buffer[start + 2..].windows(2).position(|bytes| bytes == b"\r\n") else {
+        return false;
+    };
+    if start > head {
+        return false;
+    }
+    let rest = buffer.split_off(start);
+    buffer.extend_from_slice(&rest[2 + length..]);
+    true
+}
+
+/// Whether the front of the buffer, of which no head can be read, is a whole first line that says 200.
+pub fn says_served(buffer: &[u8]) -> bool {
+    let line = buffer.iter().position(|&b| b == b'\n').map(|end| buffer[..end].trim_ascii_end());
+    let Some(rest) = line.and_then(|line| line.strip_prefix(b"HTTP/1.")) else { return false };
+    matches!(rest, [b'0' | b'1', b' ', b'2', b'0', b'0'] | [b'0' | b'1', b' ', b'2', b'0', b'0', b' ', ..])
+}
+
 fn read_field(head: &mut Head, field: &httparse::Header) -> Result<(), Malformed> {
     let is = |name: &str| field.name.eq_ignore_ascii_case(name);
     let text = std::str::from_utf8(field.value).unwrap_or("").trim();
--- a/crates/courier/tests/common/mod.rs
+++ b/crates/courier/tests/common/mod.rs
@@ -137,6 +137,8 @@
     /// 200 with a state for each mail of a batch, in the order of their ids, and fields.
     Items(&'static [&'static str], &'static str),
     After(u64, Box<Reply>),
+    /// Bytes as they are; the connection stays open.
+    Raw(&'static str),
     Break,
     Silence,
 }
@@ -201,6 +203,7 @@
             thread::sleep(Duration::from_millis(ms));
             carry_out(*reply, ids, out)
         }
+        Reply::Raw(text) => out.write_all(text.as_bytes()).is_ok(),
         Reply::Break => false,
         Reply::Silence => {
             // Until the courier has closed the connection.
--- a/crates/courier/tests/courier.rs
+++ b/crates/courier/tests/courier.rs
@@ -70,6 +70,48 @@
     });
 }
 
+#[test]
+fn a_spoilt_answer_may_have_run_but_a_single_mail_is_relayed_by_its_first_line() {
+    // (class, the answer, calls in all, notice); each connection is closed after it
+    let rows: [(&str, &str, usize, &str); 15] = [
+        ("once", "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n", 1, ""),
+        ("once", "HTTP/1.1 200 OK\r\nX-Never: ends", 1, ""),
+        ("again", "HTTP/1.1 200 OK\r\n\u{1}\u{2}\r\n\r\n", 1, ""),
+        ("again", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxxx", 1, ""),
+        ("once", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", 1, ""),
+        ("once", "HTTP/1.1 2000 OK\r\nContent-Length: x\r\n\r\n", 1, "dead"),
+        ("once", "HTTP/1.1 20", 1, "dead"),
+        ("once", "\u{0}\u{1}noise\r\n\r\n", 1, "dead"),
+        ("again", "\u{0}\u{1}noise\r\n\r\n", 2, ""),
+        ("tagged", "HTTP/1.1 500 X\r\nnever ends", 2, ""),
+        // Nothing is believed to have never run on the word of half an answer.
+        ("once", "HTTP/1.1 503 X\r\nContent-Length: 99\r\n\r\nshort", 1, "dead"),
+        ("once", "HTTP/1.1 429 X\r\nRetry-After: 0.1\r\nContent-Length: 3000000000\r\n\r\nx", 1, "dead"),
+        // These are good.
+        ("once", "HTTP/1.1 102 P\r\n\r\nHTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", 2, ""),
+        ("once", "HTTP/1.1 503 X\r\nX-Load: \u{1}\u{2}\r\nContent-Length: 0\r\n\r\n", 2, ""),
+        ("once", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 500 X\r\n\r\n", 1, ""),
+    ];
+    thread::scope(|scope| {
+        for (class, answer, calls, notice) in rows {
+            scope.spawn(move || {
+                let (platform, endpoint, courier) = world("single", &[Reply::Raw(answer)]);
+                let mut client = courier.client();
+                assert_eq!(client.put("01", class, LATE), "+OK");
+                until(answer, || courier.owes_nothing());
+                let expected = if notice.is_empty() { vec![] } else { vec![("01".into(), notice.into())] };
+                assert_eq!((endpoint.calls().len(), platform.notices()), (calls, expected), "{answer}");
+                // What was left on the connection is nobody's answer: another mail has its own.
+                assert_eq!(client.put("02", "again", LATE), "+OK");
+                until(answer, || courier.owes_nothing());
+                assert!(platform.notices().iter().all(|n| n.0 == "01"), "{answer}");
+                let good = calls == 2 && class == "once";
+                assert!(good || endpoint.connections().0 > 1, "{answer}");
+            });
+        }
+    });
+}
+
 #[test]
 fn what_found_nobody_never_ran_and_is_refused_when_its_time_is_up() {
     let platform = Platform::new();
@@ -85,10 +127,11 @@
 
 #[test]
 fn a_batch_is_answered_mail_by_mail() {
-    use Reply::{Break, Items, Status};
+    use Reply::{Break, Items, Raw, Status};
     const MIXED: &[&str] = &["ok", "error", "later", "gone", "exhausted"];
     // (class, first reply, ids that come again, ids given up)
-    let rows: [(&str, Reply, &[&str], &[&str]); 8] = [
+    let rows: [(&str, Reply, &[&str], &[&str]); 9] = [
+        ("once", Raw("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n[{"), &[], &["a", "b", "c", "d", "e"]),
         ("again", Items(MIXED, "Retry-After: 0.100\r\n"), &["b", "c", "e"], &[]),
         ("once", Items(MIXED, ""), &["c", "e"], &["b"]),
         ("once", Items(&["ok", "ok", "ok", "what"], ""), &[], &["d", "e"]),
@@ -283,6 +326,19 @@
     });
     assert_eq!(slow.line(), "");
     assert!(start.elapsed() > Duration::from_millis(400) && start.elapsed() < Duration::from_secs(5));
+    // Lines that ask for nothing, without a pause, and nothing at all: the connection ends.
+    let (start, mut blank) = (Instant::now(), courier.client());
+    let mut silent = courier.client();
+    let mut drip = blank.stream.get_ref().try_clone().unwrap();
+    thread::spawn(move || while drip.write_all(b"\r\n").is_ok() {});
+    assert_eq!((blank.line(), silent.line()), (String::new(), String::new()));
+    assert!(start.elapsed() > Duration::from_millis(1900) && start.elapsed() < Duration::from_secs(3));
+    // One that still sends hears why it is turned away, and others are served meanwhile.
+    let mut huge = b"*5\r\n$7\r\nMSG.PUT\r\n$60000000\r\n".to_vec();
+    huge.resize(60_000_000, b'x');
+    let mut sends = courier.client();
+    assert!(sends.stream.get_mut().write_all(&huge).is_ok(), "all of it is read");
+    assert_eq!((sends.line(), sends.line()), ("-ERR a word is too long".into(), String::new()));
     // Gone in the middle, and a flood of connections beyond what is kept open for clients.
     let mut half = courier.client();
     half.stream.get_mut().shutdown(Shutdown::Write).unwrap();
@@ -297,6 +353,7 @@
 #[test]
 fn with_its_room_on_disk_nearly_gone_it_refuses() {
     let platform = Platform::new();
+    platform.list("e1", own_address(), "single", 7, "DRAINING");
     let courier = Courier::start(&platform, |config| {
         config["limits"]["disk_mb"] = json!(0.5);
         config["settings"]["Limits"]["MaxOpen"] = json!(10_000);
@@ -326,19 +383,6 @@
             assert_eq!(client.put(&id, "again", LATE), "+OK");
             thread::sleep(Duration::from_millis(50));
             endpoint.calls().len() > before
-    // Lines that ask for nothing, without a pause, and nothing at all: the connection ends.
-    let (start, mut blank) = (Instant::now(), courier.client());
-    let mut silent = courier.client();
-    let mut drip = blank.stream.get_ref().try_clone().unwrap();
-    thread::spawn(move || while drip.write_all(b"\r\n").is_ok() {});
-    assert_eq!((blank.line(), silent.line()), (String::new(), String::new()));
-    assert!(start.elapsed() > Duration::from_millis(1900) && start.elapsed() < Duration::from_secs(3));
-    // One that still sends hears why it is turned away, and others are served meanwhile.
-    let mut huge = b"*5\r\n$7\r\nMSG.PUT\r\n$60000000\r\n".to_vec();
-    huge.resize(60_000_000, b'x');
-    let mut sends = courier.client();
-    assert!(sends.stream.get_mut().write_all(&huge).is_ok(), "all of it is read");
-    assert_eq!((sends.line(), sends.line()), ("-ERR a word is too long".into(), String::new()));
         });
     };
     goes_to(&first, "the first endpoint");
@@ -353,7 +397,6 @@
     assert_eq!(second.calls().len(), drained);
     // A watch that says nothing any more, not even an empty line.
     let watches = platform.told.lock().unwrap().watches;
-    platform.list("e1", own_address(), "single", 7, "DRAINING");
     platform.told.lock().unwrap().silent = true;
     until("a new watch", || platform.told.lock().unwrap().watches > watches);
 }
@@ -398,7 +441,9 @@
 #[test]
 fn a_mail_waits_for_an_endpoint_of_its_destination_and_one_that_is_not_listed_is_none() {
     let platform = Platform::new();
+    platform.list("e0", own_address(), "single", 7, "DRAINING");
     let courier = Courier::start(&platform, unchanged);
+    assert_eq!(courier.client().put("02", "once", "d=4000,dest=8"), "-ERR unknown destination");
     assert_eq!(courier.client().put("01", "once", LATE), "+OK");
     let endpoint = Endpoint::new(&[]);
     platform.list("e9", endpoint.address, "single", 8, "SERVING");
@@ -441,9 +486,7 @@
     for (change, words) in rows {
         let (folder, mut config) = (Folder::new(), good.clone());
         change(&mut config);
-    platform.list("e0", own_address(), "single", 7, "DRAINING");
         let (success, said) = output(command(&folder, &config, "serve"));
-    assert_eq!(courier.client().put("02", "once", "d=4000,dest=8"), "-ERR unknown destination");
         assert!(!success && said.contains(words) && said.trim_end().lines().count() == 1, "{said}");
     }
     let folder = Folder::new();
--- a/crates/courier/tests/exchange.rs
+++ b/crates/courier/tests/exchange.rs
@@ -93,11 +93,11 @@
             world.exchange.turn();
         } else {
             let second = world.call();
-            assert_eq!(world.exchange.begin(second.endpoint, second.letters.clone()).len(), 1);
+            assert_eq!(world.exchange.begin(&second, second.letters.clone()).len(), 1);
             world.exchange.seen(second.letters[0].serial, seen(Outcome::Refused));
             world.exchange.turn();
         }
-        assert!(world.exchange.begin(call.endpoint, call.letters).is_empty(), "{told}");
+        assert!(world.exchange.begin(&call, call.letters.clone()).is_empty(), "{told}");
         assert!(world.calls().is_empty(), "{told}: it waits");
         // Never sent, so it can be served later; nothing was given up.
         assert_eq!((first, world.exchange.in_hand(), world.exchange.in_flight()), (1, 2, 0));
@@ -114,7 +114,7 @@
     let mut call = world.call();
     let late = call.letters.iter().position(|letter| letter.id == "01").unwrap();
     call.letters[late].until = world.exchange.clock.now();
-    let going = world.exchange.begin(call.endpoint, call.letters);
+    let going = world.exchange.begin(&call, call.letters.clone());
     assert_eq!(going.iter().map(|letter| &letter.id[..]).collect::<Vec<_>>(), [b"02"]);
     assert_eq!((world.exchange.in_hand(), world.exchange.in_flight()), (2, 1));
 }
@@ -125,7 +125,7 @@
         let mut world = world("single");
         let mail = serial(world.put("01", "once", 1));
         let call = out.then(|| world.call());
-        let begun = call.map(|call| world.exchange.begin(call.endpoint, call.letters));
+        let begun = call.map(|call| world.exchange.begin(&call, call.letters.clone()));
         world.exchange.hangup(mail);
         assert_eq!((world.calls().len(), world.exchange.in_hand()), (0, 0));
         if begun.is_some_and(|letters| letters.len() == 1) {
@@ -137,6 +137,35 @@
     }
 }
 
+#[test]
+fn an_index_is_given_back_when_its_endpoint_has_gone_and_a_call_knows_where_it_was_to_go() {
+    let mut world = world("single");
+    let mut list = list("SERVING", "single");
+    let (mut most, mut places) = (0, Vec::new());
+    for i in 0..50 {
+        serial(world.put(&i.to_string(), "once", 1));
+        let call = world.call();
+        most = most.max(call.endpoint);
+        places.push(call.place);
+        assert!(world.exchange.is_current(&call));
+        // Another endpoint at the same address, while the call waits for its connection.
+        list.endpoints[0].name = format!("n{i}");
+        world.exchange.listed(&list);
+        world.exchange.turn();
+        assert!(world.exchange.begin(&call, call.letters.clone()).is_empty(), "it has gone");
+        let again = world.call();
+        most = most.max(again.endpoint);
+        assert!(!world.exchange.is_current(&call) && again.place != call.place);
+        assert_eq!(world.exchange.begin(&again, again.letters.clone()).len(), 1);
+        world.exchange.seen(again.letters[0].serial, seen(Outcome::Relayed));
+        world.exchange.turn();
+    }
+    assert!(most < 4, "{most}");
+    places.sort();
+    places.dedup();
+    assert_eq!((places.len(), world.exchange.in_hand(), world.exchange.counts.broken), (50, 0, 0));
+}
+
 #[test]
 fn a_mail_handed_in_twice_is_taken_once_and_a_full_room_refuses() {
     let mut world = world("single");
@@ -151,7 +180,7 @@
     let mut world = world("single");
     let mail = serial(world.put("01", "again", 1));
     let call = world.call();
-    assert_eq!(world.exchange.begin(call.endpoint, call.letters).len(), 1);
+    assert_eq!(world.exchange.begin(&call, call.letters.clone()).len(), 1);
     world.exchange.seen(mail, seen(Outcome::Silent));
     world.exchange.turn();
     world.exchange.relayed_late(mail);
@@ -165,7 +194,7 @@
     let mut world = world("single");
     let mail = serial(world.put("01", "once", 1));
     let call = world.call();
-    world.exchange.begin(call.endpoint, call.letters);
+    world.exchange.begin(&call, call.letters.clone());
     world.exchange.seen(mail, seen(Outcome::Broken));
     assert!(world.calls().is_empty());
     let notice = world.notices.try_recv().unwrap();
--- a/src/control.rs
+++ b/src/control.rs
@@ -4,7 +4,7 @@
 //! The ordinary path is the design's: a cap on each destination's calls in flight, what is over it is parked.
 
 use crate::interface::{Action, Effect, Ended, Input, Life, Listed, Outcome, Settings, Taken, Time, SECOND};
-use crate::state::{grow, seconds, Call, Dest, Endpoint, Fading, Key, Latency, Mail, Place, Saved, Unit};
+use crate::state::{grow, seconds, Call, Dest, Endpoint, Key, Latency, Mail, Place, Saved, Unit};
 
 /// Headroom of Little's law; the design's figure for arrivals in batches.
 const HEADROOM: f64 = 1.0 / 3.0;
@@ -147,6 +147,7 @@
         self.dispatch(out);
         out.extend(self.unused.drain(..).map(Action::LetGo));
         self.rest_keys(out);
+        self.forget(out);
         let busy = self.open > 0 || self.out > 0 || !self.resting.is_empty();
         busy.then_some(now + self.tick()).into_iter().chain(self.ask_at).min()
     }
@@ -164,7 +165,9 @@
             }
             Input::Listed(ref entry) => self.list(entry),
             Input::ListEnd => {
-                self.endpoints.iter_mut().filter(|e| !e.named).for_each(|e| e.life = Life::Gone);
+                let (now, gone) = (self.now, |e: &&mut Endpoint| !e.named && e.life != Life::Gone);
+                let gone = self.endpoints.iter_mut().filter(gone);
+                gone.for_each(|e| (e.life, e.gone_at) = (Life::Gone, now));
             }
             Input::ListFailed => {
                 self.asks_failed = (self.asks_failed + 1).min(4);
@@ -197,9 +200,12 @@
         let (now, kind) = (self.now, kind.min(self.set.kinds.len() - 1));
         if !self.endpoints[endpoint].known {
             // A newcomer shares its destination's waits, unless routes are apart.
-            let sibling = self.dests[dest].endpoints.first().filter(|_| !self.set.kinds[kind].apart);
-            let unit = sibling.map_or(self.units.len(), |&s| self.endpoints[s].unit);
+            let apart = self.set.kinds[kind].apart;
+            let unit = if apart { 2 * endpoint + 1 } else { 2 * dest };
             grow(&mut self.units, unit);
+            if apart {
+                self.units[unit] = Unit::default();
+            }
             // Couriers start at different points of their share, not all with the cheapest route.
             self.units[unit].share = Saved { calls: 2.0 * self.chance.f64(), at: now };
             // Guards against a cold replacement that all couriers fill at once: it warms up like one back.
@@ -214,6 +220,7 @@
             self.dests[dest].endpoints.insert(place, endpoint);
         }
         let e = &mut self.endpoints[endpoint];
+        e.gone_at = if life == Life::Gone && e.life == Life::Gone { e.gone_at } else { now };
         (e.life, e.named) = (life, true);
         if self.set.rates_listed {
             self.limited(endpoint, rate);
@@ -393,7 +400,7 @@
                 self.crowded[e.kind] += f64::from(u8::from(found_nobody));
                 self.sign(endpoint, Sign::Bad);
             }
-            Outcome::CalledOff | Outcome::Unsent => {}
+            Outcome::Spoilt | Outcome::CalledOff | Outcome::Unsent => {}
         }
     }
 
@@ -603,14 +610,12 @@
     fn timeout(&self, mail: usize, endpoint: usize) -> Time {
         let m = &self.mails[mail];
         let left = m.due.saturating_sub(self.now).max(1);
-        let patience = match self.set.classes[m.class].effect {
-            Effect::Redeliverable => PATIENCE[0],
-            Effect::Tagged => PATIENCE[1],
-            // While calls get lost, a long silence has lost the mail already; its slot need not go too.
-            Effect::OnceOnly if self.lost >= 1.0 => PATIENCE[2],
-            Effect::OnceOnly => return left,
-        };
-        let patience = patience / (1.0 + self.lost.min(2.0));
+        let effect = self.set.classes[m.class].effect;
+        // While calls get lost, a long silence has lost a once-only mail already; its slot need not go too.
+        if effect == Effect::OnceOnly && self.lost < 1.0 {
+            return left;
+        }
+        let patience = PATIENCE[effect as usize] / (1.0 + self.lost.min(2.0));
         let own = (self.tail(endpoint) * patience * (1.0 + m.connects as f64)) as Time;
         own.max(4 * self.set.resolution).min(left)
     }
@@ -680,7 +685,7 @@
     fn paced_share(&self, endpoint: usize, warm: f64) -> f64 {
         let e = &self.endpoints[endpoint];
         let d = &self.dests[e.dest];
-        let ends = d.endpoints.len().max(1) as f64;
+        let ends = self.sick(e.dest).1.max(1) as f64;
         let even = self.units[e.unit].even / if self.set.kinds[e.kind].apart { 1.0 } else { ends };
         let arriving = d.steady.rate(self.now, self.set.cold.max(WINDOW)) / ends;
         let whole = if even > 0.0 { even } else { arriving };
@@ -689,6 +694,18 @@
             .max(0.5 / seconds(self.set.cold.max(SECOND)))
     }
 
+    /// Endpoints that left the list a warm-up ago and have no call out: no input means their index any more.
+    fn forget(&mut self, out: &mut Vec<Action>) {
+        for endpoint in 0..self.endpoints.len() {
+            let e = &self.endpoints[endpoint];
+            if e.known && e.life == Life::Gone && e.out == 0 && self.now >= e.gone_at + self.set.cold {
+                self.dests[e.dest].endpoints.retain(|&other| other != endpoint);
+                self.endpoints[endpoint] = Endpoint { life: Life::Gone, ..Endpoint::default() };
+                out.push(Action::FreeEndpoint(endpoint));
+            }
+        }
+    }
+
     /// Keys whose mails are all over are given back when their rest is over.
     fn rest_keys(&mut self, out: &mut Vec<Action>) {
         let (keys, now) = (&mut self.keys, self.now);
@@ -700,23 +717,3 @@
         });
     }
 }
-
-impl Saved {
-    /// Saves up to `depth` calls, one at least; whether a call may go.
-    fn refill(&mut self, now: Time, pace: f64, depth: f64) -> bool {
-        let gained = pace * (now - self.at) as f64 / SECOND as f64;
-        (self.calls, self.at) = ((self.calls + gained).min(depth.max(1.0)), now);
-        self.calls >= 1.0
-    }
-}
-
-impl Fading {
-    fn count(&mut self, now: Time, window: Time) {
-        (self.count, self.at) = (self.rate(now, window) * seconds(window) + 1.0, now);
-    }
-
-    fn rate(&self, now: Time, window: Time) -> f64 {
-        let age = (now - self.at) as f64 / window as f64;
-        self.count * (-age).exp() / seconds(window)
-    }
-}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -83,6 +83,8 @@
     Silent,
     Unreached,
     Broken,
+    /// An answer came, and cannot be read.
+    Spoilt,
     CalledOff,
     Unsent,
 }
@@ -190,4 +192,5 @@
     /// Nothing more will be said of this index: it may be reused.
     FreeMail(usize),
     FreeKey(usize),
+    FreeEndpoint(usize),
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,4 +1,4 @@
-//! What a courier keeps in mind, as plain types. Nothing is decided here.
+//! What a courier keeps in mind, as plain types, and the arithmetic of what fades or is saved up. Nothing is decided here.
 
 use crate::control::Standing;
 use crate::interface::{Life, Time, SECOND};
@@ -10,6 +10,17 @@
     pub at: Time,
 }
 
+impl Fading {
+    pub fn count(&mut self, now: Time, window: Time) {
+        (self.count, self.at) = (self.rate(now, window) * seconds(window) + 1.0, now);
+    }
+
+    pub fn rate(&self, now: Time, window: Time) -> f64 {
+        let age = (now - self.at) as f64 / window as f64;
+        self.count * (-age).exp() / seconds(window)
+    }
+}
+
 /// Latency of served calls: mean and mean deviation.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Latency {
@@ -78,6 +89,15 @@
     pub at: Time,
 }
 
+impl Saved {
+    /// Saves up to `depth` calls, one at least; whether a call may go.
+    pub fn refill(&mut self, now: Time, pace: f64, depth: f64) -> bool {
+        let gained = pace * (now - self.at) as f64 / SECOND as f64;
+        (self.calls, self.at) = ((self.calls + gained).min(depth.max(1.0)), now);
+        self.calls >= 1.0
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Endpoint {
     pub known: bool,
@@ -87,6 +107,8 @@
     pub kind: usize,
     pub life: Life,
     pub named: bool,
+    /// When it left the list.
+    pub gone_at: Time,
     pub standing: Standing,
     pub since: Time,
     pub last_good: Time,
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -108,6 +108,47 @@
     Input::Listed(Listed { endpoint, dest: 0, zone: endpoint, kind, life, rate })
 }
 
+/// The whole list names only this one.
+fn only(endpoint: usize, kind: usize) -> [Input; 3] {
+    [Input::ListBegin { whole: true }, listed(endpoint, kind, Life::Ready, 0.0), Input::ListEnd]
+}
+
+#[test]
+fn an_index_comes_back_a_warm_up_after_its_endpoint_left_and_not_before_its_call_ends() {
+    let free = |acts: &[Action]| acts.iter().any(|act| matches!(act, Action::FreeEndpoint(0)));
+    for (out, kind, heeded) in [(false, SINGLE, true), (true, SINGLE, true), (false, APART, false)] {
+        let mut rig = Rig::new(settings(), kind, 1, 0.0);
+        let sent = connects(&rig.arrive(0, REDELIVERABLE, 1 + usize::from(out)));
+        let refused = sent.iter().skip(usize::from(out)).map(|c| told(c.0, Outcome::Refused, 2, 15_000));
+        rig.at(1, &refused.collect::<Vec<_>>());
+        let acts = rig.at(5, &only(1, kind));
+        rig.settle(6, &acts, Outcome::Relayed);
+        assert!(!free(&acts) && !free(&rig.at(9_900, &[])));
+        assert_eq!(free(&rig.at(10_100, &[])), !out);
+        if out {
+            assert!(free(&rig.at(10_200, &[ended(sent[0].0, Outcome::Error, 10_200)])));
+        }
+        // Another endpoint under the old index: a destination's wait holds for it too, a route's own does not.
+        rig.at(10_300, &only(0, kind));
+        let sent = connects(&rig.arrive(10_310, REDELIVERABLE, 1));
+        assert_eq!(sent.is_empty(), heeded, "{out} {kind}");
+    }
+}
+
+#[test]
+fn a_spoilt_answer_may_have_run_and_says_nothing_of_its_endpoint() {
+    let mut rig = Rig::new(settings(), SINGLE, 1, 0.0);
+    for (ms, class, ends) in [(0, REDELIVERABLE, false), (10, ONCE_ONLY, true)] {
+        let sent = connects(&rig.arrive(ms, class, 1));
+        let acts = rig.at(ms + 1, &[ended(sent[0].0, Outcome::Spoilt, 1)]);
+        assert_eq!(acts.contains(&Action::Bounce { mail: sent[0].0 }), ends, "{acts:?}");
+        assert_eq!(connects(&acts).len(), usize::from(!ends), "sent again at once: {acts:?}");
+        for (mail, _) in connects(&acts) {
+            rig.at(ms + 2, &[ended(mail, Outcome::Relayed, 1)]);
+        }
+    }
+}
+
 fn ended(mail: usize, outcome: Outcome, took: Time) -> Input {
     told(mail, outcome, took, 0)
 }
