Calls refused together count as one refusal, and one call goes first after it

Three calls refused at 17.74 to 17.78 s, one with a wait of 0.7 s, and nothing was sent until 21.49 s: each of them doubled the back-off and took 15 parts in 100 off the pace (control.rs, judge, Refused). At the end of a wait two or three full calls went at once, on what the pace had saved up meanwhile, and were all refused. Now a call that began before the last refusal came says nothing new (its wait is heeded), and the pace has one call saved up at the end of the wait. Ruled out: the courier's timing (to the first attempt 2 ms in the median).

--- a/src/control.rs
+++ b/src/control.rs
@@ -328,7 +328,7 @@
         m.place = if was_over { Place::Over } else { Place::Parked };
         ended.report.into_iter().for_each(|told| self.limited(endpoint, told.limit));
         if settled {
-            self.judge(endpoint, outcome, wait, took);
+            self.judge(endpoint, outcome, wait, started, took);
         }
         if over || was_over {
             self.end(mail, out);
@@ -341,7 +341,7 @@
     }
 
     /// What one call's outcome says of its endpoint, and of the unit that limits it.
-    fn judge(&mut self, endpoint: usize, outcome: Outcome, wait: Time, took: Time) {
+    fn judge(&mut self, endpoint: usize, outcome: Outcome, wait: Time, started: Time, took: Time) {
         let now = self.now;
         let e = &mut self.endpoints[endpoint];
         let unit = &mut self.units[e.unit];
@@ -368,26 +368,27 @@
                 let more = unit.pace > 0.0 && d.waiting() > 0;
                 unit.pace += if more { FASTER * unit.even.max(unit.pace) } else { 0.0 };
                 self.sign(endpoint, if back { Sign::Back } else { Sign::Good });
+            // Guards against calls refused together that would count as refused one after the other.
+            Outcome::Refused if started < unit.refused_at => e.bad_since_good = true,
             }
             Outcome::Refused => {
-                e.bad_since_good = true;
+                (e.bad_since_good, unit.refused_at) = (true, now);
                 unit.refused_since = if unit.refused == 0 { now } else { unit.refused_since };
                 let even = unit.even;
                 let scant = even > 0.0 && even * seconds(self.target) < SCANT;
                 // Guards against many couriers back in step at the end of a wait: they spread, and the unit,
                 // from which refused calls may take too, is called less; what is worth most goes first.
                 let turns = 2.0 * SECOND as f64 / even * self.chance.f64();
-                let (first, rest) = match (scant, wait) {
-                    (true, _) => (turns / 4.0, turns),
-                    (false, 0) => (e.latency.mean.max(1.0) * f64::from(1 << unit.refused.min(4)), 0.0),
-                    (false, _) => (0.0, 0.0),
-                };
+                let own = e.latency.mean.max(1.0) * f64::from(1 << unit.refused.min(4));
+                let own = if wait > 0 { 0.0 } else { own };
+                let (first, rest) = if scant { (turns / 4.0, turns) } else { (own, 0.0) };
                 unit.hold_until = unit.hold_until.max(now + wait + first as Time);
                 unit.ease_until = now + wait + rest as Time;
                 unit.refused += 1;
                 // Guards against refused calls that use up the limit, whoever else shares it.
                 let before = if unit.pace > 0.0 { unit.pace } else { unit.sent.rate(now, WINDOW).max(even) };
                 let floor = if even > 0.0 { even / 12.0 } else { 0.2 };
+                unit.saved = Saved { calls: 1.0, at: unit.hold_until };
                 unit.pace = if scant { 0.0 } else { (before * SLOWER).max(floor) };
                 if now > unit.refused_since + self.set.overload_for {
                     self.sign(endpoint, Sign::Bad);
--- a/src/state.rs
+++ b/src/state.rs
@@ -72,6 +72,8 @@
     /// Refusals since the last served call, and when they began.
     pub refused: u32,
     pub refused_since: Time,
+    /// When the last of them came: a call that began before says nothing new.
+    pub refused_at: Time,
     /// This courier's even share, in calls a second, of the limit that is listed or told; 0: not known.
     pub even: f64,
     /// Calls a second that this courier allows itself, and what it has saved up; 0: no pace is kept.
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -114,6 +114,41 @@
 }
 
 #[test]
+#[test]
+fn calls_refused_together_are_one_refusal_and_one_call_goes_first_after_it() {
+    for wait in [0, 300] {
+        let mut rig = Rig::new(settings(), SINGLE, 1, 0.0);
+        let ms = rig.warm(0, 100, 6);
+        let sent = connects(&rig.arrive(ms, REDELIVERABLE, 2));
+        let refused: Vec<Input> = sent.iter().map(|c| told(c.0, Outcome::Refused, 20, wait)).collect();
+        assert_eq!((refused.len(), connects(&rig.at(ms + 20, &refused)).len()), (2, 0));
+        // One usual latency, not two, where no wait was told; else as long as was told.
+        let back = ms + 20 + wait.max(110);
+        assert!(connects(&rig.at(back - 30, &[])).is_empty(), "{wait}");
+        assert_eq!(connects(&rig.at(back + 5, &[])).len(), 1, "{wait}");
+    }
+}
+
+#[test]
+fn a_short_life_makes_a_mail_urgent_and_says_nothing_of_the_endpoint_that_it_runs_out_at() {
+    let mut rig = Rig::new(Settings { slots: 1, ..settings() }, SINGLE, 1, 0.0);
+    let ms = rig.warm(0, 100, 6);
+    let first = connects(&rig.arrive(ms, REDELIVERABLE, 1));
+    rig.arrive(ms, REDELIVERABLE, 1);
+    let short = |mail, left: Time| {
+        let since = SECOND + ms * 10;
+        Input::Taken(Taken { mail, since, due: since + left * 10, ..Taken::default() })
+    };
+    rig.next += 2;
+    let (brief, hopeless) = (rig.next - 2, rig.next - 1);
+    rig.at(ms, &[short(brief, 700), short(hopeless, 190)]);
+    // What cannot be served before its end goes last, what still can goes first.
+    let next = connects(&rig.at(ms + 100, &[ended(first[0].0, Outcome::Relayed, 100)]));
+    assert_eq!(next, [(brief, 0)]);
+    let next = connects(&rig.at(ms + 120, &[ended(brief, Outcome::Silent, 20)]));
+    assert_eq!(next.len(), 1, "an answer was not overdue: no sign of trouble");
+}
+
 fn an_index_comes_back_a_warm_up_after_its_endpoint_left_and_not_before_its_call_ends() {
     let free = |acts: &[Action]| acts.iter().any(|act| matches!(act, Action::FreeEndpoint(0)));
     for (out, kind, heeded) in [(false, SINGLE, true), (true, SINGLE, true), (false, APART, false)] {
