A mail's target counts from when it came, however short its life

Seen in the same traces: from 7 to 17 s mails come that live 0.4 to 1.3 s. arrive() worked back from their end by the class's lifetime, took them for seconds late and let them wait behind all others (control.rs, arrive). What ran out at an endpoint within the usual latency counted as its silence (judge), and mails with 30 ms left were the most urgent (urgency).

--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -129,6 +129,7 @@
                 dest: self.dests.enter(dest),
                 class,
                 key: (item != 0 && self.in_turn.get(class) == Some(&true)).then(|| self.keys.enter(item)),
+                since: now,
                 due,
                 ..Taken::default()
             }),
--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -303,6 +303,7 @@
             dest: self.dests.enter(owed.dest),
             class,
             key: ordered.then(|| self.keys.enter(owed.item.clone())),
+            since: owed.since,
             due: owed.due,
             connects: owed.connects as usize,
             ran: owed.ran.map(|(at, zone)| (at, usize::from(zone))),
@@ -331,6 +332,7 @@
             item: if ordered { offer.item } else { Bytes::new() },
             class: class as u16,
             dest: offer.dest,
+            since: self.clock.now(),
             due: self.clock.now() + tenths(offer.lifetime),
             body: offer.body,
             ..Owed::default()
--- a/crates/courier/src/journal.rs
+++ b/crates/courier/src/journal.rs
@@ -31,6 +31,8 @@
     pub item: Bytes,
     pub class: u16,
     pub dest: u64,
+    /// When it was handed in; 0: on file before that was noted.
+    pub since: Time,
     pub due: Time,
     pub body: Bytes,
     pub connects: u32,
@@ -120,8 +122,9 @@
     out.extend_from_slice(&[0; HEADER]);
     match *record {
         Record::Taken { serial, owed } => {
-            out.put_u8(1);
+            out.put_u8(7);
             out.put_u64(serial);
+            out.put_u64(owed.since);
             [&owed.id, &owed.key, &owed.item].into_iter().for_each(|bytes| short(out, bytes));
             out.put_u16(owed.class);
             out.put_u64(owed.dest);
@@ -169,7 +172,7 @@
 
 /// What a mail takes in a fresh file, with its verdict, at most.
 pub fn weight(owed: &Owed) -> u64 {
-    (HEADER + 96 + owed.id.len() + owed.key.len() + owed.item.len() + owed.body.len()) as u64
+    (HEADER + 104 + owed.id.len() + owed.key.len() + owed.item.len() + owed.body.len()) as u64
 }
 
 /// Reads fields off the front of a record; `None` where it is too short.
@@ -236,13 +239,15 @@
     fn apply(&mut self, mut f: Fields) -> Option<()> {
         let (code, serial) = (f.u8()?, f.u64()?);
         match code {
-            1 => {
+            // The first is how earlier versions had it.
+            1 | 7 => {
+                let since = if code == 7 { f.u64()? } else { 0 };
                 let (id, key, item) = (f.short()?, f.short()?, f.short()?);
                 let (class, dest, due, connects) = (f.u16()?, f.u64()?, f.u64()?, f.u32()?);
                 let (ran, out) = (f.maybe()?, f.maybe()?);
                 let body = f.0;
                 let verdict = None;
-                let owed = Owed { id, key, item, class, dest, due, body, connects, ran, out, verdict };
+                let owed = Owed { id, key, item, class, dest, since, due, body, connects, ran, out, verdict };
                 self.owed.insert(serial, owed);
             }
             2 => {
--- a/crates/courier/tests/journal.rs
+++ b/crates/courier/tests/journal.rs
@@ -11,7 +11,8 @@
 
 fn owed(id: &str, body: usize) -> Owed {
     let (id, item) = (Bytes::copy_from_slice(id.as_bytes()), Bytes::from_static(b"7f3a"));
-    Owed { id, item, class: 1, dest: 7, due: 90_000, body: vec![b'x'; body].into(), ..Owed::default() }
+    let body = vec![b'x'; body].into();
+    Owed { id, item, class: 1, dest: 7, since: 30_000, due: 90_000, body, ..Owed::default() }
 }
 
 fn bytes(folder: &Folder) -> Bytes {
@@ -62,6 +63,21 @@
     assert_eq!((at(10, 1), at(11, 2).unwrap().verdict), (None, Some(Verdict::Dead)));
 }
 
+#[test]
+fn a_mail_on_file_since_an_earlier_version_is_still_owed() {
+    // As version 0.2 wrote it: no time of arrival.
+    let mut record = vec![1, 0, 0, 0, 0, 0, 0, 0, 9, 0, 2, b'a', b'1', 0, 0, 0, 0, 0, 1];
+    record.extend(7u64.to_be_bytes().iter().chain(&90_000u64.to_be_bytes()).chain(&2u32.to_be_bytes()));
+    record.extend([0; 22].iter().chain(b"xyz"));
+    let mut file = b"meadowhold journal 1\n".to_vec();
+    file.extend((record.len() as u32).to_be_bytes().iter().chain(&crc32fast::hash(&record).to_be_bytes()));
+    file.extend(&record);
+    let size = file.len();
+    let (found, good) = Found::read(&file.into());
+    let old = Owed { item: Bytes::new(), since: 0, connects: 2, ..owed("a1", 3) };
+    assert_eq!((good, &found.owed[&9]), (size, &Owed { body: Bytes::from_static(b"xyz"), ..old }));
+}
+
 #[test]
 fn a_connect_that_a_process_left_without_an_outcome_may_have_run_for_good() {
     let folder = Folder::new();
--- a/src/control.rs
+++ b/src/control.rs
@@ -241,14 +241,13 @@
     }
 
     fn arrive(&mut self, taken: &Taken) {
-        let Taken { mail, dest, class, key, due, connects, ran } = *taken;
+        let Taken { mail, dest, class, key, since, due, connects, ran } = *taken;
         let class = class.min(self.set.classes.len() - 1);
-        let c = &self.set.classes[class];
         if let Some(key) = key {
             grow(&mut self.keys, key);
             self.keys[key].line.push(mail);
         }
-        let target = due.saturating_sub(c.lifetime) + c.target;
+        let target = since + self.set.classes[class].target;
         grow(&mut self.mails, mail);
         self.mails[mail] =
             Mail { place: Place::Parked, dest, class, key, target, due, connects, ran, call: 0 };
@@ -368,9 +367,9 @@
                 let more = unit.pace > 0.0 && d.waiting() > 0;
                 unit.pace += if more { FASTER * unit.even.max(unit.pace) } else { 0.0 };
                 self.sign(endpoint, if back { Sign::Back } else { Sign::Good });
+            }
             // Guards against calls refused together that would count as refused one after the other.
             Outcome::Refused if started < unit.refused_at => e.bad_since_good = true,
-            }
             Outcome::Refused => {
                 (e.bad_since_good, unit.refused_at) = (true, now);
                 unit.refused_since = if unit.refused == 0 { now } else { unit.refused_since };
@@ -388,12 +387,13 @@
                 // Guards against refused calls that use up the limit, whoever else shares it.
                 let before = if unit.pace > 0.0 { unit.pace } else { unit.sent.rate(now, WINDOW).max(even) };
                 let floor = if even > 0.0 { even / 12.0 } else { 0.2 };
-                unit.saved = Saved { calls: 1.0, at: unit.hold_until };
                 unit.pace = if scant { 0.0 } else { (before * SLOWER).max(floor) };
+                unit.saved = Saved { calls: 1.0, at: unit.hold_until };
                 if now > unit.refused_since + self.set.overload_for {
                     self.sign(endpoint, Sign::Bad);
                 }
             }
+            Outcome::Silent if (took as f64) < e.latency.tail() => {} // cut short by its mail's own end
             Outcome::Error | Outcome::Silent | Outcome::Unreached | Outcome::Broken => {
                 e.bad_since_good = true;
                 e.silent |= outcome == Outcome::Silent;
@@ -520,7 +520,8 @@
     /// What waiting costs: the importance lost a second, felt as the target delay or the end comes near.
     fn urgency(&self, mail: usize) -> f64 {
         let m = &self.mails[mail];
-        let (left, slope) = self.worth(mail, self.now);
+        // What will not be served in time before its end is worth no call.
+        let (left, slope) = self.worth(mail, self.now + self.dests[m.dest].latency.mean as Time);
         let target = seconds(self.set.classes[m.class].target.max(1));
         let near = |end: Time| (-seconds(end.saturating_sub(self.now)) / target).exp();
         slope * near(m.target) + left / target * near(m.due)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -126,6 +126,8 @@
     pub dest: usize,
     pub class: usize,
     pub key: Option<usize>,
+    /// When it was handed in; its time may be shorter than its queue class has it.
+    pub since: Time,
     pub due: Time,
     /// Connects used by earlier processes, and the send and zone of the first that may have run.
     pub connects: usize,
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -70,8 +70,14 @@
 
     fn arrival(&mut self, ms: Time, class: usize) -> Input {
         self.next += 1;
-        let due = SECOND + ms * 10 + 10 * SECOND;
-        Input::Taken(Taken { mail: self.next - 1, class, due, ..Taken::default() })
+        let since = SECOND + ms * 10;
+        Input::Taken(Taken {
+            mail: self.next - 1,
+            class,
+            since,
+            due: since + 10 * SECOND,
+            ..Taken::default()
+        })
     }
 
     fn arrive(&mut self, ms: Time, class: usize, count: usize) -> Vec<Action> {
@@ -108,12 +114,6 @@
     Input::Listed(Listed { endpoint, dest: 0, zone: endpoint, kind, life, rate })
 }
 
-/// The whole list names only this one.
-fn only(endpoint: usize, kind: usize) -> [Input; 3] {
-    [Input::ListBegin { whole: true }, listed(endpoint, kind, Life::Ready, 0.0), Input::ListEnd]
-}
-
-#[test]
 #[test]
 fn calls_refused_together_are_one_refusal_and_one_call_goes_first_after_it() {
     for wait in [0, 300] {
@@ -149,6 +149,12 @@
     assert_eq!(next.len(), 1, "an answer was not overdue: no sign of trouble");
 }
 
+/// The whole list names only this one.
+fn only(endpoint: usize, kind: usize) -> [Input; 3] {
+    [Input::ListBegin { whole: true }, listed(endpoint, kind, Life::Ready, 0.0), Input::ListEnd]
+}
+
+#[test]
 fn an_index_comes_back_a_warm_up_after_its_endpoint_left_and_not_before_its_call_ends() {
     let free = |acts: &[Action]| acts.iter().any(|act| matches!(act, Action::FreeEndpoint(0)));
     for (out, kind, heeded) in [(false, SINGLE, true), (true, SINGLE, true), (false, APART, false)] {
