Once-only mails wait while several of an endpoint's latest answers were errors

Now an endpoint with more than one error among its latest answers (errs over NEWEST) is left out for them too.

--- a/src/control.rs
+++ b/src/control.rs
@@ -347,7 +347,6 @@
         match outcome {
             Outcome::Relayed => {
                 // Guards against calls that get lost one by one: silence, then an answer as quick as ever.
-                // A slow endpoint answers late and keeps the longer time-outs.
                 let quick = e.silent && (took as f64) <= e.latency.tail();
                 self.lost = self.lost * LOST_KEPT + f64::from(u8::from(quick));
                 // Guards against tables of connections that many couriers fill with idle ones: where connects
@@ -359,6 +358,7 @@
                 let doubt = e.standing == Standing::Doubt && e.bad_since_good;
                 let back = doubt && now > e.last_good + self.set.overload_for;
                 (e.last_good, e.bad_since_good, unit.refused) = (now, false, 0);
+                e.errs -= NEWEST * e.errs;
                 e.latency.learn(took as f64);
                 let d = &mut self.dests[e.dest];
                 d.latency.learn(took as f64);
@@ -375,8 +375,7 @@
                 unit.refused_since = if unit.refused == 0 { now } else { unit.refused_since };
                 let even = unit.even;
                 let scant = even > 0.0 && even * seconds(self.target) < SCANT;
-                // Guards against many couriers back in step at the end of a wait: they spread, and the unit,
-                // from which refused calls may take too, is called less; what is worth most goes first.
+                // Guards against couriers back in step after a wait: they spread; what is worth most goes first.
                 let turns = 2.0 * SECOND as f64 / even * self.chance.f64();
                 let own = e.latency.mean.max(1.0) * f64::from(1 << unit.refused.min(4));
                 let own = if wait > 0 { 0.0 } else { own };
@@ -397,6 +396,7 @@
             Outcome::Error | Outcome::Silent | Outcome::Unreached | Outcome::Broken => {
                 e.bad_since_good = true;
                 e.silent |= outcome == Outcome::Silent;
+                e.errs += NEWEST * (f64::from(u8::from(outcome == Outcome::Error)) - e.errs);
                 let found_nobody = outcome == Outcome::Unreached && e.standing != Standing::Down;
                 self.crowded[e.kind] += f64::from(u8::from(found_nobody));
                 self.sign(endpoint, Sign::Bad);
@@ -591,7 +591,7 @@
     /// The most urgent mail that this endpoint may get; further connects only when no first one waits.
     fn next(&self, dest: usize, endpoint: usize) -> Option<(usize, usize)> {
         let e = &self.endpoints[endpoint];
-        let risky = matches!(e.standing, Standing::Doubt | Standing::Down);
+        let risky = matches!(e.standing, Standing::Doubt | Standing::Down) || e.errs > NEWEST;
         (0..2).find_map(|line| {
             let fit = self.dests[dest].lines[line].iter().enumerate().filter(|&(_, &mail)| {
                 let m = &self.mails[mail];
--- a/src/state.rs
+++ b/src/state.rs
@@ -116,6 +116,8 @@
     pub last_good: Time,
     pub bad_since_good: bool,
     pub silent: bool,
+    /// Share of errors among its latest answers.
+    pub errs: f64,
     pub trial_at: Time,
     pub trials: u32,
     pub ramp: Saved,
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -114,6 +114,28 @@
     Input::Listed(Listed { endpoint, dest: 0, zone: endpoint, kind, life, rate })
 }
 
+#[test]
+fn once_only_mails_wait_while_several_of_an_endpoints_latest_answers_were_errors() {
+    for (errors, goes) in [(1, true), (3, false)] {
+        let mut rig = Rig::new(settings(), SINGLE, 1, 40.0);
+        let mut ms = rig.warm(0, 100, 6);
+        let mut sent = connects(&rig.arrive(ms, REDELIVERABLE, 1));
+        for outcome in std::iter::repeat_n(Outcome::Error, errors).chain([Outcome::Relayed]) {
+            while sent.is_empty() {
+                ms += 50;
+                sent = connects(&rig.at(ms, &[]));
+            }
+            ms += 10;
+            sent = connects(&rig.at(ms, &[ended(sent[0].0, outcome, 10)]));
+        }
+        // It is back, or well: its last answer was good.
+        let once = rig.arrive(ms, ONCE_ONLY, 1);
+        let later: Vec<Action> = (1..30).flat_map(|i| rig.at(ms + 50 * i, &[])).collect();
+        let sent = connects(&once).len() + connects(&later).len();
+        assert_eq!(sent > 0, goes, "{errors}");
+    }
+}
+
 #[test]
 fn calls_refused_together_are_one_refusal_and_one_call_goes_first_after_it() {
     for wait in [0, 300] {
