Once-only mails go on new connections while kept ones break under a call

Checked: the look at the socket before reuse finds nothing, the far side says so only to the next call. Lines at fault: control.rs took each for a failure of the endpoint, and had no way to ask for a new connection (a fact and a word it lacked). Now Ended says whether the connection was kept: such a break is no sign, and while there are any of late (fading with each served call as lost ones do) a call with a once-only mail goes on a new one.

--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -148,6 +148,7 @@
                     over: s.over,
                     wait: s.wait,
                     took: s.took,
+                    kept: false,
                     report: wire::report(s.report, self.report[0], self.report[1]),
                 }),
                 None => return Ok(()),
@@ -172,7 +173,7 @@
 
     fn put(&mut self, instance: u32, action: Action, reply: &mut Reply) {
         match action {
-            Action::Connect { mail, endpoint, timeout } => {
+            Action::Connect { mail, endpoint, timeout, .. } => {
                 if let (Some(&m), Some(&e)) = (self.mails.outside(mail), self.endpoints.outside(endpoint)) {
                     reply.transmit(instance, m, e, timeout);
                 }
--- a/crates/courier/src/endpoints.rs
+++ b/crates/courier/src/endpoints.rs
@@ -48,6 +48,8 @@
 struct Counted {
     link: Option<Link>,
     endpoints: Rc<Endpoints>,
+    /// It has served an earlier call.
+    kept: bool,
 }
 
 impl Drop for Counted {
@@ -110,7 +112,7 @@
 
 /// What an answer's head tells goes with each of its mails.
 fn with_head(outcome: Outcome, over: bool, head: &Head) -> Seen {
-    Seen { outcome, over, wait: head.wait.unwrap_or_default(), load: head.load.clone() }
+    Seen { wait: head.wait.unwrap_or_default(), load: head.load.clone(), over, ..Seen::only(outcome) }
 }
 
 impl Endpoints {
@@ -174,8 +176,8 @@
     }
 
     async fn connection(self: &Rc<Self>, call: &Call, until: Instant) -> Result<Counted, Outcome> {
-        if let Some(link) = self.take(call.place) {
-            return Ok(Counted { link: Some(link), endpoints: self.clone() });
+        if let Some(link) = if call.fresh { None } else { self.take(call.place) } {
+            return Ok(Counted { link: Some(link), endpoints: self.clone(), kept: true });
         }
         let address = call.address.ok_or(Outcome::Unreached)?;
         if !self.make_room() {
@@ -185,7 +187,7 @@
         self.open.set(self.open.get() + 1);
         let until = until.min(Instant::now() + self.limits.connect);
         match timeout_at(until.into(), Link::open(address)).await {
-            Ok(Ok(link)) => Ok(Counted { link: Some(link), endpoints: self.clone() }),
+            Ok(Ok(link)) => Ok(Counted { link: Some(link), endpoints: self.clone(), kept: false }),
             _ => {
                 self.close(1);
                 Err(Outcome::Unreached)
@@ -232,7 +234,7 @@
             }
             // Closed: what else has come, or will, belongs to no call.
             Answer::Ended(outcome) => {
-                self.over(&letters, &Seen::only(outcome));
+                self.over(&letters, &Seen { kept: counted.kept, ..Seen::only(outcome) });
             }
         }
     }
--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -97,6 +97,8 @@
     /// Where it was when the call was decided on: a number that is never given twice.
     pub place: u64,
     pub address: Option<SocketAddr>,
+    /// It must not go out on a connection that was kept.
+    pub fresh: bool,
     pub letters: Vec<Letter>,
     /// Bytes of its body where it carries several mails; a call holds no more than a body may.
     pub size: usize,
@@ -125,12 +127,14 @@
     pub over: bool,
     pub wait: Duration,
     pub load: Option<String>,
+    /// The call went out on a connection that was kept.
+    pub kept: bool,
 }
 
 impl Seen {
     /// Where nothing but the outcome is known.
     pub fn only(outcome: Outcome) -> Seen {
-        Seen { outcome, over: outcome == Outcome::Relayed, wait: Duration::ZERO, load: None }
+        Seen { outcome, over: outcome == Outcome::Relayed, wait: Duration::ZERO, load: None, kept: false }
     }
 }
 
@@ -512,7 +516,7 @@
             must!(self.counts.broken, false, "an outcome came for a connect that is not out");
             return;
         };
-        let Seen { outcome, over, wait, load } = seen;
+        let Seen { outcome, over, wait, load, kept } = seen;
         self.counts.relayed += u64::from(outcome == Outcome::Relayed);
         let (ran, rests) = (!outcome.never_ran(), outcome.may_run_on());
         if over {
@@ -533,7 +537,7 @@
         );
         let report = load.and_then(|load| self.names.report(&load));
         let took = now.saturating_sub(started);
-        self.inputs.push(Input::Ended(Ended { mail, outcome, over, wait: tenths(wait), took, report }));
+        self.inputs.push(Input::Ended(Ended { mail, outcome, over, wait: tenths(wait), took, kept, report }));
         self.notify.notify_one();
     }
 
@@ -550,8 +554,8 @@
         let mut calls: Vec<Call> = Vec::new();
         for action in actions.drain(..) {
             match action {
-                Action::Connect { mail, endpoint, timeout } => {
-                    self.add(&mut calls, mail, endpoint, now, timeout);
+                Action::Connect { mail, endpoint, timeout, fresh } => {
+                    self.add(&mut calls, mail, endpoint, now + timeout, fresh);
                 }
                 Action::Defer { mail, pause } => self.give_up(mail, Verdict::Bounced(pause)),
                 Action::Bounce { mail } => self.give_up(mail, Verdict::Dead),
@@ -577,7 +581,7 @@
     }
 
     /// A connect joins the round's call to its endpoint while that has room.
-    fn add(&mut self, calls: &mut Vec<Call>, mail: usize, endpoint: usize, now: Time, timeout: Time) {
+    fn add(&mut self, calls: &mut Vec<Call>, mail: usize, endpoint: usize, until: Time, fresh: bool) {
         let serial = self.mails.outside(mail).copied();
         let Some((serial, owed)) = serial.and_then(|serial| Some((serial, self.owed.get(&serial)?))) else {
             must!(self.counts.broken, false, "a connect was asked for a mail that is not in hand");
@@ -587,14 +591,18 @@
             self.flying.resize(mail + 1, None);
         }
         must!(self.counts.broken, self.flying[mail].is_none(), "a mail has two connects out at once");
-        self.flying[mail] = Some(now);
-        log::debug!("mail {serial} for {}: connect to endpoint {endpoint}, {timeout}", owed.dest);
+        self.flying[mail] = Some(self.last_turn);
+        log::debug!(
+            "mail {serial} for {}: connect to endpoint {endpoint}, {}",
+            owed.dest,
+            until - self.last_turn
+        );
         let letter = Letter {
             serial,
             id: owed.id.clone(),
             key: owed.key.clone(),
             body: owed.body.clone(),
-            until: now + timeout,
+            until,
             due: owed.due,
         };
         let peer = &self.peers[endpoint];
@@ -605,10 +613,11 @@
             Some(call) => {
                 call.letters.push(letter);
                 call.size += size;
+                call.fresh |= fresh;
             }
             None => {
                 let (place, address, letters) = (peer.place, peer.address, vec![letter]);
-                calls.push(Call { endpoint, place, address, letters, size });
+                calls.push(Call { endpoint, place, address, fresh, letters, size });
             }
         }
     }
--- a/crates/courier/tests/courier.rs
+++ b/crates/courier/tests/courier.rs
@@ -468,6 +468,21 @@
     assert!(idle > Duration::from_millis(1500) && idle < Duration::from_millis(2500), "{idle:?}");
 }
 
+#[test]
+fn once_only_mails_go_on_new_connections_while_kept_ones_break() {
+    let (platform, endpoint, courier) = world("single", &[OK, Reply::Break]);
+    let mut client = courier.client();
+    // The second breaks on the connection of the first and comes again on another, which the third uses too.
+    for (i, (class, connections)) in
+        [("tagged", 1), ("tagged", 2), ("tagged", 2), ("once", 3)].iter().enumerate()
+    {
+        assert_eq!(client.put(&i.to_string(), class, "d=4000,k=77"), "+OK");
+        until("its end", || courier.owes_nothing());
+        assert_eq!(endpoint.connections().0, *connections, "{i}");
+    }
+    assert_eq!((endpoint.calls().len(), platform.notices()), (5, vec![]));
+}
+
 #[test]
 fn a_bad_configuration_ends_with_one_plain_message() {
     let platform = Platform::new();
--- a/crates/courier/tests/exchange.rs
+++ b/crates/courier/tests/exchange.rs
@@ -74,7 +74,7 @@
 
 fn seen(outcome: Outcome) -> Seen {
     let wait = Duration::from_secs(if outcome == Outcome::Refused { 2 } else { 0 });
-    Seen { outcome, over: outcome == Outcome::Relayed, wait, load: None }
+    Seen { wait, ..Seen::only(outcome) }
 }
 
 fn serial(answer: Answer) -> u64 {
--- a/src/control.rs
+++ b/src/control.rs
@@ -105,8 +105,9 @@
     out: usize,
     ask_at: Option<Time>,
     asks_failed: u32,
-    /// Calls that got lost of late, fading with each served one.
+    /// Calls that got lost, and kept connections that broke, of late; fading with each served call.
     lost: f64,
+    stale: f64,
     /// Connects that found nobody, by kind, fading with each served call; endpoints whose connections close.
     crowded: Vec<f64>,
     unused: Vec<usize>,
@@ -140,9 +141,7 @@
         self.now = self.now.max(now);
         inputs.iter().for_each(|input| self.read(input, out));
         self.watch_calls();
-        if self.ask_at.take_if(|at| *at <= now).is_some() {
-            out.push(Action::WatchList);
-        }
+        out.extend(self.ask_at.take_if(|at| *at <= now).map(|_| Action::WatchList));
         self.give_up_hopeless(out);
         self.dispatch(out);
         out.extend(self.unused.drain(..).map(Action::LetGo));
@@ -300,7 +299,7 @@
 
     /// A connect has its outcome: the slot returns, the endpoint is judged, the mail goes on or ends.
     fn settle(&mut self, ended: &Ended, out: &mut Vec<Action>) {
-        let Ended { mail, outcome, over, wait, took, .. } = *ended;
+        let Ended { mail, outcome, over, wait, .. } = *ended;
         let now = self.now;
         let m = &mut self.mails[mail];
         let was_over = m.place == Place::Over;
@@ -327,7 +326,7 @@
         m.place = if was_over { Place::Over } else { Place::Parked };
         ended.report.into_iter().for_each(|told| self.limited(endpoint, told.limit));
         if settled {
-            self.judge(endpoint, outcome, wait, started, took);
+            self.judge(endpoint, started, ended);
         }
         if over || was_over {
             self.end(mail, out);
@@ -340,7 +339,8 @@
     }
 
     /// What one call's outcome says of its endpoint, and of the unit that limits it.
-    fn judge(&mut self, endpoint: usize, outcome: Outcome, wait: Time, started: Time, took: Time) {
+    fn judge(&mut self, endpoint: usize, started: Time, ended: &Ended) {
+        let Ended { outcome, wait, took, kept, .. } = *ended;
         let now = self.now;
         let e = &mut self.endpoints[endpoint];
         let unit = &mut self.units[e.unit];
@@ -348,9 +348,9 @@
             Outcome::Relayed => {
                 // Guards against calls that get lost one by one: silence, then an answer as quick as ever.
                 let quick = e.silent && (took as f64) <= e.latency.tail();
+                self.stale *= LOST_KEPT;
                 self.lost = self.lost * LOST_KEPT + f64::from(u8::from(quick));
-                // Guards against tables of connections that many couriers fill with idle ones: where connects
-                // find nobody, none of ours is kept. Few couriers hardly fill one, and ask for more evidence.
+                // Guards against tables full of many couriers' idle connections; few couriers hardly fill one.
                 self.crowded[e.kind] *= LOST_KEPT;
                 let crowded = self.crowded[e.kind] * self.set.couriers as f64 >= self.set.slots as f64;
                 self.unused.extend(crowded.then_some(endpoint));
@@ -373,10 +373,9 @@
             Outcome::Refused => {
                 (e.bad_since_good, unit.refused_at) = (true, now);
                 unit.refused_since = if unit.refused == 0 { now } else { unit.refused_since };
-                let even = unit.even;
-                let scant = even > 0.0 && even * seconds(self.target) < SCANT;
+                let scant = unit.even > 0.0 && unit.even * seconds(self.target) < SCANT;
                 // Guards against couriers back in step after a wait: they spread; what is worth most goes first.
-                let turns = 2.0 * SECOND as f64 / even * self.chance.f64();
+                let turns = 2.0 * SECOND as f64 / unit.even * self.chance.f64();
                 let own = e.latency.mean.max(1.0) * f64::from(1 << unit.refused.min(4));
                 let own = if wait > 0 { 0.0 } else { own };
                 let (first, rest) = if scant { (turns / 4.0, turns) } else { (own, 0.0) };
@@ -384,8 +383,9 @@
                 unit.ease_until = now + wait + rest as Time;
                 unit.refused += 1;
                 // Guards against refused calls that use up the limit, whoever else shares it.
+                let even = unit.even;
                 let before = if unit.pace > 0.0 { unit.pace } else { unit.sent.rate(now, WINDOW).max(even) };
-                let floor = if even > 0.0 { even / 12.0 } else { 0.2 };
+                let floor = if unit.even > 0.0 { unit.even / 12.0 } else { 0.2 };
                 unit.pace = if scant { 0.0 } else { (before * SLOWER).max(floor) };
                 unit.saved = Saved { calls: 1.0, at: unit.hold_until };
                 if now > unit.refused_since + self.set.overload_for {
@@ -393,6 +393,7 @@
                 }
             }
             Outcome::Silent if (took as f64) < e.latency.tail() => {} // cut short by its mail's own end
+            Outcome::Broken if kept => self.stale += 1.0, // closed by the far side meanwhile, most likely
             Outcome::Error | Outcome::Silent | Outcome::Unreached | Outcome::Broken => {
                 e.bad_since_good = true;
                 e.silent |= outcome == Outcome::Silent;
@@ -569,7 +570,8 @@
             let m = &mut self.mails[mail];
             (m.place, m.call) = (Place::Out, index);
             m.connects += 1;
-            out.push(Action::Connect { mail, endpoint, timeout });
+            let fresh = self.stale > NEWEST && self.set.classes[m.class].effect == Effect::OnceOnly;
+            out.push(Action::Connect { mail, endpoint, timeout, fresh });
             sent += 1;
         }
         if sent == 0 {
@@ -648,7 +650,6 @@
         let e = &self.endpoints[endpoint];
         let doubt = if e.standing == Standing::Doubt { self.tail(endpoint) } else { 0.0 };
         let mean = if e.latency.seen { e.latency.mean } else { self.dests[e.dest].latency.mean };
-        // A fee is a part of a mail's worth, as waiting a while past the target delay would be.
         let fee = self.set.fees.get(e.zone).filter(|_| self.set.kinds[e.kind].apart).unwrap_or(&0.0);
         // Were all couriers to do as this one does, so long would the queue be at a route with this rate.
         let unit = &self.units[e.unit];
@@ -686,10 +687,9 @@
     /// Calls a second for a returning endpoint: this courier's even part of what it takes at its coldest.
     fn paced_share(&self, endpoint: usize, warm: f64) -> f64 {
         let e = &self.endpoints[endpoint];
-        let d = &self.dests[e.dest];
         let ends = self.sick(e.dest).1.max(1) as f64;
         let even = self.units[e.unit].even / if self.set.kinds[e.kind].apart { 1.0 } else { ends };
-        let arriving = d.steady.rate(self.now, self.set.cold.max(WINDOW)) / ends;
+        let arriving = self.dests[e.dest].steady.rate(self.now, self.set.cold.max(WINDOW)) / ends;
         let whole = if even > 0.0 { even } else { arriving };
         let warmth = self.set.cold_from + (1.0 - self.set.cold_from) * warm.min(1.0);
         (whole * warmth * RETURN_SHARE * self.set.tip_multiple.min(2.0) / 2.0)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -144,6 +144,8 @@
     /// How long the destination wants to be left alone, if it refused.
     pub wait: Time,
     pub took: Time,
+    /// It went out on a connection that was kept from an earlier call.
+    pub kept: bool,
     pub report: Option<Report>,
 }
 
@@ -178,6 +180,8 @@
         mail: usize,
         endpoint: usize,
         timeout: Time,
+        /// Its call must not go out on a connection that was kept.
+        fresh: bool,
     },
     /// Final: handed back, with a time to come back (0: none named).
     Defer {
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -136,6 +136,37 @@
     }
 }
 
+#[test]
+fn what_breaks_on_a_kept_connection_is_no_sign_and_once_only_mails_go_on_new_ones_for_a_while() {
+    let mut rig = Rig::new(settings(), SINGLE, 1, 0.0);
+    let mut ms = rig.warm(0, 100, 6);
+    for (kept, served, well, fresh) in
+        [(true, 0, true, true), (true, 60, true, false), (false, 0, false, false)]
+    {
+        let sent = connects(&rig.arrive(ms, REDELIVERABLE, 1));
+        let broken = Ended {
+            mail: sent[0].0,
+            outcome: Outcome::Broken,
+            over: false,
+            wait: 0,
+            took: 50,
+            kept,
+            report: None,
+        };
+        let again = connects(&rig.at(ms + 5, &[Input::Ended(broken)]));
+        assert_eq!(again.len(), 1, "{kept}");
+        if well {
+            rig.at(ms + 100, &[ended(again[0].0, Outcome::Relayed, 95)]);
+        }
+        ms = rig.warm(ms + 100, 100, served);
+        let acts = rig.arrive(ms, ONCE_ONLY, 1);
+        let goes = acts.iter().any(|act| matches!(act, Action::Connect { fresh: true, .. }));
+        assert_eq!((connects(&acts).len(), goes), (usize::from(well), fresh), "{kept} {served}");
+        let acts = rig.settle(ms + 100, &acts, Outcome::Relayed);
+        ms += 100 + acts.len() as Time;
+    }
+}
+
 #[test]
 fn calls_refused_together_are_one_refusal_and_one_call_goes_first_after_it() {
     for wait in [0, 300] {
@@ -218,7 +249,7 @@
 
 fn told(mail: usize, outcome: Outcome, took: Time, wait: Time) -> Input {
     let over = outcome == Outcome::Relayed;
-    Input::Ended(Ended { mail, outcome, over, wait: wait * 10, took: took * 10, report: None })
+    Input::Ended(Ended { mail, outcome, over, wait: wait * 10, took: took * 10, kept: false, report: None })
 }
 
 fn connects(actions: &[Action]) -> Vec<(usize, usize)> {
@@ -582,6 +613,7 @@
                     over: true,
                     wait: 0,
                     took: 20,
+                    kept: false,
                     report: Some(told),
                 };
                 let ends: Vec<Input> = sent.iter().map(|c| Input::Ended(relayed(c.0))).collect();
@@ -734,8 +766,15 @@
     let now = |ms: Time| SECOND + ms * 10;
     assert!(rig.control.may_begin(0, now(0)));
     let (mail, endpoint) = connects(&rig.arrive(0, REDELIVERABLE, 1))[0];
-    let refused =
-        Ended { mail, outcome: Outcome::Refused, over: false, wait: 2 * SECOND, took: 50, report: None };
+    let refused = Ended {
+        mail,
+        outcome: Outcome::Refused,
+        over: false,
+        wait: 2 * SECOND,
+        took: 50,
+        kept: false,
+        report: None,
+    };
     rig.at(5, &[Input::Ended(refused)]);
     let other = 1 - endpoint;
     assert!(!rig.control.may_begin(endpoint, now(2004)) && !rig.control.may_begin(other, now(2004)));
