A call that finds no descriptor free waits for one and blames no endpoint

Read beside the protocol: endpoints.rs, connection() told a call for which our own share of descriptors was used up as one that found nobody, which takes its endpoint out (a belief that nothing on the sockets bears out); the system's own refusals likewise. Clients get a third of the descriptors, not half of what is left: more is never held by them for mails. The test fails without the change (mails bounced, more connections than the share).

--- a/crates/courier/src/clients.rs
+++ b/crates/courier/src/clients.rs
@@ -53,16 +53,20 @@
 pub async fn listen(shared: Shared, listener: TcpListener, most: usize, phase: watch::Receiver<Phase>) {
     let (turn, sink) = (Cell::new(0), RefCell::new(vec![0; SINK]));
     let clients = Rc::new(Clients { shared, most, open: RefCell::default(), turn, sink });
+    let mut short = false;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                short = false;
                 tokio::task::spawn_local(clients.clone().serve(stream, phase.clone()));
                 // Guards against a burst that takes all descriptors before those that make way are closed.
                 tokio::task::yield_now().await;
             }
             Err(e) => {
                 // Out of descriptors, most likely: others are closing.
-                log::warn!("a client cannot be accepted: {e}");
+                if !std::mem::replace(&mut short, true) {
+                    log::warn!("a client cannot be accepted: {e}");
+                }
                 tokio::time::sleep(Duration::from_millis(20)).await;
             }
         }
--- a/crates/courier/src/endpoints.rs
+++ b/crates/courier/src/endpoints.rs
@@ -11,6 +11,7 @@
 use bytes::BytesMut;
 use meadowhold::interface::{Outcome, Time};
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::Notify;
 use tokio::time::{sleep_until, timeout_at, MissedTickBehavior};
 
 use crate::exchange::{Call, Clock, Letter, Order, Seen, Shared};
@@ -18,6 +19,8 @@
 use crate::link::Link;
 
 const MOST_ANSWER: usize = 1 << 20;
+/// What the system says when descriptors or ports have run out here (ENFILE, EMFILE, EADDRNOTAVAIL).
+const SHORT: [i32; 3] = [23, 24, 99];
 
 /// What the calls keep to.
 pub struct Limits {
@@ -42,6 +45,8 @@
     idle: RefCell<BTreeMap<u64, VecDeque<Idle>>>,
     /// All connections, idle or not.
     open: Cell<usize>,
+    /// A connection was closed, or could be.
+    freed: Notify,
 }
 
 /// A connection that counts as open until it is dropped.
@@ -62,7 +67,14 @@
 
 pub async fn run(shared: Shared, mut orders: UnboundedReceiver<Order>, limits: Limits) {
     let clock = shared.borrow().clock;
-    let endpoints = Endpoints { shared, clock, limits, idle: RefCell::default(), open: Cell::new(0) };
+    let endpoints = Endpoints {
+        shared,
+        clock,
+        limits,
+        idle: RefCell::default(),
+        open: Cell::new(0),
+        freed: Notify::new(),
+    };
     let endpoints = Rc::new(endpoints);
     // Half of the margin at which idle connections are closed.
     let every = (endpoints.limits.idle / 40).max(Duration::from_millis(5));
@@ -123,6 +135,7 @@
 
     fn close(&self, many: usize) {
         self.open.set(self.open.get() - many);
+        (0..many).for_each(|_| self.freed.notify_one());
     }
 
     fn let_go(&self, place: u64) {
@@ -160,6 +173,7 @@
         if let Some(link) = if current { counted.link.take() } else { None } {
             let idle = Idle { link, since: Instant::now() };
             self.idle.borrow_mut().entry(call.place).or_default().push_back(idle);
+            self.freed.notify_one();
         }
     }
 
@@ -176,21 +190,29 @@
     }
 
     async fn connection(self: &Rc<Self>, call: &Call, until: Instant) -> Result<Counted, Outcome> {
-        if let Some(link) = if call.fresh { None } else { self.take(call.place) } {
-            return Ok(Counted { link: Some(link), endpoints: self.clone(), kept: true });
+        loop {
+            if let Some(link) = if call.fresh { None } else { self.take(call.place) } {
+                return Ok(Counted { link: Some(link), endpoints: self.clone(), kept: true });
+            }
+            if self.make_room() {
+                break;
+            }
+            // Guards against calls that are told of as failed, and mails that use up their connects, for want of
+            // a descriptor here: they wait for one.
+            let freed = timeout_at(until.into(), self.freed.notified()).await;
+            freed.map_err(|_| Outcome::Unsent)?;
         }
         let address = call.address.ok_or(Outcome::Unreached)?;
-        if !self.make_room() {
-            log::warn!("no room for one more connection to endpoints");
-            return Err(Outcome::Unreached);
-        }
         self.open.set(self.open.get() + 1);
         let until = until.min(Instant::now() + self.limits.connect);
         match timeout_at(until.into(), Link::open(address)).await {
             Ok(Ok(link)) => Ok(Counted { link: Some(link), endpoints: self.clone(), kept: false }),
-            _ => {
+            failed => {
                 self.close(1);
-                Err(Outcome::Unreached)
+                // Guards against an endpoint that is held to be out because we have no descriptor left.
+                let ours =
+                    matches!(failed, Ok(Err(e)) if e.raw_os_error().is_some_and(|e| SHORT.contains(&e)));
+                Err(if ours { Outcome::Unsent } else { Outcome::Unreached })
             }
         }
     }
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -61,12 +61,11 @@
     stop: impl Future<Output = ()>,
 ) -> io::Result<()> {
     let Config { name, listen, state, sockets, disk, known, decoded, .. } = config;
-    // Clients and endpoints get a half each.
-    let half = (sockets - OWN_SOCKETS) / 2;
+    let for_clients = sockets / 3;
     let limits = endpoints::Limits {
         connect: exchange::duration(decoded.settings.connect_timeout),
         idle: exchange::duration(decoded.keep_idle),
-        connections: half,
+        connections: sockets - OWN_SOCKETS - for_clients,
         may_overlap: decoded.may_overlap,
     };
     // First, so that a second start by mistake touches nothing.
@@ -87,7 +86,7 @@
     parts.spawn_local(endpoints::run(shared.clone(), orders_in, limits));
     parts.spawn_local(notices::tell(shared.clone(), discovery.clone(), notices_in));
     parts.spawn_local(discovery::follow(shared.clone(), discovery, index));
-    let listening = parts.spawn_local(clients::listen(shared.clone(), listener, half, phase_in));
+    let listening = parts.spawn_local(clients::listen(shared.clone(), listener, for_clients, phase_in));
     parts.spawn_local(log_counts(shared.clone()));
     log::info!("{name} serves at {listen}");
     tokio::select! {
--- a/crates/courier/tests/courier.rs
+++ b/crates/courier/tests/courier.rs
@@ -468,6 +468,25 @@
     assert!(idle > Duration::from_millis(1500) && idle < Duration::from_millis(2500), "{idle:?}");
 }
 
+#[test]
+fn with_no_descriptor_left_for_a_call_no_endpoint_is_blamed() {
+    let platform = Platform::new();
+    let first = Endpoint::new(&vec![Reply::After(300, Box::new(OK)); 40]);
+    platform.list("e1", first.address, "single", 7, "SERVING");
+    let courier = Courier::start(&platform, |config| {
+        // A third for clients and 32 kept back leave eleven for calls.
+        config["limits"]["sockets"] = json!(64);
+        config["settings"]["FamilyInfo"]["Slots"] = json!(16);
+    });
+    let mut client = courier.client();
+    for i in 0..20 {
+        assert_eq!(client.put(&i.to_string(), "once", LATE), "+OK");
+    }
+    until("their ends", || courier.owes_nothing());
+    assert_eq!((first.calls().len(), platform.notices()), (20, vec![]));
+    assert!(first.connections().0 <= 11);
+}
+
 #[test]
 fn once_only_mails_go_on_new_connections_while_kept_ones_break() {
     let (platform, endpoint, courier) = world("single", &[OK, Reply::Break]);
