Clients' sockets are counted until they are closed, and none is accepted over their share

Line at fault: clients.rs, listen: accepted as fast as they came, and only those still in the map counted; the ones that made way held their descriptors until their tasks ran. Ruled out: memory (4 of 48 MB), CPU (0.10 s in a second). Now sockets count until they are closed and accept waits for one that makes way; the rest wait in the system's line.

--- a/crates/courier/src/clients.rs
+++ b/crates/courier/src/clients.rs
@@ -21,6 +21,8 @@
 const QUIET: Duration = Duration::from_millis(2200);
 /// For so long what a client still sends is read when it has been turned away.
 const LINGER: Duration = Duration::from_secs(3);
+/// For so long one that makes way is waited for before another is asked to.
+const WAY: Duration = Duration::from_millis(10);
 const SINK: usize = 1 << 16;
 /// A command that has begun must have come by then, and an answer must have been read: clients wait for less.
 const PATIENCE: Duration = Duration::from_secs(1);
@@ -42,6 +44,9 @@
     /// by their last answer.
     open: RefCell<BTreeMap<Turn, Rc<Notify>>>,
     turn: Cell<u64>,
+    /// All sockets of clients, those that make way and are not closed yet among them.
+    sockets: Cell<usize>,
+    ended: Notify,
     /// Where what nobody wants is read to.
     sink: RefCell<Vec<u8>>,
 }
@@ -52,15 +57,21 @@
 /// Accepts until it is dropped.
 pub async fn listen(shared: Shared, listener: TcpListener, most: usize, phase: watch::Receiver<Phase>) {
     let (turn, sink) = (Cell::new(0), RefCell::new(vec![0; SINK]));
-    let clients = Rc::new(Clients { shared, most, open: RefCell::default(), turn, sink });
+    let (open, sockets, ended) = (RefCell::default(), Cell::new(0), Notify::new());
+    let clients = Rc::new(Clients { shared, most, open, turn, sockets, ended, sink });
     let mut short = false;
     loop {
+        // Guards against a burst that takes all descriptors, those of the notices and the journal too, before
+        // those that make way are closed: until then it waits in the system's line.
+        while clients.sockets.get() >= clients.most {
+            clients.make_way();
+            let _ = timeout(WAY, clients.ended.notified()).await;
+        }
         match listener.accept().await {
             Ok((stream, _)) => {
                 short = false;
+                clients.sockets.set(clients.sockets.get() + 1);
                 tokio::task::spawn_local(clients.clone().serve(stream, phase.clone()));
-                // Guards against a burst that takes all descriptors before those that make way are closed.
-                tokio::task::yield_now().await;
             }
             Err(e) => {
                 // Out of descriptors, most likely: others are closing.
@@ -77,13 +88,6 @@
     async fn serve(self: Rc<Self>, mut stream: TcpStream, phase: watch::Receiver<Phase>) {
         let (closed, mut turn) = (Rc::new(Notify::new()), (false, 0));
         self.touch(&mut turn, &closed, false);
-        // Guards against floods that leave no room: whoever has said nothing for longest makes way, and a client
-        // whose connection is closed between requests comes again.
-        if self.open.borrow().len() > self.most {
-            if let Some((_, oldest)) = self.open.borrow_mut().pop_first() {
-                oldest.notify_one();
-            }
-        }
         match self.converse(&mut stream, phase, &closed, &mut turn).await {
             Ok(true) => {
                 self.touch(&mut turn, &closed, false);
@@ -93,6 +97,16 @@
             Err(e) => log::debug!("a client's connection ended: {e}"),
         }
         self.open.borrow_mut().remove(&turn);
+        self.sockets.set(self.sockets.get() - 1);
+        self.ended.notify_one();
+    }
+
+    /// Guards against floods that leave no room: whoever has said nothing for longest makes way, and a client
+    /// whose connection is closed between requests comes again.
+    fn make_way(&self) {
+        if let Some((_, oldest)) = self.open.borrow_mut().pop_first() {
+            oldest.notify_one();
+        }
     }
 
     /// The connection is the one touched last; `answered`: it makes way after those that were not.
--- a/crates/courier/tests/common/mod.rs
+++ b/crates/courier/tests/common/mod.rs
@@ -400,6 +400,11 @@
         self.ready();
     }
 
+    /// Descriptors that it holds now.
+    pub fn sockets(&self) -> usize {
+        fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
