--- a/src/control.rs
+++ b/src/control.rs
@@ -521,8 +521,7 @@
     /// What waiting costs: the importance lost a second, felt as the target delay or the end comes near.
     fn urgency(&self, mail: usize) -> f64 {
         let m = &self.mails[mail];
-        // What will not be served in time before its end is worth no call.
-        let (left, slope) = self.worth(mail, self.now + self.dests[m.dest].latency.mean as Time);
+        let (left, slope) = self.worth(mail, self.now);
         let target = seconds(self.set.classes[m.class].target.max(1));
         let near = |end: Time| (-seconds(end.saturating_sub(self.now)) / target).exp();
         slope * near(m.target) + left / target * near(m.due)
