Read-through: one look at a socket for clients and endpoints, no name used twice over

The peek before a close (clients.rs) and before a reuse (link.rs) were the same call twice; link::peek serves both. The floor of the pace uses the share that is named beside it, a long line is wrapped.

--- a/crates/courier/src/clients.rs
+++ b/crates/courier/src/clients.rs
@@ -3,19 +3,17 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
-use std::mem::MaybeUninit;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
 use tokio::time::{timeout, Instant};
 
 use crate::exchange::{Answer, Offer, Shared};
-use crate::{http, resp};
+use crate::{http, link, resp};
 
 /// A connection on which nothing is asked is ended after so long: its client comes anew when it has to.
 const QUIET: Duration = Duration::from_millis(2200);
@@ -187,7 +185,7 @@
                 () = tokio::time::sleep_until(end) => return Ok(true),
                 () = closed.notified(), if asked.is_none() => {
                     // Guards against a close over a request that the runtime has not heard of yet.
-                    match SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit(); 1]) {
+                    match link::peek(stream) {
                         Ok(1..) => continue,
                         _ => return Ok(true),
                     }
--- a/crates/courier/src/link.rs
+++ b/crates/courier/src/link.rs
@@ -28,6 +28,12 @@
     io::Error::new(io::ErrorKind::InvalidData, malformed.0)
 }
 
+/// Whether a byte waits to be read (1), or the other side has ended (0). Guards against what the runtime has not
+/// heard of yet: its own reads ask the system only once it has.
+pub fn peek(stream: &TcpStream) -> io::Result<usize> {
+    SockRef::from(stream).peek(&mut [MaybeUninit::uninit(); 1])
+}
+
 impl Link {
     pub async fn open(address: SocketAddr) -> io::Result<Link> {
         let stream = TcpStream::connect(address).await?;
@@ -37,9 +43,7 @@
 
     /// Whether an idle connection can carry a request: still open, and nothing unasked has come on it.
     pub fn usable(&self) -> bool {
-        // Guards against what the runtime has not heard of yet: its own reads ask the system only once it has.
-        let nothing = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit(); 1]);
-        self.buffer.is_empty() && nothing.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+        self.buffer.is_empty() && peek(&self.stream).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Whether what has come of an answer is a first line that says 200, though no head can be read.
--- a/src/control.rs
+++ b/src/control.rs
@@ -385,7 +385,7 @@
                 // Guards against refused calls that use up the limit, whoever else shares it.
                 let even = unit.even;
                 let before = if unit.pace > 0.0 { unit.pace } else { unit.sent.rate(now, WINDOW).max(even) };
-                let floor = if unit.even > 0.0 { unit.even / 12.0 } else { 0.2 };
+                let floor = if even > 0.0 { even / 12.0 } else { 0.2 };
                 unit.pace = if scant { 0.0 } else { (before * SLOWER).max(floor) };
                 unit.saved = Saved { calls: 1.0, at: unit.hold_until };
                 if now > unit.refused_since + self.set.overload_for {
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,4 +1,5 @@
-//! What a courier keeps in mind, as plain types, and the arithmetic of what fades or is saved up. Nothing is decided here.
+//! What a courier keeps in mind, as plain types, and the arithmetic of what fades or is saved up. Nothing is
+//! decided here.
 
 use crate::control::Standing;
 use crate::interface::{Life, Time, SECOND};
