Read-through: an outcome is told to the exchange in one place

tell() and over() in endpoints.rs were twins: the one did without the check that a mail was not told of as silent before, which holds where it was called. One serves all.

--- a/crates/courier/src/endpoints.rs
+++ b/crates/courier/src/endpoints.rs
@@ -217,11 +217,6 @@
         }
     }
 
-    fn tell(&self, letters: &[Letter], seen: &Seen) {
-        let mut exchange = self.shared.borrow_mut();
-        letters.iter().for_each(|letter| exchange.seen(letter.serial, seen.clone()));
-    }
-
     async fn call(self: Rc<Self>, mut call: Call) {
         let last = call.letters.iter().map(|letter| letter.until).max().unwrap_or_default();
         if !self.limits.may_overlap {
@@ -256,7 +251,7 @@
             }
             // Closed: what else has come, or will, belongs to no call.
             Answer::Ended(outcome) => {
-                self.over(&letters, &Seen { kept: counted.kept, ..Seen::only(outcome) });
+                self.tell(&letters, &Seen { kept: counted.kept, ..Seen::only(outcome) });
             }
         }
     }
@@ -303,13 +298,13 @@
                 }
                 None => read_status(head, several),
             };
-            self.over(std::slice::from_ref(letter), &seen);
+            self.tell(std::slice::from_ref(letter), &seen);
         }
     }
 
     /// Guards against a second outcome for a mail that was told of as silent: it may be out again, and only
     /// its end is news.
-    fn over(&self, letters: &[Letter], seen: &Seen) {
+    fn tell(&self, letters: &[Letter], seen: &Seen) {
         let mut exchange = self.shared.borrow_mut();
         for letter in letters {
             if letter.until > 0 {
