--- /dev/null
+++ b/crates/emulator/src/agenda.rs
@@ -0,0 +1,90 @@
+//! What happens next: events in order of time, and of the order in which they were put on at the same time.
+
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+
+use meadowhold::interface::Time;
+
+struct Entry<E> {
+    at: Time,
+    number: u64,
+    event: E,
+}
+
+impl<E> PartialEq for Entry<E> {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl<E> Eq for Entry<E> {}
+
+impl<E> PartialOrd for Entry<E> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<E> Ord for Entry<E> {
+    /// The earliest is the greatest, for the standard heap gives the greatest first.
+    fn cmp(&self, other: &Self) -> Ordering {
+        (other.at, other.number).cmp(&(self.at, self.number))
+    }
+}
+
+pub struct Agenda<E> {
+    heap: BinaryHeap<Entry<E>>,
+    next: u64,
+    now: Time,
+}
+
+impl<E> Default for Agenda<E> {
+    fn default() -> Self {
+        Agenda { heap: BinaryHeap::new(), next: 0, now: 0 }
+    }
+}
+
+impl<E> Agenda<E> {
+    /// Time of the event that was taken last.
+    pub fn now(&self) -> Time {
+        self.now
+    }
+
+    /// Puts an event on; what is due in the past happens now.
+    pub fn put(&mut self, at: Time, event: E) {
+        self.next += 1;
+        self.heap.push(Entry { at: at.max(self.now), number: self.next, event });
+    }
+
+    pub fn take(&mut self) -> Option<(Time, E)> {
+        let entry = self.heap.pop()?;
+        self.now = entry.at;
+        Some((entry.at, entry.event))
+    }
+
+    /// Events that were put on so far.
+    pub fn count(&self) -> u64 {
+        self.next
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn events_come_in_order_of_time_then_of_putting() {
+        let mut agenda = Agenda::default();
+        for (at, event) in [(5, 'c'), (1, 'a'), (5, 'd'), (3, 'b')] {
+            agenda.put(at, event);
+        }
+        let mut seen = String::new();
+        while let Some((at, event)) = agenda.take() {
+            seen.push(event);
+            if event == 'b' {
+                agenda.put(at - 2, 'x');
+            }
+        }
+        assert_eq!((seen.as_str(), agenda.now()), ("abxcd", 5));
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/baselines.rs
@@ -0,0 +1,370 @@
+//! Other ways to decide, for comparison alone: what the field does without this project's design. They share the
+//! bookkeeping and keep effects, waits, drains and order as the rules ask; none of them paces a returning partner.
+//!
+//! `Wrong` spoils one rule on purpose, so that it can be shown that the judge sees it.
+
+use std::collections::VecDeque;
+
+use meadowhold::interface::{Action, Effect, Ended, Input, Life, Outcome, Settings, Taken, Time, SECOND};
+
+use crate::chance::{Purpose, Stream};
+use crate::decider::{Decider, Sight};
+use crate::slots::Slots;
+
+/// How a baseline limits and retries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Style {
+    /// Each mail goes out once, to an endpoint drawn at random.
+    OneTry,
+    /// One pool of slots for all destinations, in order of arrival, retries at once.
+    SharedPool,
+    /// A quarter of the slots for each destination, whatever it does.
+    FixedCap,
+    /// A limit for each destination that grows by one a round trip and falls with latency or failure.
+    Gradient,
+    /// An endpoint that fails five times in a row is left alone for a while; retries are a fifth of first tries.
+    Ejection,
+}
+
+impl Style {
+    pub const ALL: [(&'static str, Style); 5] = [
+        ("one-try", Style::OneTry),
+        ("shared-pool", Style::SharedPool),
+        ("fixed-cap", Style::FixedCap),
+        ("gradient", Style::Gradient),
+        ("ejection", Style::Ejection),
+    ];
+}
+
+/// A rule that is broken on purpose.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Wrong {
+    #[default]
+    Nothing,
+    /// One mail in seven is taken on and forgotten.
+    Loses,
+    /// Once-only mails are tried again like all others.
+    Repeats,
+    IgnoresDrains,
+    /// All that waits goes out at once, whatever became of what went before.
+    Floods,
+    IgnoresOrder,
+    IgnoresWaits,
+}
+
+const EJECT_AFTER: u32 = 5;
+const EJECT_FOR: Time = 5 * SECOND;
+const RETRY_SHARE: f64 = 0.2;
+/// A gradient limit shrinks once latency is so many times the best seen.
+const SLOW_MULTIPLE: f64 = 2.0;
+const SHRINK: f64 = 0.8;
+
+#[derive(Clone, Default)]
+struct Held {
+    dest: usize,
+    class: usize,
+    key: Option<usize>,
+    due: Time,
+    connects: usize,
+    sent: Time,
+    endpoint: usize,
+    call: usize,
+    ran: Option<(Time, usize)>,
+    out: bool,
+    over: bool,
+    used: bool,
+}
+
+#[derive(Clone, Default)]
+struct End {
+    known: bool,
+    dest: usize,
+    unit: usize,
+    zone: usize,
+    batch: usize,
+    ready: bool,
+    named: bool,
+    fails: u32,
+    ejections: u32,
+    ejected_until: Time,
+    out: usize,
+}
+
+#[derive(Clone, Default)]
+struct Dest {
+    ends: Vec<usize>,
+    out: usize,
+    limit: f64,
+    best: f64,
+}
+
+pub struct Plain {
+    set: Settings,
+    style: Style,
+    wrong: Wrong,
+    chance: Stream,
+    mails: Vec<Held>,
+    ends: Vec<End>,
+    dests: Vec<Dest>,
+    holds: Vec<Time>,
+    lines: Vec<(VecDeque<usize>, Time)>,
+    parked: VecDeque<usize>,
+    slots: Slots,
+    budget: f64,
+    ask_at: Option<Time>,
+}
+
+fn grow<T: Default>(list: &mut Vec<T>, index: usize) -> &mut T {
+    if index >= list.len() {
+        list.resize_with(index + 1, T::default);
+    }
+    &mut list[index]
+}
+
+impl Plain {
+    pub fn new(set: Settings, style: Style, wrong: Wrong) -> Plain {
+        Plain {
+            chance: Stream::new(set.seed, Purpose::Decider, 1),
+            ask_at: set.ask_list.then_some(0),
+            style,
+            wrong,
+            mails: Vec::new(),
+            ends: Vec::new(),
+            dests: Vec::new(),
+            holds: Vec::new(),
+            lines: Vec::new(),
+            parked: VecDeque::new(),
+            slots: Slots::default(),
+            budget: 1.0,
+            set,
+        }
+    }
+
+    fn read(&mut self, now: Time, input: &Input, out: &mut Vec<Action>) {
+        match input {
+            Input::ListBegin { whole } => {
+                self.ends.iter_mut().filter(|_| *whole).for_each(|e| e.named = false)
+            }
+            Input::Listed(entry) => {
+                let (apart, batch) = (self.set.kinds[entry.kind].apart, self.set.kinds[entry.kind].batch);
+                let dest = grow(&mut self.dests, entry.dest);
+                dest.limit = if dest.limit > 0.0 { dest.limit } else { 4.0 };
+                let e = grow(&mut self.ends, entry.endpoint);
+                if !e.known {
+                    dest.ends.push(entry.endpoint);
+                }
+                (e.known, e.named, e.dest, e.zone) = (true, true, entry.dest, entry.zone);
+                e.batch = batch;
+                e.ready = entry.life == Life::Ready;
+                e.unit = if apart { 2 * entry.endpoint + 1 } else { 2 * entry.dest };
+                let unit = e.unit;
+                grow(&mut self.holds, unit);
+            }
+            Input::ListEnd => self.ends.iter_mut().filter(|e| !e.named).for_each(|e| e.ready = false),
+            Input::ListFailed => self.ask_at = Some(now + self.set.ask_within / 8),
+            Input::Taken(taken) => self.take(taken),
+            Input::Rested { key, since } => {
+                let rest = &mut grow(&mut self.lines, *key).1;
+                *rest = (*rest).max(since + self.set.turn_gap);
+            }
+            Input::Hangup { mail } => self.end(*mail, out),
+            Input::Ended(ended) => self.settle(now, ended, out),
+            Input::Woken => {}
+        }
+    }
+
+    fn take(&mut self, taken: &Taken) {
+        let Taken { mail, dest, class, key, due, connects, ran, .. } = *taken;
+        let new = Held { dest, class, key, due, connects, ran, used: true, ..Held::default() };
+        *grow(&mut self.mails, mail) = new;
+        if let Some(key) = key {
+            grow(&mut self.lines, key).0.push_back(mail);
+        }
+        grow(&mut self.dests, dest);
+        self.budget += RETRY_SHARE;
+        if self.wrong != Wrong::Loses || mail % 7 != 0 {
+            self.parked.push_back(mail);
+        }
+    }
+
+    /// Whether a mail may go again, and whether its client may try again: the rules' word on effects.
+    fn may(&self, now: Time, m: &Held) -> (bool, bool) {
+        let c = &self.set.classes[m.class];
+        let left = m.connects < self.set.max_connects && now < m.due;
+        match (m.ran, c.effect) {
+            (None, _) | (_, Effect::Redeliverable) => (left, true),
+            (Some((sent, _)), Effect::Tagged) => {
+                // The window counts at the partner: a connect's own way there is allowed for.
+                (left && now + self.set.connect_timeout < sent + c.window, !c.by_zone)
+            }
+            (Some(_), Effect::OnceOnly) if self.wrong == Wrong::Repeats => (left, true),
+            (Some(_), Effect::OnceOnly) => (false, false),
+        }
+    }
+
+    fn end(&mut self, mail: usize, out: &mut Vec<Action>) {
+        let m = &mut self.mails[mail];
+        if !m.used {
+            return;
+        }
+        m.over = true;
+        if m.out {
+            return;
+        }
+        m.used = false;
+        if let Some(key) = m.key {
+            self.lines[key].0.retain(|&queued| queued != mail);
+        }
+        self.parked.retain(|&parked| parked != mail);
+        out.push(Action::FreeMail(mail));
+    }
+
+    fn give_up(&mut self, now: Time, mail: usize, out: &mut Vec<Action>) {
+        let (_, deferrable) = self.may(now, &self.mails[mail]);
+        out.push(if deferrable { Action::Defer { mail, pause: 0 } } else { Action::Bounce { mail } });
+        self.end(mail, out);
+    }
+
+    fn settle(&mut self, now: Time, ended: &Ended, out: &mut Vec<Action>) {
+        let Ended { mail, outcome, over, wait, took, .. } = *ended;
+        let m = &mut self.mails[mail];
+        if !m.out {
+            return;
+        }
+        m.out = false;
+        let (endpoint, dest) = (m.endpoint, m.dest);
+        let ended = usize::from(self.slots.give_back(m.call));
+        let e = &mut self.ends[endpoint];
+        e.out -= ended;
+        self.dests[dest].out -= ended;
+        self.holds[e.unit] = self.holds[e.unit].max(now + wait);
+        if !outcome.never_ran() {
+            m.ran = m.ran.or(Some((m.sent, e.zone)));
+        }
+        if let Some(key) = m.key.filter(|_| outcome.may_run_on()) {
+            self.lines[key].1 = self.lines[key].1.max(now + self.set.turn_gap);
+        }
+        self.learn(now, endpoint, dest, outcome, took);
+        let (again, _) = self.may(now, &self.mails[mail]);
+        let budgeted = self.style != Style::Ejection || self.budget >= 1.0 || outcome == Outcome::Refused;
+        let unsent = outcome == Outcome::Unsent;
+        if over || self.mails[mail].over {
+            self.end(mail, out);
+        } else if again && (unsent || (self.style != Style::OneTry && budgeted)) {
+            self.budget -= if unsent || outcome == Outcome::Refused { 0.0 } else { 1.0 };
+            self.parked.push_front(mail);
+        } else {
+            self.give_up(now, mail, out);
+        }
+    }
+
+    fn learn(&mut self, now: Time, endpoint: usize, dest: usize, outcome: Outcome, took: Time) {
+        let (e, d) = (&mut self.ends[endpoint], &mut self.dests[dest]);
+        let well = outcome == Outcome::Relayed;
+        let neutral = matches!(outcome, Outcome::Unsent | Outcome::CalledOff | Outcome::Spoilt);
+        if well {
+            (e.fails, e.ejections) = (0, e.ejections.saturating_sub(1));
+            let took = took as f64;
+            d.best = if d.best > 0.0 { d.best.min(took) * 1.001 } else { took };
+            d.limit = if took > SLOW_MULTIPLE * d.best * 2.0 { d.limit } else { d.limit + 1.0 / d.limit };
+        } else if !neutral {
+            e.fails += 1;
+            d.limit *= SHRINK;
+            if self.style == Style::Ejection && e.fails >= EJECT_AFTER {
+                (e.fails, e.ejections) = (0, (e.ejections + 1).min(6));
+                e.ejected_until = now + EJECT_FOR * Time::from(e.ejections);
+            }
+        }
+        d.limit = d.limit.clamp(1.0, self.set.slots as f64);
+    }
+
+    fn cap(&self, dest: usize) -> usize {
+        match self.style {
+            Style::OneTry | Style::SharedPool | Style::Ejection => self.set.slots,
+            Style::FixedCap => (self.set.slots / 4).max(1),
+            Style::Gradient => self.dests[dest].limit as usize,
+        }
+    }
+
+    fn pick(&mut self, now: Time, mail: usize) -> Option<usize> {
+        let m = &self.mails[mail];
+        let by_zone = self.set.classes[m.class].by_zone;
+        let (wrong, style, ran) = (self.wrong, self.style, m.ran);
+        let fits = |&&e: &&usize| {
+            let end = &self.ends[e];
+            (end.ready || wrong == Wrong::IgnoresDrains)
+                && (now >= self.holds[end.unit] || wrong == Wrong::IgnoresWaits)
+                && now >= end.ejected_until
+                && ran.is_none_or(|(_, zone)| !by_zone || zone == end.zone)
+        };
+        let ends = &self.dests[m.dest].ends;
+        let count = ends.iter().filter(fits).count();
+        if count == 0 {
+            return None;
+        }
+        let draw = |chance: &mut Stream| ends.iter().filter(fits).nth(chance.below(count)).copied();
+        let (first, second) = (draw(&mut self.chance), draw(&mut self.chance));
+        let two = style != Style::OneTry;
+        let other = second.filter(|&s| two && first.is_some_and(|f| self.ends[s].out < self.ends[f].out));
+        other.or(first)
+    }
+
+    fn dispatch(&mut self, now: Time, out: &mut Vec<Action>) {
+        let slots = if self.wrong == Wrong::Floods { usize::MAX } else { self.set.slots };
+        self.slots.next_turn();
+        let mut later = VecDeque::new();
+        while let Some(mail) = self.parked.pop_front() {
+            let m = &self.mails[mail];
+            let in_turn = m.key.is_none_or(|key| {
+                let (line, rest) = &self.lines[key];
+                line.front() == Some(&mail) && (m.connects > 0 || now >= *rest)
+            });
+            let in_turn = in_turn || self.wrong == Wrong::IgnoresOrder;
+            let full = self.dests[m.dest].out >= self.cap(m.dest) && self.wrong != Wrong::Floods;
+            let endpoint = if in_turn && !full { self.pick(now, mail) } else { None };
+            let room = |&e: &usize| self.slots.has_room(e, self.ends[e].batch, slots);
+            let endpoint = endpoint.filter(room);
+            let Some(endpoint) = endpoint else {
+                later.push_back(mail);
+                continue;
+            };
+            let m = &mut self.mails[mail];
+            let left = m.due.saturating_sub(now).max(1);
+            let class = &self.set.classes[m.class];
+            let patience = if class.effect == Effect::OnceOnly { left } else { (2 * class.target).min(left) };
+            (m.out, m.sent, m.endpoint) = (true, now, endpoint);
+            m.connects += 1;
+            let before = self.slots.out();
+            m.call = self.slots.take(endpoint, self.ends[endpoint].batch);
+            let begun = self.slots.out() - before;
+            self.ends[endpoint].out += begun;
+            self.dests[m.dest].out += begun;
+            out.push(Action::Connect { mail, endpoint, timeout: patience, fresh: false });
+        }
+        self.parked = later;
+    }
+}
+
+impl Decider for Plain {
+    fn round(&mut self, now: Time, inputs: &[Input], out: &mut Vec<Action>, _: &dyn Sight) -> Option<Time> {
+        inputs.iter().for_each(|input| self.read(now, input, out));
+        out.extend(self.ask_at.take_if(|at| *at <= now).map(|_| Action::WatchList));
+        let margin = 3 * self.set.resolution;
+        let hopeless: Vec<usize> = self
+            .parked
+            .iter()
+            .copied()
+            .filter(|&mail| now + margin >= self.mails[mail].due || !self.may(now, &self.mails[mail]).0)
+            .collect();
+        hopeless.into_iter().for_each(|mail| self.give_up(now, mail, out));
+        self.dispatch(now, out);
+        let busy = self.slots.out() > 0 || !self.parked.is_empty();
+        busy.then_some(now + 2 * self.set.resolution).into_iter().chain(self.ask_at).min()
+    }
+
+    fn may_begin(&self, endpoint: usize, now: Time) -> bool {
+        let e = &self.ends[endpoint];
+        (e.ready || self.wrong == Wrong::IgnoresDrains)
+            && (now >= self.holds[e.unit] || self.wrong == Wrong::IgnoresWaits)
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/calls.rs
@@ -0,0 +1,147 @@
+//! A call on its way: the connection stands, the first byte goes out, the answer comes back, or it is given up.
+
+use meadowhold::interface::{Outcome, Time};
+
+use crate::parts::{Event, Phase, Reply, Stage};
+use crate::world::World;
+
+impl World<'_> {
+    /// The connection stands: the courier asks once more whether the call may begin, then its first byte goes out.
+    pub fn connected(&mut self, now: Time, call: u32) {
+        if !self.is_awaited(call) {
+            self.hang_up_call(call);
+            return;
+        }
+        let c = &self.calls[call as usize];
+        let (courier, process, endpoint, place) = (c.courier, c.process, c.endpoint, c.place);
+        let decider = self.couriers[courier as usize].decider.as_ref();
+        let may = decider.is_some_and(|d| d.may_begin(endpoint as usize, now));
+        if !may {
+            self.counts.unsent += 1;
+            self.calls[call as usize].connected = false;
+            self.keep(now, courier as usize, endpoint, place);
+            self.tell_outcome(now, call, Reply::only(Outcome::Unsent), |_| true);
+            self.calls[call as usize].phase = Phase::Ended;
+            return;
+        }
+        // A mail that turned out to be over while its connection was made is not sent.
+        let over: Vec<u32> = self.calls[call as usize]
+            .riders
+            .iter()
+            .filter(|r| {
+                let m = &self.mails[r.mail as usize];
+                !r.told && (m.stage != Stage::Taken || m.courier != courier)
+            })
+            .map(|r| r.mail)
+            .collect();
+        if !over.is_empty() {
+            self.tell_outcome(now, call, Reply::only(Outcome::Unsent), |r| over.contains(&r.mail));
+        }
+        if !self.calls[call as usize].open {
+            self.calls[call as usize].phase = Phase::Ended;
+            self.hang_up_call(call);
+            return;
+        }
+        let c = &mut self.calls[call as usize];
+        (c.phase, c.started) = (Phase::Going, now);
+        let unit = self.sites[endpoint as usize].unit;
+        let grace = self.day.drain_grace;
+        for i in 0..self.calls[call as usize].riders.len() {
+            let rider = self.calls[call as usize].riders[i];
+            if rider.told {
+                continue;
+            }
+            self.counts.connects += 1;
+            let m = &mut self.mails[rider.mail as usize];
+            m.connects += 1;
+            let (key, again) = (m.key, m.connects > 1);
+            if i == 0 {
+                self.judge.sent((courier, process), (endpoint as usize, unit), rider.mail, now, grace);
+            }
+            if let Some(key) = key {
+                self.judge.sent_in_turn(courier, key, rider.mail, again, now);
+            }
+            self.trace.mark(now, 11, [rider.mail, endpoint]);
+            self.trace.note(now, rider.mail, || format!("goes out to endpoint {endpoint}, call {call}"));
+        }
+        let hall = self.day.endpoints[endpoint as usize].hall;
+        if self.passes(self.couriers[courier as usize].hall, hall) {
+            let at = now + self.calls[call as usize].way[0];
+            self.agenda.put(at, Event::Reach { call });
+        } else {
+            self.no_longer_coming(call);
+            self.calls[call as usize].phase = Phase::Lost;
+        }
+    }
+
+    /// A call is there, or will not be.
+    pub fn no_longer_coming(&mut self, call: u32) {
+        let c = &mut self.calls[call as usize];
+        if std::mem::take(&mut c.coming) {
+            self.sites[c.endpoint as usize].coming -= 1;
+        }
+    }
+
+    pub fn unreached(&mut self, now: Time, call: u32) {
+        if self.is_awaited(call) {
+            self.counts.unreached += 1;
+            self.tell_outcome(now, call, Reply::only(Outcome::Unreached), |_| true);
+            self.calls[call as usize].phase = Phase::Ended;
+        }
+    }
+
+    /// The far side's reply sets out, if the way back stands.
+    pub fn send_back(&mut self, now: Time, call: u32, reply: Reply, after: Time) {
+        let c = &self.calls[call as usize];
+        let hall = self.day.endpoints[c.endpoint as usize].hall;
+        if self.passes(hall, self.couriers[c.courier as usize].hall) {
+            self.agenda.put(now + after + c.way[1], Event::Answer { call, reply });
+        }
+    }
+
+    pub fn answer(&mut self, now: Time, call: u32, reply: Reply) {
+        if !self.is_awaited(call) {
+            self.hang_up_call(call);
+            return;
+        }
+        let c = &mut self.calls[call as usize];
+        let (courier, endpoint, place) = (c.courier as usize, c.endpoint, c.place);
+        c.phase = Phase::Ended;
+        match reply.outcome {
+            Outcome::Relayed => self.counts.heard_work += self.calls[call as usize].work,
+            Outcome::Refused => self.counts.refused += self.calls[call as usize].riders.len() as u64,
+            Outcome::Error => self.counts.errors += 1,
+            _ => self.counts.broken += 1,
+        }
+        if reply.outcome == Outcome::Broken {
+            self.hang_up_call(call);
+        } else if self.calls[call as usize].connected {
+            self.calls[call as usize].connected = false;
+            self.keep(now, courier, endpoint, place);
+        }
+        self.tell_outcome(now, call, reply, |_| true);
+    }
+
+    /// The time of some riders is up; once that of all is, the connection is closed and the call runs on unheard.
+    pub fn expire(&mut self, now: Time, call: u32) {
+        if !self.is_awaited(call) {
+            return;
+        }
+        let connecting = self.calls[call as usize].phase == Phase::Connecting;
+        let outcome = if connecting { Outcome::Unsent } else { Outcome::Silent };
+        self.counts.silent += u64::from(!connecting);
+        self.tell_outcome(now, call, Reply::only(outcome), |r| r.end <= now);
+        if !self.calls[call as usize].open && !connecting {
+            self.hang_up_call(call);
+        }
+    }
+
+    /// A call's connection no longer counts at its endpoint.
+    pub fn hang_up_call(&mut self, call: u32) {
+        let c = &mut self.calls[call as usize];
+        let site = &mut self.sites[c.endpoint as usize];
+        if std::mem::take(&mut c.connected) && c.place == site.place {
+            site.connections = site.connections.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/clients.rs
@@ -0,0 +1,304 @@
+//! Mails come in by the day's own stream, whatever becomes of those before them; clients come again after a deferral
+//! or a death, and some hang up. The front chooses the courier and learns late which of them live.
+
+use meadowhold::interface::{Effect, Input, Taken, Time, SECOND};
+
+use crate::chance::{Purpose, Stream};
+use crate::judge::Rule;
+use crate::parts::{Answer, Event, Mail, Stage, NOBODY};
+use crate::scenario::{Shape, What};
+use crate::world::World;
+
+/// Mails of a clump come within this time.
+const CLUMP_WITHIN: Time = SECOND / 20;
+/// A client that finds a dead courier so often gives up.
+const MISSES: u8 = 8;
+
+impl World<'_> {
+    /// Mails a second now, as a multiple of the day's mean.
+    fn swing(&self, now: Time) -> f64 {
+        let (m, t) = (&self.day.mails, now as f64 / self.day.length.max(1) as f64);
+        let turn = std::f64::consts::TAU;
+        let shape = match m.shape {
+            Shape::Steady => 1.0,
+            Shape::Wave => 1.0 + m.swing * (turn * 2.0 * t).sin(),
+            Shape::Day => 1.0 - m.swing * (turn * (t + 0.25)).sin(),
+            Shape::Bursts if now % (6 * SECOND) < SECOND => 1.0 + 2.0 * m.swing,
+            Shape::Bursts => 1.0 - 0.4 * m.swing,
+        };
+        (shape * self.burst).max(1e-3)
+    }
+
+    pub fn next_mail(&mut self, now: Time) {
+        let m = &self.day.mails;
+        let (clumps, clump) = (m.clumps, m.clump.max(1.0));
+        let starts = (1.0 - clumps) + clumps / clump;
+        let gap = self.arrivals.gap() / (m.rate * self.swing(now) * starts).max(1e-9) * SECOND as f64;
+        let at = now + gap.min(1e12) as Time;
+        if at < self.day.length {
+            self.agenda.put(at, Event::Next);
+        }
+        if now == 0 {
+            return; // the first gap counts from the start
+        }
+        let place = self.arrivals.unit() * self.traffic.last().copied().unwrap_or(0.0);
+        let dest = self.traffic.partition_point(|&sum| sum <= place).min(self.traffic.len() - 1) as u32;
+        if self.arrivals.chance(clumps / clump / starts) {
+            let left = (clump * (0.5 + self.arrivals.unit())).round().max(1.0) as u32;
+            self.clump(now, dest, left);
+        } else {
+            self.mail_comes(now, dest);
+        }
+    }
+
+    pub fn clump(&mut self, now: Time, dest: u32, left: u32) {
+        self.mail_comes(now, dest);
+        if left > 1 {
+            self.agenda.put(now + CLUMP_WITHIN / Time::from(left), Event::Clump { dest, left: left - 1 });
+        }
+    }
+
+    fn mail_comes(&mut self, now: Time, dest: u32) {
+        let number = self.mails.len() as u32;
+        let d = &mut Stream::new(self.day.seed, Purpose::Mail, u64::from(number));
+        let place = d.unit() * self.shares.last().copied().unwrap_or(1.0);
+        let class = self.shares.partition_point(|&sum| sum <= place).min(self.shares.len() - 1);
+        let set = &self.day.classes[class].settings;
+        let short = d.chance(self.day.mails.short_lived);
+        let part = if short { self.day.mails.short_part } else { 1.0 };
+        let (any_hall, moved, key) = (d.below(self.day.halls.len()), d.unit(), d.unit());
+        // Some keys come far more often than others.
+        let key = (key * key * self.day.mails.keys as f64) as u32;
+        let shifted = self.shift.last().map(|&t| &self.day.troubles[t]).filter(|t| moved < t.size);
+        let due = now + ((set.lifetime as f64 * part) as Time).max(1);
+        self.mails.push(Mail {
+            dest,
+            class: class as u16,
+            hall: shifted.map_or(any_hall, |t| t.hall) as u16,
+            key: set.in_turn.then_some(key),
+            born: now,
+            due,
+            target: now + set.target,
+            stage: Stage::Outside,
+            courier: NOBODY,
+            index: 0,
+            since: 0,
+            tries: 0,
+            misses: 0,
+            connects: 0,
+            ran: None,
+            out: None,
+            turn: 0,
+            effects: 0,
+            answers: 0,
+            relayed_at: None,
+        });
+        self.trace.mark(now, 1, [number, dest]);
+        self.trace.note(now, number, || format!("comes, for partner {dest}, queue class {class}"));
+        if d.chance(self.day.mails.hang_up) {
+            let at = now + (d.unit() * (due - now) as f64) as Time;
+            self.agenda.put(at, Event::HangUp { mail: number, tries: 1 });
+        }
+        self.send_in(now, number);
+    }
+
+    /// The client hands its mail to the front, which chooses a courier.
+    pub fn send_in(&mut self, now: Time, mail: u32) {
+        let m = &self.mails[mail as usize];
+        if m.stage != Stage::Outside {
+            return;
+        }
+        if now >= m.due {
+            self.mails[mail as usize].stage = Stage::Over;
+            return;
+        }
+        let index = u64::from(mail) << 8 | u64::from(m.tries) << 4 | u64::from(m.misses);
+        let d = &mut Stream::new(self.day.seed, Purpose::Front, index);
+        let courier = self.front_picks(d, mail);
+        let way = 5 + d.below(10) as Time;
+        self.agenda.put(now + way, Event::HandIn { mail, courier: courier as u32 });
+    }
+
+    fn front_picks(&self, d: &mut Stream, mail: u32) -> usize {
+        let m = &self.mails[mail as usize];
+        let all = self.couriers.len();
+        let (any, near, hot) = (d.below(all), d.unit(), d.unit());
+        // From a place drawn on, the first that the front holds to be alive and that the call asks for.
+        let from = |start: usize, fits: &dyn Fn(usize) -> bool| {
+            (0..all).map(|i| (start + i) % all).find(|&c| self.front[c] && fits(c))
+        };
+        // Mails of a key go to one courier for as long as it lives.
+        if let Some(key) = m.key {
+            return from(key as usize % all, &|_| true).unwrap_or(any);
+        }
+        let hot = self.hot.iter().map(|&t| &self.day.troubles[t]).find(|t| hot < t.size);
+        if let Some(t) = hot.filter(|t| !t.couriers.is_empty()) {
+            let start = t.couriers[(near * t.couriers.len() as f64) as usize];
+            return from(start, &|c| t.couriers.contains(&c)).unwrap_or(any);
+        }
+        let shifted = self.shift.last().is_some_and(|&t| self.day.troubles[t].what == What::HallShift);
+        let hall = usize::from(m.hall);
+        let near = (self.day.mails.by_hall || shifted)
+            .then(|| from(any, &|c| self.couriers[c].hall == hall))
+            .flatten();
+        near.or_else(|| from(any, &|_| true)).unwrap_or(any)
+    }
+
+    pub fn hand_in(&mut self, now: Time, mail: u32, courier: u32) {
+        let c = &self.couriers[courier as usize];
+        let m = &self.mails[mail as usize];
+        if m.stage != Stage::Outside {
+            return;
+        }
+        let pause = self.day.mails.pause;
+        if !c.alive {
+            // Nobody took it: this spends none of the client's tries.
+            let m = &mut self.mails[mail as usize];
+            m.misses += 1;
+            if m.misses < MISSES {
+                self.agenda.put(now + pause / 2, Event::Again { mail });
+            } else {
+                m.stage = Stage::Over;
+            }
+            return;
+        }
+        if c.open >= self.day.settings.room {
+            self.counts.turned_away += 1;
+            self.trace.note(now, mail, || format!("turned away by courier {courier}: its room is full"));
+            self.mails[mail as usize].tries += 1;
+            self.come_again(now, mail, 0);
+            return;
+        }
+        self.turns_taken += 1;
+        let (turn, c) = (self.turns_taken, &mut self.couriers[courier as usize]);
+        c.open += 1;
+        let index = c.enter(mail);
+        let m = &mut self.mails[mail as usize];
+        m.tries += 1;
+        (m.stage, m.courier, m.index, m.since, m.turn) = (Stage::Taken, courier, index, now, turn);
+        (m.connects, m.ran, m.out, m.answers) = (0, None, None, 0);
+        self.trace.mark(now, 2, [mail, courier]);
+        self.trace.note(now, mail, || format!("taken on by courier {courier}"));
+        self.take_on(courier as usize, mail);
+    }
+
+    /// A mail goes to the decider: just taken, or owed by an earlier process.
+    pub fn take_on(&mut self, courier: usize, mail: u32) {
+        let m = &self.mails[mail as usize];
+        if let Some(key) = m.key {
+            self.judge.joins(courier as u32, key, mail);
+        }
+        let taken = Taken {
+            mail: m.index as usize,
+            dest: m.dest as usize,
+            class: usize::from(m.class),
+            key: m.key.map(|key| key as usize),
+            since: m.since,
+            due: m.due,
+            connects: usize::from(m.connects),
+            ran: m.ran.map(|(at, hall)| (at, usize::from(hall))),
+        };
+        self.tell(courier, Input::Taken(taken));
+    }
+
+    pub fn hang_up(&mut self, now: Time, mail: u32, tries: u8) {
+        let m = &self.mails[mail as usize];
+        if m.stage == Stage::Outside {
+            self.mails[mail as usize].stage = Stage::Over;
+            return;
+        }
+        let courier = m.courier as usize;
+        if m.stage != Stage::Taken || m.tries > tries || !self.couriers[courier].alive {
+            return;
+        }
+        let index = m.index as usize;
+        self.trace.note(now, mail, || "its client hangs up".to_string());
+        self.finish(now, mail, Answer::HungUp);
+        self.tell(courier, Input::Hangup { mail: index });
+    }
+
+    /// A mail has its final answer (or its client is gone): the judge looks, the client acts on it.
+    pub fn finish(&mut self, now: Time, mail: u32, answer: Answer) {
+        let grace = self.day.answer_grace;
+        let m = &mut self.mails[mail as usize];
+        self.trace.mark(now, 3 + answer as u8, [mail, m.courier]);
+        let (courier, due) = (m.courier, m.due);
+        let c = &mut self.couriers[courier as usize];
+        if m.stage == Stage::Taken {
+            c.open -= 1;
+        }
+        m.answers += 1;
+        let twice = m.answers > 1;
+        m.stage = Stage::Over;
+        if answer == Answer::Relayed && m.relayed_at.is_none() {
+            m.relayed_at = Some(now);
+        }
+        // What an earlier process took and a later one still owes may come after its time.
+        // So may what fell due while its courier's clock stood still.
+        let due_heard = due.max(c.still_until.min(now));
+        let late = now > due_heard + grace && m.since >= c.started && answer != Answer::HungUp;
+        self.trace.note(now, mail, || format!("{answer:?} by courier {courier}").to_lowercase());
+        if twice {
+            self.judge.breaks(Rule::NoMailLost, now, mail, courier, "a second final answer".to_string());
+        } else if late {
+            let words = format!("its final answer came {} ms after its time was up", (now - due) / 10);
+            self.judge.breaks(Rule::NoMailLost, now, mail, courier, words);
+        }
+        self.leave_line(mail);
+    }
+
+    /// A mail that is over and has no connect out no longer holds up those of its key.
+    pub fn leave_line(&mut self, mail: u32) {
+        let m = &self.mails[mail as usize];
+        if let (Some(key), None) = (m.key, m.out) {
+            if m.stage != Stage::Taken {
+                self.judge.leaves(m.courier, key, mail);
+            }
+        }
+    }
+
+    /// After a deferral, or a door that was shut: the client comes again, if it has a try and time left.
+    pub fn come_again(&mut self, now: Time, mail: u32, named: Time) {
+        let m = &mut self.mails[mail as usize];
+        let index = u64::from(mail) << 8 | u64::from(m.tries) << 4 | 15;
+        let d = &mut Stream::new(self.day.seed, Purpose::Front, index);
+        let heeds = d.chance(self.day.mails.heed);
+        let own = (self.day.mails.pause as f64 * (0.5 + d.unit())) as Time;
+        let pause = if heeds { own.max(named) } else { own };
+        m.stage = Stage::Over;
+        let set = &self.day.classes[usize::from(m.class)].settings;
+        if set.effect == Effect::Tagged && self.day.mails.careful {
+            // It may have run, for all the client knows: it comes inside the window alone, with no more time than that.
+            m.due = m.due.min(m.born + set.window);
+        }
+        if usize::from(m.tries) <= self.day.mails.retries && now + pause < m.due {
+            m.stage = Stage::Outside;
+            self.agenda.put(now + pause, Event::Again { mail });
+        }
+    }
+
+    /// What a dead courier held without a journal comes again, unless it may have run and may not be repeated.
+    pub fn outlive(&mut self, now: Time, mail: u32) {
+        let pause = self.day.mails.after_death;
+        let m = &mut self.mails[mail as usize];
+        let effect = self.day.classes[usize::from(m.class)].settings.effect;
+        m.stage = Stage::Over;
+        if m.ran.is_none() || effect == Effect::Redeliverable {
+            m.stage = Stage::Outside;
+            m.answers = 0;
+            self.agenda.put(now + pause, Event::Again { mail });
+        }
+    }
+
+    /// At the end of the day each mail that was taken must be over.
+    pub fn close(&mut self) {
+        let now = self.agenda.now();
+        for mail in 0..self.mails.len() as u32 {
+            let m = &self.mails[mail as usize];
+            if m.stage == Stage::Taken && self.couriers[m.courier as usize].alive {
+                let words = "it never got its final answer".to_string();
+                self.judge.breaks(Rule::NoMailLost, now, mail, m.courier, words);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/day.rs
@@ -0,0 +1,426 @@
+//! A day: one draw from a scenario, with every figure settled. Nothing of it is told to a courier but what its
+//! settings and the list say.
+
+use meadowhold::interface::{self, Settings, Time, SECOND};
+
+use crate::chance::{Purpose, Stream};
+use crate::scenario::{By, Effect, Figure, Limit, ListMode, Scenario, Shape, Trouble, What};
+
+/// Tenths of a millisecond.
+pub fn ms(value: f64) -> Time {
+    (value * (SECOND / 1000) as f64).round().max(0.0) as Time
+}
+
+pub fn secs(value: f64) -> Time {
+    (value * SECOND as f64).round().max(0.0) as Time
+}
+
+#[derive(Clone, Debug)]
+pub struct Class {
+    pub name: String,
+    pub share: f64,
+    pub service: f64,
+    pub spread: f64,
+    pub settings: interface::QueueClass,
+}
+
+/// An outside system: a destination, whose endpoints come one after the other in `Day::endpoints`.
+#[derive(Clone, Debug)]
+pub struct Partner {
+    pub kind: usize,
+    /// Share of the traffic.
+    pub share: f64,
+    pub first: usize,
+    pub count: usize,
+    pub limit: Limit,
+    /// Calls a second for each unit (the partner, or a route apart), and the span that they are counted in.
+    pub rate: f64,
+    pub span: Time,
+    pub listed_rate: f64,
+    pub tells_wait: f64,
+    pub wait: Time,
+    pub refused_count: bool,
+    pub batch: usize,
+    pub item_work: f64,
+    pub apart: bool,
+    pub pace: f64,
+    pub cold_from: f64,
+    pub cold: Time,
+    pub error_share: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Endpoint {
+    pub partner: usize,
+    pub hall: usize,
+    pub slots: usize,
+    pub queue: usize,
+    /// 0: any number.
+    pub connections: usize,
+    /// It comes in the course of the day, in another's place.
+    pub newcomer: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Struck {
+    pub what: What,
+    pub from: Time,
+    pub until: Time,
+    pub size: f64,
+    pub class: Option<usize>,
+    pub hall: usize,
+    pub endpoints: Vec<usize>,
+    /// What takes the place of each, where they are replaced.
+    pub newcomers: Vec<usize>,
+    pub couriers: Vec<usize>,
+    pub mark: u64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Mails {
+    /// Mails a second, on the whole.
+    pub rate: f64,
+    pub full_rate: f64,
+    pub shape: Shape,
+    pub swing: f64,
+    pub clumps: f64,
+    pub clump: f64,
+    pub retries: usize,
+    pub pause: Time,
+    pub heed: f64,
+    pub after_death: Time,
+    pub hang_up: f64,
+    pub short_lived: f64,
+    pub short_part: f64,
+    pub keys: usize,
+    pub by_hall: bool,
+    pub careful: bool,
+    pub front_notice: Time,
+}
+
+#[derive(Clone, Debug)]
+pub struct Day {
+    pub seed: u64,
+    pub length: Time,
+    pub halls: Vec<String>,
+    /// One way between two halls.
+    pub journey: Vec<Vec<Time>>,
+    pub jitter: f64,
+    /// Hall of each courier.
+    pub couriers: Vec<usize>,
+    pub mails: Mails,
+    pub classes: Vec<Class>,
+    pub kinds: Vec<String>,
+    pub partners: Vec<Partner>,
+    pub endpoints: Vec<Endpoint>,
+    pub troubles: Vec<Struck>,
+    pub settings: Settings,
+    pub journal: bool,
+    pub down: Time,
+    pub handshake_turns: f64,
+    pub keep_idle: Time,
+    pub told_limits: bool,
+    pub list_mode: ListMode,
+    pub list_lag: Time,
+    pub list_spread: Time,
+    pub drain_grace: Time,
+    pub answer_grace: Time,
+    /// Weights of the whole, the worst ten seconds and the worst queue class, to a sum of one.
+    pub weights: [f64; 3],
+    /// Prices of waste, handshakes and refusals.
+    pub prices: [f64; 3],
+}
+
+fn draw(stream: &mut Stream, figure: Figure) -> f64 {
+    // A single value takes a draw too, so that widening one figure does not move the others.
+    let unit = stream.unit();
+    figure.low() + (figure.high() - figure.low()) * unit
+}
+
+fn count(stream: &mut Stream, figure: Figure) -> usize {
+    draw(stream, figure).floor().max(0.0) as usize
+}
+
+impl Day {
+    /// The day of a seed. The scenario has been checked: see `check::faults`.
+    pub fn draw(s: &Scenario, seed: u64) -> Day {
+        let mut stream = Stream::new(seed, Purpose::Figures, 0);
+        let d = &mut stream;
+        let length = secs(draw(d, s.seconds));
+        let couriers = count(d, s.couriers).max(1);
+        let partners = count(d, s.partners).max(1);
+        let full_rate = draw(d, s.mails.full_rate);
+        let halls = s.halls.names.clone();
+        let mut journey = vec![vec![0; halls.len()]; halls.len()];
+        for (a, b) in (0..halls.len()).flat_map(|a| (a..halls.len()).map(move |b| (a, b))) {
+            let way = ms(draw(d, if a == b { s.halls.same_ms } else { s.halls.cross_ms }));
+            (journey[a][b], journey[b][a]) = (way, way);
+        }
+        let mails = Mails {
+            rate: full_rate * draw(d, s.mails.load),
+            full_rate,
+            shape: s.mails.shape,
+            swing: draw(d, s.mails.swing),
+            clumps: draw(d, s.mails.clumps),
+            clump: draw(d, s.mails.clump),
+            retries: count(d, s.mails.retries),
+            pause: ms(draw(d, s.mails.pause_ms)),
+            heed: draw(d, s.mails.heed),
+            after_death: ms(draw(d, s.mails.after_death_ms)),
+            hang_up: draw(d, s.mails.hang_up),
+            short_lived: draw(d, s.mails.short_lived),
+            short_part: draw(d, s.mails.short_part),
+            keys: count(d, s.mails.keys).max(1),
+            by_hall: s.mails.by_hall,
+            careful: s.mails.careful,
+            front_notice: secs(draw(d, s.mails.front_notice_s)),
+        };
+        let classes = classes(s, d);
+        let uneven = draw(d, s.mails.uneven);
+        let (partners, endpoints) = world(s, seed, partners, full_rate, uneven, &classes);
+        let mean = classes.iter().map(|c| c.share * c.service).sum::<f64>() / 1000.0;
+        let pace = partners.iter().map(|p| p.share * p.pace).sum::<f64>();
+        let busy = full_rate / couriers as f64 * mean * pace;
+        let settings = Settings {
+            seed,
+            couriers,
+            slots: ((busy * draw(d, s.courier.slots_room)).ceil() as usize).max(s.courier.least_slots),
+            room: ((full_rate / couriers as f64 * draw(d, s.courier.hold_s)).ceil() as usize)
+                .max(s.courier.least_room),
+            max_connects: s.courier.max_connects,
+            resolution: ms(s.courier.resolution_ms).max(1),
+            connect_timeout: ms(s.courier.connect_timeout_ms),
+            max_pause: ms(s.courier.max_pause_ms),
+            ask_list: s.list.mode == ListMode::Ask,
+            ask_within: secs(s.list.ask_within_s),
+            cold_from: partners.iter().map(|p| p.cold_from).fold(1.0, f64::min),
+            cold: partners.iter().map(|p| p.cold).max().unwrap_or(0),
+            tip_multiple: s.rules.tip_multiple,
+            overload_for: secs(s.rules.tip_s),
+            turn_gap: ms(s.courier.turn_gap_ms),
+            by_half: s.courier.by_half,
+            rates_listed: s.list.rates,
+            fees: s.courier.fees.clone(),
+            kinds: s.kind.iter().map(|k| interface::Kind { batch: k.batch, apart: k.apart }).collect(),
+            classes: classes.iter().map(|c| c.settings.clone()).collect(),
+        };
+        let down = secs(draw(d, s.courier.down_s));
+        let handshake_turns = draw(d, s.courier.handshake_turns);
+        let (list_lag, list_spread) = (secs(draw(d, s.list.lag_s)), secs(draw(d, s.list.spread_s)));
+        let weights = [s.goal.whole, s.goal.worst_window, s.goal.worst_class];
+        let mut day = Day {
+            seed,
+            length,
+            couriers: (0..couriers).map(|c| c % halls.len()).collect(),
+            halls,
+            journey,
+            jitter: draw(d, s.halls.jitter),
+            mails,
+            classes,
+            kinds: s.kind.iter().map(|kind| kind.name.clone()).collect(),
+            partners,
+            endpoints,
+            troubles: Vec::new(),
+            settings,
+            journal: s.courier.journal,
+            down,
+            handshake_turns,
+            keep_idle: secs(s.courier.keep_idle_s),
+            told_limits: s.courier.told_limits,
+            list_mode: s.list.mode,
+            list_lag,
+            list_spread,
+            drain_grace: ms(s.rules.drain_grace_ms),
+            answer_grace: ms(s.rules.answer_grace_ms),
+            weights: weights.map(|w| w / weights.iter().sum::<f64>()),
+            prices: [s.goal.waste_price, s.goal.handshake_price, s.goal.refused_price],
+        };
+        for (i, trouble) in s.trouble.iter().enumerate() {
+            let mut struck = strike(trouble, trouble.mark.unwrap_or(i as u64), &day);
+            if struck.what == What::Replace {
+                struck.newcomers = (0..struck.endpoints.len()).map(|n| day.endpoints.len() + n).collect();
+                let place = |&e: &usize| Endpoint { newcomer: true, ..day.endpoints[e] };
+                let newcomers: Vec<Endpoint> = struck.endpoints.iter().map(place).collect();
+                day.endpoints.extend(newcomers);
+            }
+            day.troubles.push(struck);
+        }
+        day
+    }
+
+    /// The settings of one courier's process.
+    pub fn settings(&self, courier: usize, process: u32) -> Settings {
+        let index = (courier as u64) << 32 | u64::from(process);
+        Settings { seed: Stream::new(self.seed, Purpose::Decider, index).number(), ..self.settings.clone() }
+    }
+
+    /// Mean time of a call with one mail at a partner that is well and warm, in tenths of a millisecond.
+    pub fn mean_service(&self, partner: usize) -> f64 {
+        let mean: f64 = self.classes.iter().map(|c| c.share * c.service).sum();
+        mean * self.partners[partner].pace * (SECOND / 1000) as f64
+    }
+
+    /// Calls a second that an endpoint serves when well and warm.
+    pub fn capacity(&self, endpoint: usize) -> f64 {
+        let e = &self.endpoints[endpoint];
+        e.slots as f64 * SECOND as f64 / self.mean_service(e.partner)
+    }
+}
+
+fn classes(s: &Scenario, d: &mut Stream) -> Vec<Class> {
+    let mut classes: Vec<Class> = s
+        .class
+        .iter()
+        .map(|c| Class {
+            name: c.name.clone(),
+            share: draw(d, c.share),
+            service: draw(d, c.service_ms),
+            spread: draw(d, c.spread),
+            settings: interface::QueueClass {
+                effect: match c.effect {
+                    Effect::Redeliverable => interface::Effect::Redeliverable,
+                    Effect::Tagged => interface::Effect::Tagged,
+                    Effect::OnceOnly => interface::Effect::OnceOnly,
+                },
+                by_zone: c.by_hall,
+                window: ms(c.window_ms),
+                target: ms(c.target_ms),
+                lifetime: ms(c.lifetime_ms),
+                importance: c.importance,
+                late_worth: c.late_worth,
+                in_turn: c.in_turn,
+            },
+        })
+        .collect();
+    let whole: f64 = classes.iter().map(|c| c.share).sum();
+    classes.iter_mut().for_each(|c| c.share /= whole.max(f64::MIN_POSITIVE));
+    classes
+}
+
+/// Partners by falling traffic, and their endpoints.
+fn world(
+    s: &Scenario,
+    seed: u64,
+    count: usize,
+    full_rate: f64,
+    uneven: f64,
+    classes: &[Class],
+) -> (Vec<Partner>, Vec<Endpoint>) {
+    let mean: f64 = classes.iter().map(|c| c.share * c.service).sum::<f64>() / 1000.0;
+    let weights: Vec<f64> = (0..count).map(|p| 1.0 / ((p + 1) as f64).powf(uneven)).collect();
+    let whole: f64 = weights.iter().sum();
+    let shares: f64 = s.kind.iter().map(|k| k.share.low()).sum::<f64>().max(f64::MIN_POSITIVE);
+    // Kinds that lean to much traffic come first; each gets its share of the partners.
+    let mut order: Vec<usize> = (0..s.kind.len()).collect();
+    order.sort_by(|&a, &b| s.kind[b].lean.total_cmp(&s.kind[a].lean));
+    let mut kinds: Vec<usize> = Vec::with_capacity(count);
+    let mut until = 0.0;
+    for &kind in &order {
+        until += s.kind[kind].share.low() / shares * count as f64;
+        while kinds.len() < count && (kinds.len() as f64) < until.round().max(1.0) {
+            kinds.push(kind);
+        }
+    }
+    kinds.resize(count, order[order.len() - 1]);
+    let (mut partners, mut endpoints) = (Vec::with_capacity(count), Vec::new());
+    for (p, &kind_index) in kinds.iter().enumerate() {
+        let d = &mut Stream::new(seed, Purpose::Partner, p as u64);
+        let kind = &s.kind[kind_index];
+        let share = weights[p] / whole;
+        let kind_pace = draw(d, kind.pace);
+        let pace = Stream::spread(d, kind_pace).clamp(0.2, 5.0);
+        let calls = (share * full_rate * draw(d, kind.headroom)).max(draw(d, kind.least_rate));
+        let spare = draw(d, kind.spare);
+        let capacity = if kind.limit == Limit::None { calls } else { calls * spare };
+        let ends = (draw(d, kind.endpoints).floor() as usize).max(1);
+        let busy = capacity * mean * pace / ends as f64;
+        let slots = (busy.ceil() as usize).max(1);
+        let home = d.below(s.halls.names.len());
+        let connections = draw(d, kind.connections);
+        let queue = (draw(d, kind.queue_s) * capacity / ends as f64).ceil() as usize;
+        let units = if kind.apart { ends as f64 } else { 1.0 };
+        let rate = calls / units;
+        let rate_wrong = draw(d, s.list.rate_wrong);
+        let wrong = d.spread(rate_wrong);
+        partners.push(Partner {
+            kind: kind_index,
+            share,
+            first: endpoints.len(),
+            count: ends,
+            limit: kind.limit,
+            rate,
+            span: ms(draw(d, kind.span_ms)),
+            listed_rate: if s.list.rates { rate * wrong } else { 0.0 },
+            tells_wait: draw(d, kind.tells_wait),
+            wait: ms(draw(d, kind.wait_ms)),
+            refused_count: kind.refused_count,
+            batch: kind.batch,
+            item_work: draw(d, kind.item_work),
+            apart: kind.apart,
+            pace,
+            cold_from: draw(d, kind.cold_from),
+            cold: secs(draw(d, kind.cold_s)),
+            error_share: draw(d, kind.error_share),
+        });
+        for i in 0..ends {
+            // Routes apart lie in halls of their own; the endpoints of a partner with one limit stand together.
+            let hall = if kind.apart { (home + i) % s.halls.names.len() } else { home };
+            let tables =
+                if connections > 0.0 { ((connections * slots as f64).ceil() as usize).max(4) } else { 0 };
+            endpoints.push(Endpoint { partner: p, hall, slots, queue, connections: tables, newcomer: false });
+        }
+    }
+    (partners, endpoints)
+}
+
+/// Draws whom a trouble strikes.
+fn strike(t: &Trouble, mark: u64, day: &Day) -> Struck {
+    let d = &mut Stream::new(day.seed, Purpose::Trouble, mark);
+    let from = secs(draw(d, t.at_s));
+    let until = from + secs(draw(d, t.for_s));
+    let (size, part, whole) = (draw(d, t.size), draw(d, t.part), draw(d, t.whole));
+    let hall = t.hall.as_ref().and_then(|name| day.halls.iter().position(|hall| hall == name));
+    let any_hall = d.below(day.halls.len());
+    let class = t.class.as_ref().and_then(|name| day.classes.iter().position(|class| class.name == *name));
+    let class = class.or((t.what == What::ClassErrors).then(|| d.below(day.classes.len())));
+    let kind = t.kind.as_ref().and_then(|name| day.kinds.iter().position(|kind| kind == name));
+    let any_kind = day.partners[d.below(day.partners.len())].kind;
+    let only_hall = hall.or((t.by == By::Hall).then_some(any_hall));
+    let only_kind = kind.or((t.by == By::Kind).then_some(any_kind));
+    let stands = |p: &usize| {
+        let partner = &day.partners[*p];
+        let ends = &day.endpoints[partner.first..partner.first + partner.count];
+        only_kind.is_none_or(|kind| kind == partner.kind)
+            && only_hall.is_none_or(|hall| ends.iter().any(|e| e.hall == hall))
+            && (t.partners.is_empty() || t.partners.contains(p))
+    };
+    let mut partners: Vec<usize> = (0..day.partners.len()).filter(stands).collect();
+    d.shuffle(&mut partners);
+    let (mut endpoints, mut sum) = (Vec::new(), 0.0);
+    for p in partners {
+        // What was named is struck whatever it carries; else until the part of the traffic is reached.
+        if t.partners.is_empty() && (sum >= part || (sum > 0.0 && sum + day.partners[p].share > 1.5 * part)) {
+            continue;
+        }
+        let partner = &day.partners[p];
+        let ends = (partner.first..partner.first + partner.count)
+            .filter(|&e| only_hall.is_none_or(|hall| day.endpoints[e].hall == hall));
+        let ends: Vec<usize> = ends.collect();
+        let all = d.chance(whole) || only_hall.is_some();
+        let struck = if all { ends } else { vec![ends[d.below(ends.len())]] };
+        sum += partner.share * struck.len() as f64 / partner.count as f64;
+        endpoints.extend(struck);
+    }
+    endpoints.sort_unstable();
+    let mut couriers: Vec<usize> = (0..day.couriers.len()).collect();
+    d.shuffle(&mut couriers);
+    if t.couriers.is_empty() {
+        let many =
+            if t.what == What::Roll { day.couriers.len() as f64 } else { day.couriers.len() as f64 * part };
+        couriers.truncate((many.round() as usize).max(1));
+    } else {
+        couriers = t.couriers.iter().copied().filter(|&c| c < day.couriers.len()).collect();
+    }
+    let hall = hall.unwrap_or(any_hall);
+    Struck { what: t.what, from, until, size, class, hall, endpoints, newcomers: Vec::new(), couriers, mark }
+}
--- /dev/null
+++ b/crates/emulator/src/judge.rs
@@ -0,0 +1,206 @@
+//! The six rules as hard checks. The judge is told what was taken, sent, effected and answered, and what each courier
+//! was told and when; it believes nothing that a decider says of itself.
+
+use std::collections::{HashMap, VecDeque};
+
+use meadowhold::interface::Time;
+use serde::{Deserialize, Serialize};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Rule {
+    /// No mail is lost: one final answer each, before its time is up, and nothing sent after it.
+    NoMailLost,
+    NoEffectTwice,
+    DrainsKept,
+    NotPushedOver,
+    OrderKept,
+    WaitsHeeded,
+}
+
+/// A broken rule: the mail (or one of the call's), when, and what happened.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Broken {
+    pub rule: Rule,
+    /// Tenths of a millisecond from the start of the day.
+    pub at: Time,
+    pub mail: u32,
+    pub courier: u32,
+    pub words: String,
+}
+
+/// Mails of one key at one courier that are not over, or have a connect out, in the order in which it took them.
+#[derive(Default)]
+struct Line {
+    mails: VecDeque<u32>,
+    rest_until: Time,
+}
+
+#[derive(Default)]
+pub struct Judge {
+    pub broken: Vec<Broken>,
+    /// How often a rule was broken; `broken` keeps the first few.
+    pub count: usize,
+    /// Courier and unit, or endpoint, or key. All are looked up, never walked.
+    waits: HashMap<(u32, usize), (u32, Time)>,
+    leaving: HashMap<(u32, usize), (u32, Time)>,
+    saw: HashMap<(u32, usize), u32>,
+    lines: HashMap<(u32, u32), Line>,
+}
+
+/// Broken rules that are kept in full; further ones are counted.
+const KEPT: usize = 20;
+
+impl Judge {
+    pub fn breaks(&mut self, rule: Rule, at: Time, mail: u32, courier: u32, words: String) {
+        self.count += 1;
+        if self.broken.len() < KEPT {
+            self.broken.push(Broken { rule, at, mail, courier, words });
+        }
+    }
+
+    /// A courier's process has read that it is to leave a unit alone.
+    pub fn told_wait(&mut self, courier: u32, process: u32, unit: usize, until: Time) {
+        let told = self.waits.entry((courier, unit)).or_insert((process, until));
+        // Told waits end with the process that was told.
+        *told = if told.0 == process { (process, told.1.max(until)) } else { (process, until) };
+    }
+
+    /// A courier's process has read that an endpoint drains or is gone, or is ready (again).
+    pub fn told_life(&mut self, courier: u32, process: u32, endpoint: usize, ready: bool, now: Time) {
+        if ready {
+            self.leaving.remove(&(courier, endpoint));
+        } else {
+            let told = self.leaving.entry((courier, endpoint)).or_insert((process, now));
+            *told = if told.0 == process { *told } else { (process, now) };
+        }
+    }
+
+    /// A courier saw a call fail or be refused at a unit in this outage of it.
+    pub fn saw_outage(&mut self, courier: u32, unit: usize, outage: u32) {
+        self.saw.insert((courier, unit), outage);
+    }
+
+    pub fn has_seen(&self, courier: u32, unit: usize, outage: u32) -> bool {
+        self.saw.get(&(courier, unit)) == Some(&outage)
+    }
+
+    /// The first byte of a call goes out.
+    #[allow(clippy::too_many_arguments)]
+    pub fn sent(
+        &mut self,
+        (courier, process): (u32, u32),
+        (endpoint, unit): (usize, usize),
+        mail: u32,
+        now: Time,
+        grace: Time,
+    ) {
+        match self.waits.get(&(courier, unit)) {
+            Some(&(told, until)) if told == process && now < until => {
+                let words =
+                    format!("a call went out {} ms before the end of a told wait", (until - now) / 10);
+                self.breaks(Rule::WaitsHeeded, now, mail, courier, words);
+            }
+            _ => {}
+        }
+        match self.leaving.get(&(courier, endpoint)) {
+            Some(&(told, at)) if told == process && now > at + grace => {
+                let words =
+                    format!("endpoint {endpoint} was sent a call {} ms after it was told of as leaving", {
+                        (now - at) / 10
+                    });
+                self.breaks(Rule::DrainsKept, now, mail, courier, words);
+            }
+            _ => {}
+        }
+    }
+
+    pub fn joins(&mut self, courier: u32, key: u32, mail: u32) {
+        self.lines.entry((courier, key)).or_default().mails.push_back(mail);
+    }
+
+    /// A mail is over and has no connect out.
+    pub fn leaves(&mut self, courier: u32, key: u32, mail: u32) {
+        if let Some(line) = self.lines.get_mut(&(courier, key)) {
+            line.mails.retain(|&m| m != mail);
+        }
+    }
+
+    /// A connect ended in a way that may leave it running.
+    pub fn rests(&mut self, courier: u32, key: u32, until: Time) {
+        let line = self.lines.entry((courier, key)).or_default();
+        line.rest_until = line.rest_until.max(until);
+    }
+
+    /// The courier's process has ended; what it held in line comes back as it is taken up again, or not at all.
+    pub fn forgets(&mut self, courier: u32, key: u32) {
+        if let Some(line) = self.lines.get_mut(&(courier, key)) {
+            line.mails.clear();
+        }
+    }
+
+    pub fn sent_in_turn(&mut self, courier: u32, key: u32, mail: u32, again: bool, now: Time) {
+        let Some(line) = self.lines.get(&(courier, key)) else { return };
+        let words = match line.mails.front() {
+            Some(&first) if first != mail => {
+                format!("key {key}: sent while mail {first}, taken earlier, is not over or has a connect out")
+            }
+            _ if !again && now < line.rest_until => {
+                format!("key {key}: sent {} ms before the end of its rest", (line.rest_until - now) / 10)
+            }
+            _ => return,
+        };
+        self.breaks(Rule::OrderKept, now, mail, courier, words);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_told_wait_binds_the_process_that_was_told() {
+        let mut judge = Judge::default();
+        judge.told_wait(1, 0, 7, 500);
+        judge.told_wait(1, 0, 7, 300);
+        for (courier, process, unit, now, broken) in
+            [(1, 0, 7, 499, 1), (1, 0, 7, 500, 1), (1, 1, 7, 100, 1), (2, 0, 7, 100, 1), (1, 0, 8, 100, 1)]
+        {
+            judge.sent((courier, process), (0, unit), 3, now, 0);
+            assert_eq!(judge.count, broken, "courier {courier} at {now}");
+        }
+        assert_eq!(judge.broken[0].rule, Rule::WaitsHeeded);
+    }
+
+    #[test]
+    fn a_drain_has_its_grace_and_can_be_taken_back() {
+        let mut judge = Judge::default();
+        judge.told_life(0, 0, 4, false, 100);
+        judge.told_life(0, 0, 4, false, 900);
+        judge.sent((0, 0), (4, 0), 1, 600, 500);
+        assert_eq!(judge.count, 0);
+        judge.sent((0, 0), (4, 0), 1, 601, 500);
+        assert_eq!(judge.count, 1);
+        judge.told_life(0, 0, 4, true, 1_000);
+        judge.sent((0, 0), (4, 0), 1, 9_999, 500);
+        assert_eq!(judge.count, 1);
+    }
+
+    #[test]
+    fn order_is_by_taking_and_rests_bind_first_connects_alone() {
+        let mut judge = Judge::default();
+        judge.joins(0, 5, 10);
+        judge.joins(0, 5, 11);
+        judge.sent_in_turn(0, 5, 10, false, 1);
+        assert_eq!(judge.count, 0);
+        judge.sent_in_turn(0, 5, 11, false, 2);
+        assert_eq!(judge.count, 1);
+        judge.rests(0, 5, 100);
+        judge.leaves(0, 5, 10);
+        judge.sent_in_turn(0, 5, 11, true, 3);
+        assert_eq!(judge.count, 1);
+        judge.sent_in_turn(0, 5, 11, false, 99);
+        judge.sent_in_turn(0, 5, 11, false, 100);
+        assert_eq!(judge.count, 2);
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/lib.rs
@@ -0,0 +1,51 @@
+//! A model of what couriers serve, in simulated time: partners and their endpoints, the list, clients, troubles, and a
+//! judge of the six rules. It drives the very `Control` that the courier runs; see `docs/emulator.md`.
+//!
+//! One seed is one day and one run of it, bit for bit, on however many threads other days run beside it.
+#![forbid(unsafe_code)]
+
+pub mod agenda;
+pub mod baselines;
+mod calls;
+pub mod chance;
+pub mod check;
+mod clients;
+pub mod day;
+pub mod decider;
+pub mod figures;
+pub mod judge;
+mod listing;
+pub mod oracle;
+pub mod parts;
+pub mod scenario;
+pub mod series;
+mod serving;
+pub mod slots;
+mod trace;
+mod troubles;
+mod turns;
+pub mod world;
+
+use std::rc::Rc;
+
+use crate::day::Day;
+use crate::decider::Maker;
+use crate::figures::Figures;
+use crate::scenario::Scenario;
+use crate::world::{Ended, Options, World};
+
+/// Runs one day of a scenario that was checked (`check::faults`).
+pub fn run(scenario: &Scenario, seed: u64, maker: &Maker, options: Options) -> Ended {
+    World::new(Rc::new(Day::draw(scenario, seed)), maker, options).run()
+}
+
+/// The figures of one day.
+pub fn figures(scenario: &Scenario, seed: u64, maker: &Maker) -> Figures {
+    Figures::of(&run(scenario, seed, maker, Options::default()))
+}
+
+/// The whole history of a mail, a line each, by running its day again: the same seed is the same day.
+pub fn history(scenario: &Scenario, seed: u64, maker: &Maker, mail: u32) -> Vec<String> {
+    let ended = run(scenario, seed, maker, Options { watch: Some(mail), ..Options::default() });
+    ended.history.iter().map(|(at, words)| format!("{:>10.1} ms  {words}", *at as f64 / 10.0)).collect()
+}
--- /dev/null
+++ b/crates/emulator/src/listing.rs
@@ -0,0 +1,167 @@
+//! The list of endpoints: what is true gets on it late, couriers hear of it later still, and troubles make it lag,
+//! stall, lie or come empty.
+
+use meadowhold::interface::{Input, Life, Listed, Time, SECOND};
+
+use crate::chance::{Purpose, Stream};
+use crate::parts::Event;
+use crate::scenario::ListMode;
+use crate::world::World;
+
+#[derive(Default)]
+pub struct List {
+    /// True changes, in order, and those that wait for the list to go on.
+    changes: Vec<(usize, Life)>,
+    waiting: Vec<usize>,
+    /// What was published, in order; couriers hear of it up to a point.
+    log: Vec<(usize, Life)>,
+    /// Troubles under way: further seconds behind, and stalls.
+    pub lag: Time,
+    pub stalls: u16,
+}
+
+impl World<'_> {
+    fn entry(&self, endpoint: usize, life: Life) -> Input {
+        let e = &self.day.endpoints[endpoint];
+        let p = &self.day.partners[e.partner];
+        Input::Listed(Listed {
+            endpoint,
+            dest: e.partner,
+            zone: e.hall,
+            kind: p.kind,
+            life,
+            rate: p.listed_rate,
+        })
+    }
+
+    /// What is published of each endpoint just now, in the order of the endpoints.
+    fn whole(&self) -> Vec<Input> {
+        let mut lives: Vec<Option<Life>> =
+            self.day.endpoints.iter().map(|e| (!e.newcomer).then_some(Life::Ready)).collect();
+        self.list.log.iter().for_each(|&(endpoint, life)| lives[endpoint] = Some(life));
+        let named = lives.iter().enumerate().filter_map(|(e, life)| life.map(|life| (e, life)));
+        let named = named.filter(|(_, life)| *life != Life::Gone);
+        let entries = named.map(|(endpoint, life)| self.entry(endpoint, life));
+        let begin = std::iter::once(Input::ListBegin { whole: true });
+        begin.chain(entries).chain(std::iter::once(Input::ListEnd)).collect()
+    }
+
+    /// A new process hears the list first, unless it has to ask.
+    pub fn first_list(&mut self, courier: usize) {
+        self.couriers[courier].heard = self.list.log.len();
+        if self.day.list_mode == ListMode::Push {
+            let whole = self.whole();
+            self.couriers[courier].inputs.extend(whole);
+        }
+    }
+
+    /// An endpoint's life has changed: it will be on the list.
+    pub fn change(&mut self, now: Time, endpoint: usize, life: Life) {
+        self.list.changes.push((endpoint, life));
+        let change = self.list.changes.len() as u32 - 1;
+        let at = now + self.day.list_lag + self.list.lag;
+        self.agenda.put(at, Event::Publish { change });
+    }
+
+    pub fn publish(&mut self, now: Time, change: usize) {
+        if self.list.stalls > 0 {
+            self.list.waiting.push(change);
+            return;
+        }
+        let (endpoint, life) = self.list.changes[change];
+        self.spread(now, endpoint, life);
+    }
+
+    /// Something stands on the list, true or not, and couriers hear of it one after the other.
+    pub fn spread(&mut self, now: Time, endpoint: usize, life: Life) {
+        self.list.log.push((endpoint, life));
+        let upto = self.list.log.len() as u32;
+        for courier in 0..self.couriers.len() {
+            let c = &self.couriers[courier];
+            if !c.alive || (self.day.list_mode == ListMode::Ask && !c.watches) {
+                continue;
+            }
+            let index = (courier as u64) << 32 | u64::from(upto);
+            let part = Stream::new(self.day.seed, Purpose::List, index).unit();
+            let at = now + (self.day.list_spread as f64 * part) as Time + 1;
+            self.agenda.put(at, Event::Hear { courier: courier as u32, process: c.process, upto });
+        }
+    }
+
+    pub fn hear(&mut self, now: Time, courier: usize, process: u32, upto: usize) {
+        let c = &self.couriers[courier];
+        if !c.alive || c.process != process || c.heard >= upto {
+            return;
+        }
+        if self.list.stalls > 0 {
+            // It was on its way when the list fell silent: it comes once that is over.
+            self.agenda
+                .put(now + SECOND / 2, Event::Hear { courier: courier as u32, process, upto: upto as u32 });
+            return;
+        }
+        let news: Vec<Input> =
+            self.list.log[c.heard..upto].iter().map(|&(endpoint, life)| self.entry(endpoint, life)).collect();
+        let c = &mut self.couriers[courier];
+        c.heard = upto;
+        c.inputs.push(Input::ListBegin { whole: false });
+        c.inputs.extend(news);
+        self.tell(courier, Input::ListEnd);
+    }
+
+    pub fn ask_list(&mut self, now: Time, courier: usize) {
+        let process = self.couriers[courier].process;
+        let at = now + SECOND / 20;
+        self.agenda.put(at, Event::Asked { courier: courier as u32, process });
+    }
+
+    pub fn asked(&mut self, now: Time, courier: usize, process: u32) {
+        if !self.couriers[courier].alive || self.couriers[courier].process != process {
+            return;
+        }
+        if self.list.stalls > 0 {
+            self.tell(courier, Input::ListFailed);
+            return;
+        }
+        let whole = self.whole();
+        let c = &mut self.couriers[courier];
+        (c.heard, c.watches) = (self.list.log.len(), true);
+        c.inputs.extend(whole);
+        self.wake(courier, now);
+    }
+
+    /// The list goes on after a stall.
+    pub fn list_goes_on(&mut self, now: Time) {
+        for change in std::mem::take(&mut self.list.waiting) {
+            self.publish(now, change);
+        }
+    }
+
+    /// All couriers are told that the list is empty, or all of it anew.
+    pub fn retell(&mut self, now: Time, empty: bool) {
+        for courier in 0..self.couriers.len() {
+            if !self.couriers[courier].alive {
+                continue;
+            }
+            let told =
+                if empty { vec![Input::ListBegin { whole: true }, Input::ListEnd] } else { self.whole() };
+            self.couriers[courier].heard = self.list.log.len();
+            self.couriers[courier].inputs.extend(told);
+            self.wake(courier, now);
+        }
+    }
+
+    /// A whole list leaves out what is gone: the judge holds the courier to that too.
+    pub fn judge_unnamed(&mut self, now: Time, courier: usize, inputs: &[Input]) {
+        let begin = inputs.iter().rposition(|i| matches!(i, Input::ListBegin { whole: true })).unwrap_or(0);
+        let mut named = vec![false; self.sites.len()];
+        for input in &inputs[begin..] {
+            if let Input::Listed(entry) = input {
+                named[entry.endpoint] = true;
+            }
+        }
+        let process = self.couriers[courier].process;
+        for (endpoint, _) in named.iter().enumerate().filter(|(_, named)| !**named) {
+            self.judge.told_life(courier as u32, process, endpoint, false, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/oracle.rs
@@ -0,0 +1,258 @@
+//! The ceiling: a decider that sees the true state of all endpoints and sends nothing that would fail, what is worth
+//! most for its time first. No courier can know what it knows; chance alone can still fail its calls.
+
+use meadowhold::interface::{Action, Effect, Input, Life, Settings, Taken, Time};
+
+use crate::decider::{Decider, Sight};
+use crate::slots::Slots;
+
+/// Chance of being served that a once-only mail waits for.
+const SURE: f64 = 0.9;
+
+/// Expected answer times after which an answer counts as lost.
+const PATIENCE: f64 = 6.0;
+
+#[derive(Clone, Default)]
+struct Held {
+    taken: Taken,
+    out: bool,
+    call: usize,
+    over: bool,
+    used: bool,
+}
+
+#[derive(Clone, Default)]
+struct End {
+    known: bool,
+    zone: usize,
+    batch: usize,
+    unit: usize,
+    ready: bool,
+    named: bool,
+}
+
+pub struct Oracle {
+    set: Settings,
+    courier: usize,
+    mails: Vec<Held>,
+    sent: Vec<Time>,
+    zone: Vec<usize>,
+    unit: Vec<usize>,
+    ends: Vec<End>,
+    dests: Vec<Vec<usize>>,
+    holds: Vec<Time>,
+    parked: Vec<usize>,
+    order: Vec<(f64, usize)>,
+    slots: Slots,
+    asked: bool,
+}
+
+fn grow<T: Default>(list: &mut Vec<T>, index: usize) -> &mut T {
+    if index >= list.len() {
+        list.resize_with(index + 1, T::default);
+    }
+    &mut list[index]
+}
+
+impl Oracle {
+    /// `courier`: whose eyes it has; the sight differs by hall.
+    pub fn new(set: Settings, courier: usize) -> Oracle {
+        Oracle {
+            asked: !set.ask_list,
+            set,
+            courier,
+            mails: Vec::new(),
+            sent: Vec::new(),
+            zone: Vec::new(),
+            unit: Vec::new(),
+            ends: Vec::new(),
+            dests: Vec::new(),
+            holds: Vec::new(),
+            parked: Vec::new(),
+            order: Vec::new(),
+            slots: Slots::default(),
+        }
+    }
+
+    fn may(&self, now: Time, t: &Taken) -> (bool, bool) {
+        let c = &self.set.classes[t.class];
+        let left = t.connects < self.set.max_connects && now < t.due;
+        match (t.ran, c.effect) {
+            (None, _) | (_, Effect::Redeliverable) => (left, true),
+            (Some((sent, _)), Effect::Tagged) => {
+                (left && now + self.set.connect_timeout < sent + c.window, !c.by_zone)
+            }
+            (Some(_), Effect::OnceOnly) => (false, false),
+        }
+    }
+
+    fn end(&mut self, mail: usize, out: &mut Vec<Action>) {
+        let m = &mut self.mails[mail];
+        if !m.used {
+            return;
+        }
+        m.over = true;
+        if !m.out {
+            m.used = false;
+            self.parked.retain(|&p| p != mail);
+            out.push(Action::FreeMail(mail));
+        }
+    }
+
+    fn give_up(&mut self, now: Time, mail: usize, out: &mut Vec<Action>) {
+        let (_, deferrable) = self.may(now, &self.mails[mail].taken);
+        out.push(if deferrable { Action::Defer { mail, pause: 0 } } else { Action::Bounce { mail } });
+        self.end(mail, out);
+    }
+
+    fn read(&mut self, now: Time, input: &Input, out: &mut Vec<Action>) {
+        match input {
+            Input::ListBegin { whole } => {
+                self.ends.iter_mut().filter(|_| *whole).for_each(|e| e.named = false)
+            }
+            Input::Listed(l) => {
+                let kind = &self.set.kinds[l.kind];
+                let e = grow(&mut self.ends, l.endpoint);
+                if !e.known {
+                    grow(&mut self.dests, l.dest).push(l.endpoint);
+                }
+                let unit = if kind.apart { 2 * l.endpoint + 1 } else { 2 * l.dest };
+                let ready = l.life == Life::Ready;
+                let batch = kind.batch;
+                *e = End { known: true, zone: l.zone, batch, unit, ready, named: true };
+                grow(&mut self.holds, unit);
+            }
+            Input::ListEnd => self.ends.iter_mut().filter(|e| !e.named).for_each(|e| e.ready = false),
+            Input::ListFailed => self.asked = false,
+            Input::Taken(taken) => {
+                let mail = taken.mail;
+                *grow(&mut self.mails, mail) = Held { taken: taken.clone(), used: true, ..Held::default() };
+                grow(&mut self.sent, mail);
+                grow(&mut self.zone, mail);
+                grow(&mut self.unit, mail);
+                grow(&mut self.dests, taken.dest);
+                self.parked.push(mail);
+            }
+            Input::Hangup { mail } => self.end(*mail, out),
+            Input::Ended(ended) => {
+                let m = &mut self.mails[ended.mail];
+                if !m.out {
+                    return;
+                }
+                m.out = false;
+                self.slots.give_back(m.call);
+                let unit = self.unit[ended.mail];
+                self.holds[unit] = self.holds[unit].max(now + ended.wait);
+                if !ended.outcome.never_ran() {
+                    let first = (self.sent[ended.mail], self.zone[ended.mail]);
+                    m.taken.ran = m.taken.ran.or(Some(first));
+                }
+                if ended.over || m.over {
+                    self.end(ended.mail, out);
+                } else if self.may(now, &self.mails[ended.mail].taken).0 {
+                    self.parked.push(ended.mail);
+                } else {
+                    self.give_up(now, ended.mail, out);
+                }
+            }
+            Input::Rested { .. } | Input::Woken => {}
+        }
+    }
+
+    /// What a mail would earn if its answer came then.
+    fn worth(&self, mail: usize, at: Time) -> f64 {
+        let t = &self.mails[mail].taken;
+        let c = &self.set.classes[t.class];
+        let late = at.saturating_sub(t.since + c.target) as f64 / c.target.max(1) as f64;
+        if at >= t.due {
+            0.0
+        } else {
+            c.importance * 0.5f64.powf(late).max(c.late_worth)
+        }
+    }
+
+    /// The endpoint that would answer first, and when, of those that a mail may go to now.
+    fn best(&self, now: Time, mail: usize, sight: &dyn Sight) -> Option<(f64, usize)> {
+        let t = &self.mails[mail].taken;
+        let by_zone = self.set.classes[t.class].by_zone;
+        let fits = |endpoint: usize| {
+            let e = &self.ends[endpoint];
+            e.ready
+                && now >= self.holds[e.unit]
+                && t.ran.is_none_or(|(_, zone)| !by_zone || zone == e.zone)
+                && self.slots.riders(endpoint) < e.batch
+                && self.slots.has_room(endpoint, e.batch, self.set.slots)
+        };
+        let ends = self.dests[t.dest].iter().copied().filter(|&e| fits(e));
+        // What a failure would end waits until one is unlikely; all else is tried, as its chance is worth.
+        let once = self.set.classes[t.class].effect == Effect::OnceOnly;
+        let answers = ends.filter_map(|e| {
+            let (answer, sure) = sight.answer_in(self.courier, e, t.class)?;
+            (!once || sure > SURE).then_some((answer / sure, e))
+        });
+        answers.min_by(|a, b| a.0.total_cmp(&b.0))
+    }
+
+    fn dispatch(&mut self, now: Time, out: &mut Vec<Action>, sight: &dyn Sight) {
+        let mut order = std::mem::take(&mut self.order);
+        order.clear();
+        self.slots.next_turn();
+        for &mail in &self.parked {
+            // What it would earn over the slot time that it takes: slots are what is short.
+            if let Some((answer, _)) = self.best(now, mail, sight) {
+                let earns = self.worth(mail, now + answer as Time);
+                order.push((earns / answer.max(1.0), mail));
+            }
+        }
+        order.sort_by(|a, b| b.0.total_cmp(&a.0));
+        for &(value, mail) in &order {
+            let best = self.best(now, mail, sight).filter(|_| value > 0.0);
+            let Some((answer, endpoint)) = best else { continue };
+            let t = &self.mails[mail].taken;
+            let left = t.due.saturating_sub(now).max(1);
+            // An answer that is long overdue was lost; what may go again need not wait for it.
+            let once = self.set.classes[t.class].effect == Effect::OnceOnly;
+            let timeout = if once { left } else { left.min((PATIENCE * answer) as Time + 1) };
+            let call = self.slots.take(endpoint, self.ends[endpoint].batch);
+            let m = &mut self.mails[mail];
+            (m.out, m.call) = (true, call);
+            m.taken.connects += 1;
+            (self.sent[mail], self.zone[mail]) = (now, self.ends[endpoint].zone);
+            self.unit[mail] = self.ends[endpoint].unit;
+            out.push(Action::Connect { mail, endpoint, timeout, fresh: false });
+        }
+        let mails = &self.mails;
+        self.parked.retain(|&mail| !mails[mail].out);
+        self.order = order;
+    }
+}
+
+impl Decider for Oracle {
+    fn round(
+        &mut self,
+        now: Time,
+        inputs: &[Input],
+        out: &mut Vec<Action>,
+        sight: &dyn Sight,
+    ) -> Option<Time> {
+        inputs.iter().for_each(|input| self.read(now, input, out));
+        if !std::mem::replace(&mut self.asked, true) {
+            out.push(Action::WatchList);
+        }
+        let margin = 3 * self.set.resolution;
+        let hopeless = |&&mail: &&usize| {
+            let t = &self.mails[mail].taken;
+            now + margin >= t.due || !self.may(now, t).0
+        };
+        let hopeless: Vec<usize> = self.parked.iter().filter(hopeless).copied().collect();
+        hopeless.into_iter().for_each(|mail| self.give_up(now, mail, out));
+        self.dispatch(now, out, sight);
+        let busy = self.slots.out() > 0 || !self.parked.is_empty();
+        busy.then_some(now + self.set.resolution)
+    }
+
+    fn may_begin(&self, endpoint: usize, now: Time) -> bool {
+        let e = &self.ends[endpoint];
+        e.ready && now >= self.holds[e.unit]
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/parts.rs
@@ -0,0 +1,397 @@
+//! What the world is made of while a day runs: mails, calls, sites, units, couriers, events. Nothing happens here.
+
+use std::collections::{HashMap, VecDeque};
+
+use meadowhold::interface::{Ended, Input, Outcome, Report, Time};
+
+use crate::decider::Decider;
+
+/// An endpoint's process at work, and what troubles do to it just now. Troubles add up, so each is a count or a factor.
+#[derive(Debug)]
+pub struct Site {
+    pub unit: usize,
+    pub down: u16,
+    pub hung: u16,
+    pub paused: u16,
+    pub shut: u16,
+    pub shut_until: Time,
+    pub half_open: u16,
+    pub slow: f64,
+    pub errors: f64,
+    pub class_errors: Vec<(usize, f64)>,
+    pub resets: f64,
+    pub lost: f64,
+    pub idle_close: Option<Time>,
+    /// Left for good: drained, or replaced.
+    pub gone: bool,
+    /// Pushed over: it stays down.
+    pub fallen: bool,
+    /// Since when it warms up.
+    pub cold_since: Option<Time>,
+    /// Calls that are being served, that wait, and that stand still.
+    pub active: Vec<u32>,
+    pub queue: VecDeque<u32>,
+    pub stuck: Vec<u32>,
+    /// Calls on their way here.
+    pub coming: usize,
+    pub connections: usize,
+    /// The process's number: connections to an earlier one are closed.
+    pub place: u32,
+}
+
+impl Site {
+    pub fn new(unit: usize) -> Site {
+        Site {
+            unit,
+            down: 0,
+            hung: 0,
+            paused: 0,
+            shut: 0,
+            shut_until: 0,
+            half_open: 0,
+            slow: 1.0,
+            errors: 0.0,
+            class_errors: Vec::new(),
+            resets: 0.0,
+            lost: 0.0,
+            idle_close: None,
+            gone: false,
+            fallen: false,
+            cold_since: None,
+            active: Vec::new(),
+            queue: VecDeque::new(),
+            stuck: Vec::new(),
+            coming: 0,
+            connections: 0,
+            place: 0,
+        }
+    }
+
+    /// It refuses connections.
+    pub fn is_down(&self) -> bool {
+        self.down > 0 || self.gone || self.fallen
+    }
+
+    /// It takes calls and goes on with none.
+    pub fn stands_still(&self) -> bool {
+        self.hung > 0 || self.paused > 0
+    }
+
+    /// In the words of the rule on returning destinations: down, silent, hung, shut, or most calls failing.
+    pub fn is_out(&self) -> bool {
+        self.is_down()
+            || self.hung > 0
+            || self.shut > 0
+            || self.half_open > 0
+            || self.errors >= 0.5
+            || self.resets >= 0.5
+    }
+}
+
+/// What is limited, has outages and tells waits on its own: a partner, or a route apart.
+#[derive(Debug, Default)]
+pub struct Unit {
+    pub partner: usize,
+    pub endpoints: Vec<usize>,
+    /// What is left of a plain rate, and when that was reckoned.
+    pub tokens: f64,
+    pub at: Time,
+    /// Calls in the span before and in the present one.
+    pub span: Time,
+    pub before: f64,
+    pub used: f64,
+    pub throttle: f64,
+    pub out: bool,
+    /// End of the last outage, its number, and which couriers saw a call fail or be refused in it.
+    pub returned_at: Option<Time>,
+    pub outage: u32,
+    /// Work sent to it of late while cold: when, how much, by a courier that had seen the outage.
+    pub recent: VecDeque<(Time, f64, bool)>,
+    pub work: f64,
+    pub warned_work: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Its client waits to hand it in (again).
+    Outside,
+    /// A courier has taken it on.
+    Taken,
+    /// It will not come again.
+    Over,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    Relayed,
+    Deferred,
+    Bounced,
+    /// The client hung up: nothing more is owed.
+    HungUp,
+}
+
+#[derive(Clone, Debug)]
+pub struct Mail {
+    pub dest: u32,
+    pub class: u16,
+    pub hall: u16,
+    pub key: Option<u32>,
+    pub born: Time,
+    pub due: Time,
+    pub target: Time,
+    pub stage: Stage,
+    pub courier: u32,
+    /// Its index at the courier.
+    pub index: u32,
+    pub since: Time,
+    /// Times handed in, and times that a dead courier was found instead.
+    pub tries: u8,
+    pub misses: u8,
+    /// Connects of this taking, and send and hall of the first that may have run.
+    pub connects: u16,
+    pub ran: Option<(Time, u16)>,
+    /// The call that is out for it.
+    pub out: Option<u32>,
+    /// Its place in the order of its key.
+    pub turn: u64,
+    /// Effects at the partner, for what must not have two.
+    pub effects: u8,
+    /// Final answers of this taking.
+    pub answers: u8,
+    pub relayed_at: Option<Time>,
+}
+
+/// A mail in a call.
+#[derive(Clone, Copy, Debug)]
+pub struct Rider {
+    pub mail: u32,
+    /// When its courier gives the answer up.
+    pub end: Time,
+    /// The courier has its outcome.
+    pub told: bool,
+    /// How often the partner had forgotten its key when it came: what falls within one time is one effect.
+    pub era: u8,
+    /// The partner knew it when it came.
+    pub repeat: bool,
+}
+
+/// What a partner knows of a key: when it came first in this era, and the eras that had their effect, a bit each.
+#[derive(Clone, Copy, Debug)]
+pub struct Known {
+    pub since: Time,
+    pub era: u8,
+    pub done: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Connecting,
+    Going,
+    Waiting,
+    Served,
+    /// Broken or lost on the far side.
+    Lost,
+    Ended,
+}
+
+#[derive(Debug)]
+pub struct Call {
+    pub courier: u32,
+    pub process: u32,
+    pub endpoint: u32,
+    pub riders: Vec<Rider>,
+    pub started: Time,
+    pub kept: bool,
+    /// The courier still waits for something of it.
+    pub open: bool,
+    pub phase: Phase,
+    /// Journeys there and back.
+    pub way: [Time; 2],
+    /// Number of the site's process that it was connected to, and whether its connection counts there.
+    pub place: u32,
+    pub connected: bool,
+    /// It is on its way, connecting included.
+    pub coming: bool,
+    /// Since when its kept connection had been idle.
+    pub idle_since: Time,
+    pub work: f64,
+}
+
+/// What comes back to a courier.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Reply {
+    pub outcome: Outcome,
+    pub wait: Time,
+    pub report: Option<Report>,
+}
+
+impl Reply {
+    pub fn only(outcome: Outcome) -> Reply {
+        Reply { outcome, wait: 0, report: None }
+    }
+}
+
+/// An idle connection: since when, and to which process.
+#[derive(Clone, Copy, Debug)]
+pub struct Idle {
+    pub since: Time,
+    pub place: u32,
+}
+
+pub struct Courier {
+    pub hall: usize,
+    pub alive: bool,
+    /// Number of its process, from 0.
+    pub process: u32,
+    /// When that began.
+    pub started: Time,
+    pub decider: Option<Box<dyn Decider>>,
+    pub inputs: Vec<Input>,
+    pub turn_at: Option<Time>,
+    pub last_turn: Option<Time>,
+    /// Mails by index, and indices that are free.
+    pub mails: Vec<u32>,
+    pub free: Vec<u32>,
+    /// Mails owed an answer, and calls out.
+    pub open: usize,
+    pub out: usize,
+    pub idle: HashMap<u32, Vec<Idle>>,
+    /// Owed mails of a dead process, in the order in which they were taken.
+    pub owed: Vec<u32>,
+    /// No turn before this: its clock stands still.
+    pub still_until: Time,
+    /// Changes of the list that it has heard of.
+    pub heard: usize,
+    pub watches: bool,
+    pub peak_out: usize,
+}
+
+impl Courier {
+    pub fn new(hall: usize) -> Courier {
+        Courier {
+            hall,
+            alive: true,
+            process: 0,
+            started: 0,
+            decider: None,
+            inputs: Vec::new(),
+            turn_at: None,
+            last_turn: None,
+            mails: Vec::new(),
+            free: Vec::new(),
+            open: 0,
+            out: 0,
+            idle: HashMap::new(),
+            owed: Vec::new(),
+            still_until: 0,
+            heard: 0,
+            watches: false,
+            peak_out: 0,
+        }
+    }
+
+    /// The index that a mail gets here.
+    pub fn enter(&mut self, mail: u32) -> u32 {
+        if let Some(index) = self.free.pop() {
+            self.mails[index as usize] = mail;
+            return index;
+        }
+        self.mails.push(mail);
+        self.mails.len() as u32 - 1
+    }
+}
+
+pub const NOBODY: u32 = u32::MAX;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Event {
+    /// The next mail of the day's stream.
+    Next,
+    /// A mail of a clump.
+    Clump {
+        dest: u32,
+        left: u32,
+    },
+    HandIn {
+        mail: u32,
+        courier: u32,
+    },
+    Again {
+        mail: u32,
+    },
+    HangUp {
+        mail: u32,
+        tries: u8,
+    },
+    Turn {
+        courier: u32,
+        at: Time,
+    },
+    Connected {
+        call: u32,
+    },
+    Unreached {
+        call: u32,
+    },
+    Reach {
+        call: u32,
+    },
+    Done {
+        call: u32,
+    },
+    Answer {
+        call: u32,
+        reply: Reply,
+    },
+    Expire {
+        call: u32,
+    },
+    Sweep {
+        courier: u32,
+        endpoint: u32,
+    },
+    Trouble {
+        index: u32,
+        on: bool,
+    },
+    Pulse {
+        index: u32,
+        on: bool,
+    },
+    Publish {
+        change: u32,
+    },
+    Hear {
+        courier: u32,
+        process: u32,
+        upto: u32,
+    },
+    Asked {
+        courier: u32,
+        process: u32,
+    },
+    Die {
+        courier: u32,
+    },
+    Rise {
+        courier: u32,
+    },
+    Notice {
+        courier: u32,
+        alive: bool,
+    },
+    Sample,
+}
+
+/// What a courier is told at its next turn of one rider's connect.
+pub fn ended(index: usize, reply: &Reply, over: bool, took: Time, kept: bool) -> Input {
+    Input::Ended(Ended {
+        mail: index,
+        outcome: reply.outcome,
+        over,
+        wait: reply.wait,
+        took,
+        kept,
+        report: reply.report,
+    })
+}
--- /dev/null
+++ b/crates/emulator/src/series.rs
@@ -0,0 +1,80 @@
+//! The state as it was, for plots: sampled while the day runs, and only when it is asked for.
+
+use meadowhold::control::Standing;
+use meadowhold::interface::Time;
+use serde::Serialize;
+
+use crate::parts::Event;
+use crate::world::World;
+
+/// Partners and couriers that are looked at in detail.
+pub const PARTNERS: usize = 8;
+const COURIERS: usize = 16;
+
+/// One destination: calls out and caps summed over the couriers looked at, parked mails, what it can serve a second,
+/// and endpoints by standing (well, doubted, down, returning), summed likewise.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Dest {
+    pub out: usize,
+    pub cap: usize,
+    pub parked: usize,
+    pub capacity: f64,
+    pub standings: [usize; 4],
+}
+
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Sample {
+    /// Tenths of a millisecond from the start.
+    pub at: Time,
+    pub open: usize,
+    pub out: usize,
+    pub alive: usize,
+    pub refused: u64,
+    pub connects: u64,
+    pub dests: Vec<Dest>,
+}
+
+impl World<'_> {
+    pub fn sample(&mut self, now: Time) {
+        let mut sample = Sample { at: now, ..Sample::default() };
+        for c in &self.couriers {
+            sample.open += c.open;
+            sample.out += c.out;
+            sample.alive += usize::from(c.alive);
+        }
+        (sample.refused, sample.connects) = (self.counts.refused, self.counts.connects);
+        for dest in 0..self.day.partners.len().min(PARTNERS) {
+            let p = &self.day.partners[dest];
+            let mut seen = Dest::default();
+            for decider in self.couriers.iter().take(COURIERS).filter_map(|c| c.decider.as_ref()) {
+                if let Some((cap, out, parked)) = decider.glance(dest) {
+                    seen.cap += cap;
+                    seen.out += out;
+                    seen.parked += parked;
+                }
+                for endpoint in p.first..p.first + p.count {
+                    if let Some(standing) = decider.standing(endpoint) {
+                        let band = match standing {
+                            Standing::Well => 0,
+                            Standing::Doubt => 1,
+                            Standing::Down => 2,
+                            Standing::Returning => 3,
+                        };
+                        seen.standings[band] += 1;
+                    }
+                }
+            }
+            let ends = (p.first..p.first + p.count).filter(|&e| {
+                let site = &self.sites[e];
+                !site.is_out() && !site.stands_still()
+            });
+            let rate = |e: usize| self.day.capacity(e) * self.warmth(e, now) / self.sites[e].slow;
+            seen.capacity = ends.map(rate).sum();
+            sample.dests.push(seen);
+        }
+        self.samples.push(sample);
+        if now + self.options.sample_every <= self.day.length {
+            self.agenda.put(now + self.options.sample_every, Event::Sample);
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/slots.rs
@@ -0,0 +1,81 @@
+//! Call slots as baselines and the oracle count them: connects of one turn to one endpoint travel as one call.
+
+#[derive(Default)]
+pub struct Slots {
+    /// Riders without an outcome of each call; 0: the place is free.
+    calls: Vec<usize>,
+    free: Vec<usize>,
+    out: usize,
+    turn: u64,
+    /// By endpoint: the turn of its latest call, that call and its riders.
+    latest: Vec<(u64, usize, usize)>,
+}
+
+impl Slots {
+    pub fn next_turn(&mut self) {
+        self.turn += 1;
+    }
+
+    pub fn out(&self) -> usize {
+        self.out
+    }
+
+    /// Riders that this turn has put into the latest call to an endpoint.
+    pub fn riders(&self, endpoint: usize) -> usize {
+        self.latest.get(endpoint).filter(|l| l.0 == self.turn).map_or(0, |l| l.2)
+    }
+
+    /// Whether one more mail could go to an endpoint: along with others, or in a slot that is free.
+    pub fn has_room(&self, endpoint: usize, batch: usize, most: usize) -> bool {
+        (1..batch).contains(&self.riders(endpoint)) || self.out < most
+    }
+
+    /// A mail goes to an endpoint; the number of its call.
+    pub fn take(&mut self, endpoint: usize, batch: usize) -> usize {
+        if endpoint >= self.latest.len() {
+            self.latest.resize(endpoint + 1, (0, 0, 0));
+        }
+        let (turn, call, riders) = self.latest[endpoint];
+        if turn == self.turn && riders < batch {
+            self.latest[endpoint].2 += 1;
+            self.calls[call] += 1;
+            return call;
+        }
+        let call = self.free.pop().unwrap_or_else(|| {
+            self.calls.push(0);
+            self.calls.len() - 1
+        });
+        self.calls[call] = 1;
+        self.out += 1;
+        self.latest[endpoint] = (self.turn, call, 1);
+        call
+    }
+
+    /// A rider has its outcome; whether its call was the last to wait for it.
+    pub fn give_back(&mut self, call: usize) -> bool {
+        self.calls[call] -= 1;
+        let ended = self.calls[call] == 0;
+        if ended {
+            self.out -= 1;
+            self.free.push(call);
+        }
+        ended
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn riders_of_a_turn_share_a_slot_up_to_the_batch() {
+        let mut slots = Slots::default();
+        slots.next_turn();
+        let calls = [slots.take(3, 2), slots.take(3, 2), slots.take(3, 2), slots.take(4, 2)];
+        assert_eq!((calls, slots.out()), ([0, 0, 1, 2], 3));
+        assert!(slots.has_room(4, 2, 3) && !slots.has_room(5, 2, 3));
+        assert_eq!([slots.give_back(0), slots.give_back(0)], [false, true]);
+        slots.next_turn();
+        assert_eq!((slots.take(3, 2), slots.out()), (0, 3));
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/troubles.rs
@@ -0,0 +1,204 @@
+//! Troubles begin and end. Each takes back exactly what it did, so that any number of them may overlap.
+
+use meadowhold::interface::{Life, Time, SECOND};
+
+use crate::parts::Event;
+use crate::scenario::What;
+use crate::world::World;
+
+/// Pauses come this often.
+const PAUSE_EVERY: Time = SECOND;
+
+impl World<'_> {
+    pub fn trouble(&mut self, now: Time, index: usize, on: bool) {
+        let day = self.day.clone();
+        let t = &day.troubles[index];
+        self.trace.mark(now, 30, [index as u32, u32::from(on)]);
+        let step = |count: &mut u16| *count = if on { *count + 1 } else { count.saturating_sub(1) };
+        match t.what {
+            What::Flap | What::Pauses => {
+                if on {
+                    self.pulse(now, index, true);
+                }
+            }
+            What::Kill | What::Roll if on => {
+                let apart = if t.what == What::Roll { (t.size * SECOND as f64) as Time } else { 0 };
+                for (i, &courier) in t.couriers.iter().enumerate() {
+                    self.agenda.put(now + apart * i as Time, Event::Die { courier: courier as u32 });
+                }
+            }
+            What::ClockStep if on => {
+                for &courier in &t.couriers {
+                    let until = now + (t.size * (SECOND / 1000) as f64) as Time;
+                    self.couriers[courier].still_until = until;
+                }
+            }
+            What::Kill | What::Roll | What::ClockStep => {}
+            What::HotCaller if on => self.hot.push(index),
+            What::HotCaller => self.hot.retain(|&i| i != index),
+            What::HallShift if on => self.shift.push(index),
+            What::HallShift => self.shift.retain(|&i| i != index),
+            What::Burst => self.burst *= if on { t.size } else { 1.0 / t.size },
+            What::ListLag => {
+                let further = (t.size * SECOND as f64) as Time;
+                self.list.lag = if on { self.list.lag + further } else { self.list.lag - further };
+            }
+            What::ListStall => {
+                step(&mut self.list.stalls);
+                if !on && self.list.stalls == 0 {
+                    self.list_goes_on(now);
+                }
+            }
+            What::ListEmpty => self.retell(now, on),
+            What::ListLies => {
+                let life = if on { Life::Draining } else { Life::Ready };
+                for &endpoint in &t.endpoints {
+                    if !self.sites[endpoint].gone {
+                        self.spread(now, endpoint, life);
+                    }
+                }
+            }
+            What::LinkCut | What::LinkOneWay => {
+                for other in (0..day.halls.len()).filter(|&other| other != t.hall) {
+                    step(&mut self.cut[other][t.hall]);
+                    if t.what == What::LinkCut {
+                        step(&mut self.cut[t.hall][other]);
+                    }
+                }
+            }
+            What::Drain | What::Replace => self.replace(now, index, on),
+            _ => t.endpoints.iter().for_each(|&endpoint| self.strike(now, index, endpoint, on)),
+        }
+    }
+
+    /// What a trouble does to one endpoint.
+    fn strike(&mut self, now: Time, index: usize, endpoint: usize, on: bool) {
+        let day = self.day.clone();
+        let t = &day.troubles[index];
+        let site = &mut self.sites[endpoint];
+        let step = |count: &mut u16| *count = if on { *count + 1 } else { count.saturating_sub(1) };
+        let add = |share: &mut f64| *share = (*share + if on { t.size } else { -t.size }).max(0.0);
+        match t.what {
+            What::Crash | What::Flap => {
+                step(&mut site.down);
+                if on {
+                    self.crash(now, endpoint);
+                }
+            }
+            What::Hang => step(&mut site.hung),
+            What::Pauses => step(&mut site.paused),
+            What::Slow => site.slow *= if on { t.size } else { 1.0 / t.size },
+            What::Errors => add(&mut site.errors),
+            What::ClassErrors if on => site.class_errors.push((t.class.unwrap_or(0), t.size)),
+            What::ClassErrors => {
+                let mine = (t.class.unwrap_or(0), t.size);
+                let at = site.class_errors.iter().position(|&e| e == mine);
+                if let Some(at) = at {
+                    site.class_errors.swap_remove(at);
+                }
+            }
+            What::Shut => {
+                step(&mut site.shut);
+                site.shut_until = t.until;
+            }
+            What::Resets => add(&mut site.resets),
+            What::LostAnswers => add(&mut site.lost),
+            What::HalfOpen => step(&mut site.half_open),
+            What::IdleClose => site.idle_close = on.then_some((t.size * SECOND as f64) as Time),
+            What::Throttle => {
+                // Once for each unit, however many of its endpoints are struck.
+                let unit = site.unit;
+                let first = t.endpoints.iter().find(|&&e| self.sites[e].unit == unit);
+                if first == Some(&endpoint) {
+                    let size = t.size.max(1e-3);
+                    self.units[unit].throttle *= if on { size } else { 1.0 / size };
+                }
+            }
+            _ => {}
+        }
+        if !on && !self.sites[endpoint].stands_still() && !self.sites[endpoint].is_down() {
+            self.goes_on(now, endpoint);
+        }
+        if !on && matches!(t.what, What::Crash | What::Flap | What::Hang) {
+            self.sites[endpoint].cold_since = Some(now);
+        }
+        let unit = self.sites[endpoint].unit;
+        self.look_at_unit(now, unit);
+    }
+
+    /// What stood still is done now, and what waited begins.
+    fn goes_on(&mut self, now: Time, endpoint: usize) {
+        for call in std::mem::take(&mut self.sites[endpoint].stuck) {
+            self.done(now, call);
+        }
+        self.next_in_queue(now, endpoint);
+    }
+
+    /// Whether a unit is out, in the words of the rule; once it is back it is cold.
+    pub fn look_at_unit(&mut self, now: Time, unit: usize) {
+        let there = self.units[unit].endpoints.iter().filter(|&&e| !self.sites[e].gone);
+        let (mut all, mut out) = (0, 0);
+        for &endpoint in there {
+            all += 1;
+            out += usize::from(self.sites[endpoint].is_out());
+        }
+        let is_out = all > 0 && out == all;
+        let u = &mut self.units[unit];
+        if is_out == u.out {
+            return;
+        }
+        u.out = is_out;
+        if is_out {
+            u.outage += 1;
+        } else {
+            u.returned_at = Some(now);
+            (u.work, u.warned_work) = (0.0, 0.0);
+            u.recent.clear();
+            for endpoint in u.endpoints.clone() {
+                self.sites[endpoint].cold_since = Some(now);
+            }
+        }
+        self.trace.mark(now, 31, [unit as u32, u32::from(is_out)]);
+    }
+
+    /// Troubles that come and go by themselves while they last.
+    pub fn pulse(&mut self, now: Time, index: usize, on: bool) {
+        let day = self.day.clone();
+        let t = &day.troubles[index];
+        if on && now >= t.until {
+            return;
+        }
+        t.endpoints.iter().for_each(|&endpoint| self.strike(now, index, endpoint, on));
+        let next = match (t.what, on) {
+            (What::Pauses, true) => (t.size * (SECOND / 1000) as f64) as Time,
+            (What::Pauses, false) => PAUSE_EVERY,
+            _ => (t.size * SECOND as f64) as Time,
+        };
+        let at = if on { (now + next).min(t.until.max(now + 1)) } else { now + next };
+        self.agenda.put(at.max(now + 1), Event::Pulse { index: index as u32, on: !on });
+    }
+
+    /// Endpoints drain and then go; where they are replaced, newcomers stand beside them, cold.
+    fn replace(&mut self, now: Time, index: usize, on: bool) {
+        let day = self.day.clone();
+        let t = &day.troubles[index];
+        for (i, &endpoint) in t.endpoints.iter().enumerate() {
+            if self.sites[endpoint].gone {
+                continue;
+            }
+            if on {
+                self.change(now, endpoint, Life::Draining);
+                if let Some(&newcomer) = t.newcomers.get(i) {
+                    (self.sites[newcomer].gone, self.sites[newcomer].cold_since) = (false, Some(now));
+                    self.change(now, newcomer, Life::Ready);
+                }
+            } else {
+                self.sites[endpoint].gone = true;
+                self.crash(now, endpoint);
+                self.change(now, endpoint, Life::Gone);
+            }
+            let unit = self.sites[endpoint].unit;
+            self.look_at_unit(now, unit);
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/turns.rs
@@ -0,0 +1,402 @@
+//! A courier's turn: what came in goes to its decider, what that wants is carried out as a real courier would. Here a
+//! courier also dies, and comes back with its journal or without.
+
+use meadowhold::interface::{Action, Input, Outcome, Time};
+
+use crate::chance::{Purpose, Stream};
+use crate::judge::Rule;
+use crate::parts::{Answer, Call, Event, Idle, Phase, Reply, Rider, Stage};
+use crate::world::World;
+
+/// Idle connections of a courier to one endpoint, at most.
+const IDLE_KEPT: usize = 64;
+
+impl World<'_> {
+    pub fn turn(&mut self, now: Time, courier: usize, at: Time) {
+        let c = &mut self.couriers[courier];
+        if !c.alive || c.turn_at != Some(at) {
+            return;
+        }
+        if now < c.still_until {
+            c.turn_at = None;
+            let until = c.still_until;
+            self.wake(courier, until);
+            return;
+        }
+        (c.turn_at, c.last_turn) = (None, Some(now));
+        let Some(mut decider) = c.decider.take() else { return };
+        let mut inputs = std::mem::take(&mut c.inputs);
+        self.counts.turns += 1;
+        self.read_along(now, courier, &inputs);
+        let mut actions = std::mem::take(&mut self.actions);
+        let wake = decider.round(now, &inputs, &mut actions, self);
+        inputs.clear();
+        self.couriers[courier].inputs = inputs;
+        self.couriers[courier].decider = Some(decider);
+        self.trace.mark(now, 9, [courier as u32, actions.len() as u32]);
+        let first = self.calls.len();
+        for action in actions.drain(..) {
+            self.carry_out(now, courier, first, action);
+        }
+        self.actions = actions;
+        for call in first..self.calls.len() {
+            self.go_out(now, call as u32);
+        }
+        if let Some(at) = wake {
+            self.wake(courier, at.max(now + 1));
+        }
+    }
+
+    /// What the courier is told from here on, as the judge has to know it.
+    fn read_along(&mut self, now: Time, courier: usize, inputs: &[Input]) {
+        let process = self.couriers[courier].process;
+        let mut whole = false;
+        for input in inputs {
+            match input {
+                Input::ListBegin { whole: all } => whole = *all,
+                Input::ListEnd if whole => self.judge_unnamed(now, courier, inputs),
+                Input::Listed(entry) => {
+                    let ready = entry.life == meadowhold::interface::Life::Ready;
+                    self.judge.told_life(courier as u32, process, entry.endpoint, ready, now);
+                }
+                Input::Ended(ended) => self.read_outcome(now, courier, ended),
+                _ => {}
+            }
+        }
+    }
+
+    fn read_outcome(&mut self, now: Time, courier: usize, ended: &meadowhold::interface::Ended) {
+        let process = self.couriers[courier].process;
+        let mail = self.couriers[courier].mails[ended.mail];
+        let m = &self.mails[mail as usize];
+        let Some(endpoint) = m.out.map(|call| self.calls[call as usize].endpoint as usize) else { return };
+        let unit = self.sites[endpoint].unit;
+        if ended.wait > 0 {
+            self.judge.told_wait(courier as u32, process, unit, now + ended.wait);
+        }
+        if let Some(key) = m.key.filter(|_| ended.outcome.may_run_on()) {
+            self.judge.rests(courier as u32, key, now + self.day.settings.turn_gap);
+        }
+        let (outcome, wait) = (ended.outcome, ended.wait);
+        self.trace.note(now, mail, || {
+            format!("courier {courier} reads {outcome:?}, told to wait {} ms", wait / 10)
+        });
+        self.mails[mail as usize].out = None;
+        self.leave_line(mail);
+    }
+
+    fn carry_out(&mut self, now: Time, courier: usize, first: usize, action: Action) {
+        match action {
+            Action::Connect { mail, endpoint, timeout, fresh } => {
+                let mail = self.couriers[courier].mails[mail];
+                self.ride(now, courier, first, (mail, endpoint, timeout, fresh));
+            }
+            Action::Defer { mail, pause } => {
+                let mail = self.couriers[courier].mails[mail];
+                if self.is_held(courier, mail, now) {
+                    self.finish(now, mail, Answer::Deferred);
+                    self.come_again(now, mail, pause);
+                }
+            }
+            Action::Bounce { mail } => {
+                let mail = self.couriers[courier].mails[mail];
+                if self.is_held(courier, mail, now) {
+                    self.finish(now, mail, Answer::Bounced);
+                }
+            }
+            Action::WatchList => self.ask_list(now, courier),
+            Action::LetGo(endpoint) => self.let_go(courier, endpoint as u32),
+            Action::FreeMail(index) => self.couriers[courier].free.push(index as u32),
+            Action::FreeKey(_) | Action::FreeEndpoint(_) => {}
+        }
+    }
+
+    /// Guards the judge against answers for mails that are with somebody else by now: a second answer is a broken rule.
+    fn is_held(&mut self, courier: usize, mail: u32, now: Time) -> bool {
+        let m = &self.mails[mail as usize];
+        let held = m.stage == Stage::Taken && m.courier == courier as u32;
+        if !held {
+            let words = "a final answer for a mail that has one".to_string();
+            self.judge.breaks(Rule::NoMailLost, now, mail, courier as u32, words);
+        }
+        held
+    }
+
+    /// Puts a mail into a call of this turn to the endpoint, or begins one.
+    fn ride(&mut self, now: Time, courier: usize, first: usize, order: (u32, usize, Time, bool)) {
+        let (mail, endpoint, timeout, fresh) = order;
+        let m = &self.mails[mail as usize];
+        if m.stage != Stage::Taken || m.courier != courier as u32 || m.out.is_some() {
+            let words = "a connect after its final answer, or beside another".to_string();
+            self.judge.breaks(Rule::NoMailLost, now, mail, courier as u32, words);
+            return;
+        }
+        let e = &self.day.endpoints[endpoint];
+        let batch = self.day.partners[e.partner].batch;
+        let rider = Rider { mail, end: now + timeout, told: false, era: 0, repeat: false };
+        let fits = |c: &Call| c.endpoint == endpoint as u32 && c.riders.len() < batch;
+        let open = (first..self.calls.len()).find(|&i| fits(&self.calls[i]));
+        let call = open.unwrap_or(self.calls.len());
+        if open.is_none() {
+            let c = &mut self.couriers[courier];
+            c.out += 1;
+            c.peak_out = c.peak_out.max(c.out);
+            self.counts.over_slots += u64::from(c.out > self.day.settings.slots);
+            let index = u64::from(mail) << 16 | u64::from(m.connects) << 8 | u64::from(m.tries);
+            let d = &mut Stream::new(self.day.seed, Purpose::Network, index);
+            let journey = self.day.journey[c.hall][e.hall] as f64;
+            let way = [0, 1].map(|_| (journey * d.spread(self.day.jitter)) as Time + 1);
+            self.sites[endpoint].coming += 1;
+            self.calls.push(Call {
+                courier: courier as u32,
+                process: c.process,
+                endpoint: endpoint as u32,
+                riders: Vec::new(),
+                started: now,
+                kept: true, // until a connection is found: whether a kept one may be used
+                open: true,
+                phase: Phase::Connecting,
+                way,
+                place: 0,
+                connected: false,
+                coming: true,
+                idle_since: 0,
+                work: 0.0,
+            });
+        }
+        // One rider that must not go on a kept connection has its whole call go on a new one.
+        self.calls[call].kept &= !fresh;
+        self.calls[call].riders.push(rider);
+        self.mails[mail as usize].out = Some(call as u32);
+        self.trace.mark(now, 10, [mail, endpoint as u32]);
+        self.trace
+            .note(now, mail, || format!("courier {courier} decides on a connect to endpoint {endpoint}"));
+    }
+
+    /// A call finds a kept connection, or begins to make one.
+    fn go_out(&mut self, now: Time, call: u32) {
+        self.counts.calls += 1;
+        let c = &self.calls[call as usize];
+        let (courier, endpoint, may_keep, way) = (c.courier as usize, c.endpoint, c.kept, c.way);
+        // All riders wait for the longest of them, each to the end of its own time at most.
+        let longest = c.riders.iter().map(|r| r.end).max().unwrap_or(now);
+        for i in 0..self.calls[call as usize].riders.len() {
+            let rider = self.calls[call as usize].riders[i];
+            let end = longest.min(self.mails[rider.mail as usize].due.max(now + 1));
+            let rider = &mut self.calls[call as usize].riders[i];
+            rider.end = end;
+            let again = self.calls[call as usize].riders[..i].iter().any(|r| r.end == end);
+            if !again {
+                self.agenda.put(end, Event::Expire { call });
+            }
+        }
+        if may_keep {
+            if let Some(idle) = self.kept_connection(now, courier, endpoint) {
+                let c = &mut self.calls[call as usize];
+                (c.place, c.connected, c.idle_since) = (idle.place, true, idle.since);
+                self.connected(now, call);
+                return;
+            }
+        }
+        self.calls[call as usize].kept = false;
+        self.counts.handshakes += 1;
+        let hall = self.day.endpoints[endpoint as usize].hall;
+        let there =
+            self.passes(self.couriers[courier].hall, hall) && self.passes(hall, self.couriers[courier].hall);
+        let turns = (way[0] + way[1]) as f64;
+        let site = &self.sites[endpoint as usize];
+        let table = self.day.endpoints[endpoint as usize].connections;
+        if !there {
+            let at = now + self.day.settings.connect_timeout;
+            self.agenda.put(at, Event::Unreached { call });
+        } else if site.is_down() || (table > 0 && site.connections >= table) {
+            self.agenda.put(now + turns as Time, Event::Unreached { call });
+        } else {
+            let at = now + (turns * self.day.handshake_turns) as Time;
+            let site = &mut self.sites[endpoint as usize];
+            site.connections += 1;
+            let c = &mut self.calls[call as usize];
+            (c.place, c.connected) = (site.place, true);
+            self.agenda.put(at, Event::Connected { call });
+        }
+    }
+
+    /// The connection used last that is not known to be closed.
+    fn kept_connection(&mut self, now: Time, courier: usize, endpoint: u32) -> Option<Idle> {
+        let keep = self.day.keep_idle / 20 * 19;
+        let site = &mut self.sites[endpoint as usize];
+        let far = site.idle_close.unwrap_or(Time::MAX);
+        let way = self.day.journey[self.couriers[courier].hall][self.day.endpoints[endpoint as usize].hall];
+        let idle = self.couriers[courier].idle.get_mut(&endpoint)?;
+        while let Some(Idle { since, place }) = idle.pop() {
+            // The far side's close is heard of after one way.
+            let closed = now >= since + keep || now >= since.saturating_add(far).saturating_add(way);
+            if !closed && place == site.place {
+                return Some(Idle { since, place });
+            }
+            site.connections -= usize::from(place == site.place);
+        }
+        None
+    }
+
+    /// A connection is free again: it is kept for the next call.
+    pub fn keep(&mut self, now: Time, courier: usize, endpoint: u32, place: u32) {
+        let limited = self.day.endpoints[endpoint as usize].connections > 0;
+        let idle = self.couriers[courier].idle.entry(endpoint).or_default();
+        if idle.len() >= IDLE_KEPT {
+            let old = idle.remove(0);
+            let site = &mut self.sites[endpoint as usize];
+            site.connections -= usize::from(old.place == site.place);
+        }
+        idle.push(Idle { since: now, place });
+        if limited {
+            let at = now + self.day.keep_idle / 20 * 19;
+            self.agenda.put(at, Event::Sweep { courier: courier as u32, endpoint });
+        }
+    }
+
+    /// Connections that were idle for too long are closed.
+    pub fn sweep(&mut self, now: Time, courier: usize, endpoint: u32) {
+        let keep = self.day.keep_idle / 20 * 19;
+        let site = &mut self.sites[endpoint as usize];
+        if let Some(idle) = self.couriers[courier].idle.get_mut(&endpoint) {
+            idle.retain(|i| {
+                let old = now >= i.since + keep;
+                site.connections -= usize::from(old && i.place == site.place);
+                !old
+            });
+        }
+    }
+
+    fn let_go(&mut self, courier: usize, endpoint: u32) {
+        let site = &mut self.sites[endpoint as usize];
+        if let Some(idle) = self.couriers[courier].idle.get_mut(&endpoint) {
+            let open = idle.drain(..).filter(|i| i.place == site.place).count();
+            site.connections -= open;
+        }
+    }
+
+    /// SIGKILL: what its calls do at the partners goes on, what it held is on file, or its clients'.
+    pub fn die(&mut self, now: Time, courier: usize) {
+        if !self.couriers[courier].alive {
+            return;
+        }
+        self.trace.mark(now, 20, [courier as u32, 0]);
+        let held = |m: &u32| {
+            let m = &self.mails[*m as usize];
+            m.stage == Stage::Taken && m.courier == courier as u32
+        };
+        let mut owed: Vec<u32> = self.couriers[courier].mails.iter().copied().filter(held).collect();
+        owed.sort_unstable_by_key(|&m| self.mails[m as usize].turn);
+        owed.dedup();
+        for call in 0..self.calls.len() {
+            if self.calls[call].courier == courier as u32 && self.is_awaited(call as u32) {
+                self.calls[call].open = false;
+                if self.calls[call].phase == Phase::Connecting {
+                    self.no_longer_coming(call as u32);
+                }
+                self.hang_up_call(call as u32);
+            }
+        }
+        let endpoints: Vec<u32> = (0..self.sites.len() as u32).collect();
+        for endpoint in endpoints {
+            self.let_go(courier, endpoint);
+        }
+        for &mail in &owed {
+            let hall = |c: &Call| self.day.endpoints[c.endpoint as usize].hall as u16;
+            let m = &self.mails[mail as usize];
+            let sent = m.out.map(|call| &self.calls[call as usize]).filter(|c| c.phase != Phase::Connecting);
+            let ran = m.ran.or(sent.map(|c| (c.started, hall(c))));
+            self.trace.note(now, mail, || format!("courier {courier} dies; may have run: {}", ran.is_some()));
+            let m = &mut self.mails[mail as usize];
+            (m.ran, m.out) = (ran, None);
+        }
+        // The judge's lines begin anew: what was out counts as not over until it is taken up again.
+        for &mail in &owed {
+            if let Some(key) = self.mails[mail as usize].key {
+                self.judge.forgets(courier as u32, key);
+                if self.mails[mail as usize].ran.is_some() {
+                    self.judge.rests(courier as u32, key, now + self.day.settings.turn_gap);
+                }
+            }
+        }
+        let journal = self.day.journal;
+        let c = &mut self.couriers[courier];
+        (c.alive, c.decider, c.out, c.open) = (false, None, 0, 0);
+        c.process += 1;
+        c.inputs.clear();
+        c.mails.clear();
+        c.free.clear();
+        c.idle.clear();
+        if journal {
+            c.owed = owed;
+        } else {
+            owed.into_iter().for_each(|mail| self.outlive(now, mail));
+        }
+        let notice = now + self.day.mails.front_notice;
+        self.agenda.put(notice, Event::Notice { courier: courier as u32, alive: false });
+        self.agenda.put(now + self.day.down, Event::Rise { courier: courier as u32 });
+    }
+
+    pub fn rise(&mut self, now: Time, courier: usize) {
+        if self.couriers[courier].alive {
+            return;
+        }
+        self.trace.mark(now, 21, [courier as u32, 0]);
+        self.couriers[courier].started = now;
+        self.start_process(courier);
+        let notice = now + self.day.mails.front_notice.min(self.day.down.max(1));
+        self.agenda.put(notice, Event::Notice { courier: courier as u32, alive: true });
+        for mail in std::mem::take(&mut self.couriers[courier].owed) {
+            if self.mails[mail as usize].stage != Stage::Taken {
+                continue;
+            }
+            let c = &mut self.couriers[courier];
+            let index = c.enter(mail);
+            c.open += 1;
+            self.mails[mail as usize].index = index;
+            let (key, ran) = (self.mails[mail as usize].key, self.mails[mail as usize].ran);
+            if let (Some(key), Some(_)) = (key, ran) {
+                self.tell(courier, Input::Rested { key: key as usize, since: now });
+            }
+            self.take_on(courier, mail);
+        }
+    }
+
+    /// What a courier sees of a call's riders whose outcome is not told yet.
+    pub fn tell_outcome(&mut self, now: Time, call: u32, reply: Reply, only: impl Fn(&Rider) -> bool) {
+        let c = &self.calls[call as usize];
+        let (courier, took, kept) = (c.courier as usize, now - c.started.min(now), c.kept);
+        let (endpoint, started) = (c.endpoint as usize, c.started);
+        let (unit, hall) = (self.sites[endpoint].unit, self.day.endpoints[endpoint].hall as u16);
+        let bad = !matches!(reply.outcome, Outcome::Relayed | Outcome::Unsent | Outcome::CalledOff);
+        if bad && self.units[unit].out {
+            let outage = self.units[unit].outage;
+            self.judge.saw_outage(courier as u32, unit, outage);
+        }
+        for i in 0..self.calls[call as usize].riders.len() {
+            let rider = self.calls[call as usize].riders[i];
+            if rider.told || !only(&rider) {
+                continue;
+            }
+            self.calls[call as usize].riders[i].told = true;
+            let m = &mut self.mails[rider.mail as usize];
+            if !reply.outcome.never_ran() {
+                m.ran = m.ran.or(Some((started, hall)));
+            }
+            let (index, held) = (m.index as usize, m.stage == Stage::Taken);
+            let over = reply.outcome == Outcome::Relayed;
+            if over && held {
+                self.finish(now, rider.mail, Answer::Relayed);
+            }
+            self.tell(courier, crate::parts::ended(index, &reply, over, took, kept));
+        }
+        if self.calls[call as usize].riders.iter().all(|r| r.told) {
+            if self.calls[call as usize].phase == Phase::Connecting {
+                self.no_longer_coming(call);
+            }
+            self.calls[call as usize].open = false;
+            self.couriers[courier].out -= 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/world.rs
@@ -0,0 +1,329 @@
+//! A day as it runs: all that there is, and the loop that takes one event after the other. What each event does stands
+//! beside: `clients` (mails come in and come again), `turns` (a courier decides), `calls` (a call goes out and its
+//! answer comes back), `serving` (what a partner does with it), `troubles`, `listing`.
+
+use std::rc::Rc;
+
+use meadowhold::interface::{Action, Input, Time, SECOND};
+
+use crate::agenda::Agenda;
+use crate::chance::{Purpose, Stream};
+use crate::day::Day;
+use crate::decider::{Maker, Sight};
+use crate::judge::Judge;
+use crate::parts::{Call, Courier, Event, Known, Mail, Phase, Site, Unit};
+use crate::scenario::Limit;
+use crate::series::Sample;
+use crate::trace::Trace;
+
+/// What a run is asked for beyond its figures.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Options {
+    /// Keep the history of this mail.
+    pub watch: Option<u32>,
+    /// Sample the state for plots this often; 0: not at all.
+    pub sample_every: Time,
+}
+
+/// Counts of what was done, whatever it was worth.
+#[derive(Clone, Debug, Default)]
+pub struct Counts {
+    pub events: u64,
+    pub turns: u64,
+    pub connects: u64,
+    pub calls: u64,
+    pub handshakes: u64,
+    pub refused: u64,
+    pub silent: u64,
+    pub broken: u64,
+    pub errors: u64,
+    pub unreached: u64,
+    pub unsent: u64,
+    pub turned_away: u64,
+    pub repeats_dropped: u64,
+    /// Work done at partners, and the part of it whose answer was heard, in tenths of a millisecond.
+    pub work: f64,
+    pub heard_work: f64,
+    /// Calls beyond a courier's slots: a fault of the decider.
+    pub over_slots: u64,
+    pub fallen: u64,
+}
+
+pub struct World<'m> {
+    pub day: Rc<Day>,
+    pub maker: &'m Maker,
+    pub options: Options,
+    pub agenda: Agenda<Event>,
+    pub mails: Vec<Mail>,
+    pub calls: Vec<Call>,
+    pub sites: Vec<Site>,
+    pub units: Vec<Unit>,
+    pub couriers: Vec<Courier>,
+    pub judge: Judge,
+    pub counts: Counts,
+    pub trace: Trace,
+    pub samples: Vec<Sample>,
+    /// The day's stream of mails, and the traffic's sums by which a destination is drawn.
+    pub arrivals: Stream,
+    pub traffic: Vec<f64>,
+    pub shares: Vec<f64>,
+    pub turns_taken: u64,
+    /// Couriers that the front holds to be alive.
+    pub front: Vec<bool>,
+    /// Troubles under way that change who gets mails, and how many.
+    pub hot: Vec<usize>,
+    pub shift: Vec<usize>,
+    pub burst: f64,
+    /// From hall, to hall: troubles that cut the way.
+    pub cut: Vec<Vec<u16>>,
+    pub list: crate::listing::List,
+    /// Repeats that a partner knows, by mail and hall (or 0 where all halls know it together).
+    pub known: std::collections::HashMap<(u32, usize), Known>,
+    pub actions: Vec<Action>,
+}
+
+/// The end of a run: everything that figures are made of.
+pub struct Ended {
+    pub day: Rc<Day>,
+    pub mails: Vec<Mail>,
+    pub judge: Judge,
+    pub counts: Counts,
+    pub samples: Vec<Sample>,
+    pub hash: u64,
+    pub history: Vec<(Time, String)>,
+    pub peak_out: usize,
+}
+
+impl World<'_> {
+    pub fn new(day: Rc<Day>, maker: &Maker, options: Options) -> World<'_> {
+        let sum = |weights: &mut dyn Iterator<Item = f64>| -> Vec<f64> {
+            weights
+                .scan(0.0, |sum, weight| {
+                    *sum += weight;
+                    Some(*sum)
+                })
+                .collect()
+        };
+        let mut units: Vec<Unit> = Vec::new();
+        let mut sites = Vec::with_capacity(day.endpoints.len());
+        let mut shared = vec![usize::MAX; day.partners.len()];
+        for (e, endpoint) in day.endpoints.iter().enumerate() {
+            let partner = endpoint.partner;
+            if day.partners[partner].apart || shared[partner] == usize::MAX {
+                shared[partner] = units.len();
+                units.push(Unit { partner, throttle: 1.0, tokens: 1.0, ..Unit::default() });
+            }
+            let unit = if day.partners[partner].apart { units.len() - 1 } else { shared[partner] };
+            units[unit].endpoints.push(e);
+            let mut site = Site::new(unit);
+            site.gone = endpoint.newcomer;
+            sites.push(site);
+        }
+        let halls = day.halls.len();
+        let mut world = World {
+            maker,
+            options,
+            agenda: Agenda::default(),
+            mails: Vec::new(),
+            calls: Vec::new(),
+            sites,
+            units,
+            couriers: day.couriers.iter().map(|&hall| Courier::new(hall)).collect(),
+            judge: Judge::default(),
+            counts: Counts::default(),
+            trace: Trace::new(options.watch),
+            samples: Vec::new(),
+            arrivals: Stream::new(day.seed, Purpose::Arrivals, 0),
+            traffic: sum(&mut day.partners.iter().map(|p| p.share)),
+            shares: sum(&mut day.classes.iter().map(|c| c.share)),
+            turns_taken: 0,
+            front: vec![true; day.couriers.len()],
+            hot: Vec::new(),
+            shift: Vec::new(),
+            burst: 1.0,
+            cut: vec![vec![0; halls]; halls],
+            list: crate::listing::List::default(),
+            known: Default::default(),
+            actions: Vec::new(),
+            day,
+        };
+        world.begin();
+        world
+    }
+
+    fn begin(&mut self) {
+        for courier in 0..self.couriers.len() {
+            self.start_process(courier);
+        }
+        self.agenda.put(0, Event::Next);
+        for index in 0..self.day.troubles.len() {
+            let (from, until) = (self.day.troubles[index].from, self.day.troubles[index].until);
+            self.agenda.put(from, Event::Trouble { index: index as u32, on: true });
+            self.agenda.put(until.max(from + 1), Event::Trouble { index: index as u32, on: false });
+        }
+        if self.options.sample_every > 0 {
+            self.agenda.put(0, Event::Sample);
+        }
+    }
+
+    pub fn run(mut self) -> Ended {
+        // Beyond this nothing that was sent can still have an effect that the rules ask about.
+        let longest = self.day.classes.iter().map(|c| c.settings.lifetime).max().unwrap_or(0);
+        let troubled = self.day.troubles.iter().map(|t| t.until).max().unwrap_or(0);
+        let end = self.day.length.max(troubled) + longest + 10 * SECOND;
+        while let Some((now, event)) = self.agenda.take() {
+            if now > end {
+                break;
+            }
+            self.happen(now, event);
+        }
+        self.close();
+        let peak_out = self.couriers.iter().map(|c| c.peak_out).max().unwrap_or(0);
+        self.counts.events = self.agenda.count();
+        let (hash, history) = self.trace.end();
+        Ended {
+            day: self.day,
+            mails: self.mails,
+            judge: self.judge,
+            counts: self.counts,
+            samples: self.samples,
+            hash,
+            history,
+            peak_out,
+        }
+    }
+
+    fn happen(&mut self, now: Time, event: Event) {
+        match event {
+            Event::Next => self.next_mail(now),
+            Event::Clump { dest, left } => self.clump(now, dest, left),
+            Event::HandIn { mail, courier } => self.hand_in(now, mail, courier),
+            Event::Again { mail } => self.send_in(now, mail),
+            Event::HangUp { mail, tries } => self.hang_up(now, mail, tries),
+            Event::Turn { courier, at } => self.turn(now, courier as usize, at),
+            Event::Connected { call } => self.connected(now, call),
+            Event::Unreached { call } => self.unreached(now, call),
+            Event::Reach { call } => self.reach(now, call),
+            Event::Done { call } => self.done(now, call),
+            Event::Answer { call, reply } => self.answer(now, call, reply),
+            Event::Expire { call } => self.expire(now, call),
+            Event::Sweep { courier, endpoint } => self.sweep(now, courier as usize, endpoint),
+            Event::Trouble { index, on } => self.trouble(now, index as usize, on),
+            Event::Pulse { index, on } => self.pulse(now, index as usize, on),
+            Event::Publish { change } => self.publish(now, change as usize),
+            Event::Hear { courier, process, upto } => {
+                self.hear(now, courier as usize, process, upto as usize)
+            }
+            Event::Asked { courier, process } => self.asked(now, courier as usize, process),
+            Event::Die { courier } => self.die(now, courier as usize),
+            Event::Rise { courier } => self.rise(now, courier as usize),
+            Event::Notice { courier, alive } => self.front[courier as usize] = alive,
+            Event::Sample => self.sample(now),
+        }
+    }
+
+    /// A new process of a courier: a decider without a memory, and the list.
+    pub fn start_process(&mut self, courier: usize) {
+        let settings = self.day.settings(courier, self.couriers[courier].process);
+        let c = &mut self.couriers[courier];
+        c.decider = Some((self.maker)(courier, settings));
+        (c.alive, c.watches) = (true, false);
+        c.turn_at = None;
+        self.first_list(courier);
+        let now = self.agenda.now();
+        self.wake(courier, now);
+    }
+
+    /// Sees to it that a courier has a turn at this time or earlier, but no earlier than the resolution allows.
+    pub fn wake(&mut self, courier: usize, at: Time) {
+        let resolution = self.day.settings.resolution;
+        let c = &mut self.couriers[courier];
+        if !c.alive {
+            return;
+        }
+        let at = c.last_turn.map_or(at, |last| at.max(last + resolution)).max(c.still_until);
+        if c.turn_at.is_none_or(|set| at < set) {
+            c.turn_at = Some(at);
+            self.agenda.put(at, Event::Turn { courier: courier as u32, at });
+        }
+    }
+
+    pub fn tell(&mut self, courier: usize, input: Input) {
+        self.couriers[courier].inputs.push(input);
+        let now = self.agenda.now();
+        self.wake(courier, now);
+    }
+
+    /// Whether something gets from one hall to another just now.
+    pub fn passes(&self, from: usize, to: usize) -> bool {
+        self.cut[from][to] == 0
+    }
+
+    /// How warm an endpoint is: part of its capacity.
+    pub fn warmth(&self, endpoint: usize, now: Time) -> f64 {
+        let p = &self.day.partners[self.day.endpoints[endpoint].partner];
+        match self.sites[endpoint].cold_since {
+            Some(since) if p.cold > 0 && now < since + p.cold => {
+                p.cold_from + (1.0 - p.cold_from) * (now - since) as f64 / p.cold as f64
+            }
+            _ => 1.0,
+        }
+    }
+
+    /// Calls a second that a unit can serve just now.
+    pub fn present_capacity(&self, unit: usize, now: Time) -> f64 {
+        let well = self.units[unit].endpoints.iter().filter(|&&e| !self.sites[e].is_down());
+        well.map(|&e| self.day.capacity(e) * self.warmth(e, now) / self.sites[e].slow).sum()
+    }
+
+    /// Whether a unit's limit has room for a call, `ahead` of them being on their way.
+    pub fn has_allowance(&self, unit: usize, now: Time, ahead: usize) -> bool {
+        let u = &self.units[unit];
+        let p = &self.day.partners[u.partner];
+        let rate = p.rate * u.throttle;
+        match p.limit {
+            Limit::None => true,
+            Limit::Rate => {
+                let gained = rate * (now - u.at) as f64 / SECOND as f64;
+                (u.tokens + gained).min(rate.max(1.0)) >= 1.0 + ahead as f64
+            }
+            Limit::Span => {
+                let allowed = (rate * p.span as f64 / SECOND as f64).max(1.0);
+                let (used, ahead) = (if now / p.span == u.span { u.used } else { 0.0 }, ahead as f64);
+                used + ahead + 1.0 <= allowed.max(1.0)
+            }
+        }
+    }
+}
+
+impl Sight for World<'_> {
+    fn answer_in(&self, courier: usize, endpoint: usize, class: usize) -> Option<(f64, f64)> {
+        let (now, site) = (self.agenda.now(), &self.sites[endpoint]);
+        let e = &self.day.endpoints[endpoint];
+        let hall = self.couriers[courier].hall;
+        let coming: usize = self.units[site.unit].endpoints.iter().map(|&e| self.sites[e].coming).sum();
+        let waiting = site.queue.len() + site.coming;
+        let bad = site.is_down() || site.shut > 0 || site.half_open > 0 || site.stands_still();
+        let struck = site.class_errors.iter().filter(|(c, _)| *c == class);
+        let well = struck
+            .fold((1.0 - site.errors.min(1.0)) * (1.0 - site.resets.min(1.0)), |w, (_, e)| w * (1.0 - e));
+        let sure = well * (1.0 - site.lost.min(1.0));
+        let full = site.active.len() >= e.slots && waiting >= e.queue;
+        let cut = !self.passes(hall, e.hall) || !self.passes(e.hall, hall);
+        if bad || full || cut || sure <= 0.0 || !self.has_allowance(site.unit, now, coming) {
+            return None;
+        }
+        let ahead = (waiting + site.active.len()) as f64 / e.slots as f64;
+        let service = self.day.mean_service(e.partner) * site.slow / self.warmth(endpoint, now);
+        Some((2.0 * self.day.journey[hall][e.hall] as f64 + service * (1.0 + ahead.floor()), sure))
+    }
+}
+
+impl World<'_> {
+    /// Whether a call is still of the process that began it, and that process waits for it.
+    pub fn is_awaited(&self, call: u32) -> bool {
+        let c = &self.calls[call as usize];
+        let courier = &self.couriers[c.courier as usize];
+        c.open && c.phase != Phase::Ended && courier.alive && courier.process == c.process
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -136,6 +136,15 @@
         e.life == Life::Ready && now >= self.units[e.unit].hold_until
     }
 
+    /// What an endpoint is held to be, and a destination's cap, calls out and parked mails: for plots alone.
+    pub fn standing(&self, endpoint: usize) -> Option<Standing> {
+        self.endpoints.get(endpoint).filter(|e| e.known).map(|e| e.standing)
+    }
+
+    pub fn glance(&self, dest: usize) -> Option<(usize, usize, usize)> {
+        self.dests.get(dest).map(|d| (self.cap(dest), d.out, d.waiting()))
+    }
+
     /// One turn: read all inputs, then decide. Returns when the next turn is wanted at the latest.
     pub fn round(&mut self, now: Time, inputs: &[Input], out: &mut Vec<Action>) -> Option<Time> {
         self.now = self.now.max(now);
