--- a/crates/emulator/src/clients.rs
+++ b/crates/emulator/src/clients.rs
@@ -59,6 +59,9 @@
     }
 
     fn mail_comes(&mut self, now: Time, dest: u32) {
+        if now >= self.day.length {
+            return; // a clump that the day's end cuts off
+        }
         let number = self.mails.len() as u32;
         let d = &mut Stream::new(self.day.seed, Purpose::Mail, u64::from(number));
         let place = d.unit() * self.shares.last().copied().unwrap_or(1.0);
--- a/crates/emulator/src/oracle.rs
+++ b/crates/emulator/src/oracle.rs
@@ -42,6 +42,8 @@
     dests: Vec<Vec<usize>>,
     holds: Vec<Time>,
     parked: Vec<usize>,
+    /// Mails of each key in the order in which they came, and until when the key rests.
+    lines: Vec<(Vec<usize>, Time)>,
     order: Vec<(f64, usize)>,
     slots: Slots,
     asked: bool,
@@ -69,6 +71,7 @@
             dests: Vec::new(),
             holds: Vec::new(),
             parked: Vec::new(),
+            lines: Vec::new(),
             order: Vec::new(),
             slots: Slots::default(),
         }
@@ -94,6 +97,9 @@
         m.over = true;
         if !m.out {
             m.used = false;
+            if let Some(key) = m.taken.key {
+                self.lines[key].0.retain(|&queued| queued != mail);
+            }
             self.parked.retain(|&p| p != mail);
             out.push(Action::FreeMail(mail));
         }
@@ -131,6 +137,9 @@
                 grow(&mut self.zone, mail);
                 grow(&mut self.unit, mail);
                 grow(&mut self.dests, taken.dest);
+                if let Some(key) = taken.key {
+                    grow(&mut self.lines, key).0.push(mail);
+                }
                 self.parked.push(mail);
             }
             Input::Hangup { mail } => self.end(*mail, out),
@@ -147,6 +156,10 @@
                     let first = (self.sent[ended.mail], self.zone[ended.mail]);
                     m.taken.ran = m.taken.ran.or(Some(first));
                 }
+                let may_run_on = ended.outcome.may_run_on();
+                if let Some(key) = m.taken.key.filter(|_| may_run_on) {
+                    self.lines[key].1 = self.lines[key].1.max(now + self.set.turn_gap);
+                }
                 if ended.over || m.over {
                     self.end(ended.mail, out);
                 } else if self.may(now, &self.mails[ended.mail].taken).0 {
@@ -155,7 +168,11 @@
                     self.give_up(now, ended.mail, out);
                 }
             }
-            Input::Rested { .. } | Input::Woken => {}
+            Input::Rested { key, since } => {
+                let rest = &mut grow(&mut self.lines, *key).1;
+                *rest = (*rest).max(since + self.set.turn_gap);
+            }
+            Input::Woken => {}
         }
     }
 
@@ -174,6 +191,13 @@
     /// The endpoint that would answer first, and when, of those that a mail may go to now.
     fn best(&self, now: Time, mail: usize, sight: &dyn Sight) -> Option<(f64, usize)> {
         let t = &self.mails[mail].taken;
+        let in_turn = t.key.is_none_or(|key| {
+            let (line, rest) = &self.lines[key];
+            line.first() == Some(&mail) && (t.connects > 0 || now >= *rest)
+        });
+        if !in_turn {
+            return None;
+        }
         let by_zone = self.set.classes[t.class].by_zone;
         let fits = |endpoint: usize| {
             let e = &self.ends[endpoint];
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -42,6 +42,8 @@
     pub about: String,
     /// Files that this one goes out from, beside it; what stands here goes before what stands there.
     pub include: Vec<String>,
+    /// The seed of the one day that the file is about, where it was found to be special.
+    pub seed: Option<u64>,
     /// Length in seconds; mails come until then, and are ended after it.
     pub seconds: Figure,
     pub couriers: Figure,
@@ -62,6 +64,7 @@
         Scenario {
             about: String::new(),
             include: Vec::new(),
+            seed: None,
             seconds: one(30.0),
             couriers: one(3.0),
             partners: one(12.0),
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -270,10 +270,11 @@
         }
     }
 
-    /// Calls a second that a unit can serve just now.
+    /// Calls a second that a unit can serve at the warmth that it has. A slowness that has come on top is left out: the
+    /// rule on returning partners is about what is cold, and no courier is told more of it.
     pub fn present_capacity(&self, unit: usize, now: Time) -> f64 {
         let well = self.units[unit].endpoints.iter().filter(|&&e| !self.sites[e].is_down());
-        well.map(|&e| self.day.capacity(e) * self.warmth(e, now) / self.sites[e].slow).sum()
+        well.map(|&e| self.day.capacity(e) * self.warmth(e, now)).sum()
     }
 
     /// Whether a unit's limit has room for a call, `ahead` of them being on their way.
@@ -308,7 +309,9 @@
         let well = struck
             .fold((1.0 - site.errors.min(1.0)) * (1.0 - site.resets.min(1.0)), |w, (_, e)| w * (1.0 - e));
         let sure = well * (1.0 - site.lost.min(1.0));
-        let full = site.active.len() >= e.slots && waiting >= e.queue;
+        // Who waits at the partner can't be overtaken; who waits at the courier can. A call may be on its way
+        // while another ends.
+        let full = site.active.len() + waiting > e.slots;
         let cut = !self.passes(hall, e.hall) || !self.passes(e.hall, hall);
         if bad || full || cut || sure <= 0.0 || !self.has_allowance(site.unit, now, coming) {
             return None;
--- /dev/null
+++ b/crates/lab/src/compare.rs
@@ -0,0 +1,103 @@
+//! Compares two sides on the same days: the differences of pairs, with a bootstrap interval, and a plain word where
+//! there is none.
+
+use std::collections::HashMap;
+
+use meadowhold_emulator::chance::{Purpose, Stream};
+
+use crate::runs::Line;
+
+/// Resamplings of the pairs.
+const RESAMPLINGS: usize = 4_000;
+const SEED: u64 = 1;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Difference {
+    pub pairs: usize,
+    pub a: f64,
+    pub b: f64,
+    /// B less A, and the interval that holds it with 95 in 100.
+    pub mean: f64,
+    pub low: f64,
+    pub high: f64,
+}
+
+impl Difference {
+    pub fn verdict(&self) -> &'static str {
+        match (self.low > 0.0, self.high < 0.0) {
+            (true, _) => "B is better",
+            (_, true) => "A is better",
+            _ => "no difference",
+        }
+    }
+}
+
+/// The mean difference of pairs, with its interval.
+pub fn paired(pairs: &[(f64, f64)]) -> Option<Difference> {
+    if pairs.is_empty() {
+        return None;
+    }
+    let count = pairs.len() as f64;
+    let mean = |of: &dyn Fn(&(f64, f64)) -> f64| pairs.iter().map(of).sum::<f64>() / count;
+    let mut stream = Stream::new(SEED, Purpose::Figures, 0);
+    let mut means: Vec<f64> = (0..RESAMPLINGS)
+        .map(|_| {
+            let draw = |_| {
+                let (a, b) = pairs[stream.below(pairs.len())];
+                b - a
+            };
+            (0..pairs.len()).map(draw).sum::<f64>() / count
+        })
+        .collect();
+    means.sort_by(f64::total_cmp);
+    let at = |share: f64| means[((RESAMPLINGS - 1) as f64 * share).round() as usize];
+    Some(Difference {
+        pairs: pairs.len(),
+        a: mean(&|p| p.0),
+        b: mean(&|p| p.1),
+        mean: mean(&|p| p.1 - p.0),
+        low: at(0.025),
+        high: at(0.975),
+    })
+}
+
+/// Pairs of G by scenario, by name: same scenario, same sets, same seed on both sides.
+pub fn by_scenario(a: &[Line], b: &[Line]) -> Vec<(String, Vec<(f64, f64)>)> {
+    let mark = |line: &Line| (line.scenario.clone(), line.sets.clone(), line.seed);
+    let other: HashMap<_, f64> = b.iter().map(|line| (mark(line), line.figures.g)).collect();
+    let mut found: Vec<(String, Vec<(f64, f64)>)> = Vec::new();
+    for line in a {
+        let Some(&g) = other.get(&mark(line)) else { continue };
+        let name = if line.sets.is_empty() {
+            line.scenario.clone()
+        } else {
+            format!("{} {}", line.scenario, line.sets.join(" "))
+        };
+        let at = found.iter().position(|(known, _)| *known == name).unwrap_or_else(|| {
+            found.push((name, Vec::new()));
+            found.len() - 1
+        });
+        found[at].1.push((line.figures.g, g));
+    }
+    found.sort_by(|a, b| a.0.cmp(&b.0));
+    found
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_difference_is_told_only_where_there_is_one() {
+        let mut stream = Stream::new(3, Purpose::Figures, 1);
+        let mut noise = || stream.between(-0.05, 0.05);
+        let cases = [(0.0, "no difference"), (0.04, "B is better"), (-0.04, "A is better")];
+        for (shift, verdict) in cases {
+            let pairs: Vec<(f64, f64)> = (0..60).map(|_| (0.9 + noise(), 0.9 + shift + noise())).collect();
+            let found = paired(&pairs).unwrap();
+            assert_eq!(found.verdict(), verdict, "{found:?}");
+            assert!(found.low <= found.mean && found.mean <= found.high);
+        }
+        assert_eq!(paired(&[]), None);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/hunt.rs
@@ -0,0 +1,280 @@
+//! Looks for the worst day: one on which a rule breaks, or on which most is lost against who sees all. What is found can
+//! be cut down to the fewest troubles, the smallest fleet and the shortest time that still fail.
+
+use std::time::{Duration, Instant};
+
+use meadowhold_emulator::chance::{Purpose, Stream};
+use meadowhold_emulator::check;
+use meadowhold_emulator::figures;
+use meadowhold_emulator::figures::Figures;
+use meadowhold_emulator::judge::Rule;
+use meadowhold_emulator::scenario::{By, Figure, Scenario, Trouble, What};
+use rayon::prelude::*;
+
+use crate::deciders;
+use crate::load::{Named, Refused};
+
+/// Candidates that are tried together; the same whatever the number of threads.
+const BATCH: usize = 48;
+/// Days kept of those that lose most.
+const WORST: usize = 12;
+/// Part of the loss that a cut day must still show.
+const KEPT_LOSS: f64 = 0.75;
+
+/// What a found day shows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Shows {
+    Breaks(Rule),
+    /// G lost against who sees all.
+    Loses(f64),
+}
+
+#[derive(Clone, Debug)]
+pub struct Found {
+    pub from: String,
+    pub scenario: Scenario,
+    pub seed: u64,
+    pub shows: Shows,
+    pub words: String,
+}
+
+pub struct Hunt<'a> {
+    pub library: &'a [Named],
+    pub decider: &'a str,
+    pub seed: u64,
+    pub runs: usize,
+    pub seconds: u64,
+    pub rules_only: bool,
+}
+
+/// Sizes that a trouble of each kind may have.
+const SIZES: [(What, f64, f64); 27] = [
+    (What::Crash, 1.0, 1.0),
+    (What::Hang, 1.0, 1.0),
+    (What::Slow, 3.0, 25.0),
+    (What::Pauses, 100.0, 700.0),
+    (What::Errors, 0.2, 1.0),
+    (What::ClassErrors, 0.3, 1.0),
+    (What::Shut, 1.0, 1.0),
+    (What::Throttle, 0.05, 0.6),
+    (What::Resets, 0.1, 0.9),
+    (What::HalfOpen, 1.0, 1.0),
+    (What::LostAnswers, 0.1, 0.9),
+    (What::IdleClose, 0.05, 3.0),
+    (What::Replace, 1.0, 1.0),
+    (What::Drain, 1.0, 1.0),
+    (What::Flap, 0.5, 4.0),
+    (What::Kill, 1.0, 1.0),
+    (What::Roll, 0.2, 3.0),
+    (What::HotCaller, 0.2, 0.9),
+    (What::HallShift, 0.4, 0.9),
+    (What::Burst, 1.5, 4.0),
+    (What::ListLag, 1.0, 12.0),
+    (What::ListStall, 1.0, 1.0),
+    (What::ListLies, 1.0, 1.0),
+    (What::ListEmpty, 1.0, 1.0),
+    (What::LinkCut, 1.0, 1.0),
+    (What::LinkOneWay, 1.0, 1.0),
+    (What::ClockStep, 100.0, 5_000.0),
+];
+
+fn random_trouble(d: &mut Stream, seconds: f64) -> Trouble {
+    let (what, low, high) = SIZES[d.below(SIZES.len())];
+    let at = d.between(0.0, seconds * 0.8);
+    let lasts = d.between(0.3, (seconds * 0.5).max(0.5));
+    let part = d.between(0.05, 0.6);
+    let size = d.between(low, high);
+    let round = |value: f64| Figure::One((value * 100.0).round() / 100.0);
+    let mut trouble = Trouble::new(what, round(at), round(lasts), round(part), round(size.max(0.01)));
+    trouble.by = [By::Any, By::Hall, By::Kind][d.below(3)];
+    trouble.whole = Figure::One(if d.chance(0.7) { 1.0 } else { 0.3 });
+    trouble
+}
+
+/// A day near one of the library, or near one that was found to be bad.
+fn candidate(hunt: &Hunt, worst: &[Found], number: u64) -> Found {
+    let d = &mut Stream::new(hunt.seed, Purpose::Trouble, number);
+    let seed = d.number() >> 32;
+    let (from, mut scenario) = if !worst.is_empty() && d.chance(0.4) {
+        let near = &worst[d.below(worst.len())];
+        (near.from.clone(), near.scenario.clone())
+    } else {
+        let named = &hunt.library[d.below(hunt.library.len())];
+        (named.name.clone(), named.scenario.clone())
+    };
+    let seconds = scenario.seconds.low();
+    for _ in 0..d.below(3) {
+        scenario.trouble.push(random_trouble(d, seconds));
+    }
+    if scenario.trouble.len() > 3 {
+        let out = d.below(scenario.trouble.len());
+        scenario.trouble.remove(out);
+    }
+    if d.chance(0.4) {
+        scenario.mails.load = Figure::One((d.between(0.4, 1.25) * 100.0).round() / 100.0);
+    }
+    if d.chance(0.2) {
+        scenario.courier.journal = !scenario.courier.journal;
+    }
+    scenario.trouble.iter_mut().enumerate().for_each(|(i, t)| t.mark = t.mark.or(Some(i as u64)));
+    Found { from, scenario, seed, shows: Shows::Loses(0.0), words: String::new() }
+}
+
+fn judged(found: Found, decider: &str, rules_only: bool) -> Result<Option<Found>, Refused> {
+    if !check::faults(&found.scenario).is_empty() {
+        return Ok(None);
+    }
+    let maker = deciders::maker(decider).map_err(Refused::one)?;
+    let own = figures(&found.scenario, found.seed, &*maker);
+    if let Some(broken) = own.broken.first() {
+        let words = format!("{:?} at {:.1} s: {}", broken.rule, broken.at as f64 / 10_000.0, broken.words);
+        return Ok(Some(Found { shows: Shows::Breaks(broken.rule), words, ..found }));
+    }
+    if rules_only {
+        return Ok(None);
+    }
+    let loss = loss(&found.scenario, found.seed, &own)?;
+    let words = format!("G {:.3}, {loss:.3} under who sees all", own.g);
+    Ok(Some(Found { shows: Shows::Loses(loss), words, ..found }))
+}
+
+fn loss(scenario: &Scenario, seed: u64, own: &Figures) -> Result<f64, Refused> {
+    let oracle = deciders::maker(deciders::ORACLE).map_err(Refused::one)?;
+    Ok(figures(scenario, seed, &*oracle).g - own.g)
+}
+
+/// Same seed and number of runs, same days, whatever the threads; a limit in seconds ends it between two batches.
+pub fn hunt(
+    hunt: &Hunt,
+    mut told: impl FnMut(usize, &[Found], &[Found]),
+) -> Result<(Vec<Found>, Vec<Found>), Refused> {
+    let until = Instant::now() + Duration::from_secs(hunt.seconds);
+    let (mut broken, mut worst): (Vec<Found>, Vec<Found>) = (Vec::new(), Vec::new());
+    let mut done = 0;
+    while done < hunt.runs && Instant::now() < until {
+        let count = BATCH.min(hunt.runs - done);
+        let tried: Result<Vec<Option<Found>>, Refused> = (0..count)
+            .into_par_iter()
+            .map(|i| judged(candidate(hunt, &worst, (done + i) as u64), hunt.decider, hunt.rules_only))
+            .collect();
+        for found in tried?.into_iter().flatten() {
+            match found.shows {
+                Shows::Breaks(_) => {
+                    // One day for each rule and make-up is enough to go on with.
+                    let same = |f: &Found| f.shows == found.shows && kinds(f) == kinds(&found);
+                    if !broken.iter().any(same) {
+                        broken.push(found);
+                    }
+                }
+                Shows::Loses(_) => {
+                    worst.push(found);
+                    worst.sort_by(|a, b| lost(b).total_cmp(&lost(a)));
+                    worst.truncate(WORST);
+                }
+            }
+        }
+        done += count;
+        told(done, &broken, &worst);
+    }
+    Ok((broken, worst))
+}
+
+fn kinds(found: &Found) -> Vec<String> {
+    let mut kinds: Vec<String> = found.scenario.trouble.iter().map(|t| format!("{:?}", t.what)).collect();
+    kinds.sort();
+    kinds
+}
+
+fn lost(found: &Found) -> f64 {
+    match found.shows {
+        Shows::Loses(loss) => loss,
+        Shows::Breaks(_) => 0.0,
+    }
+}
+
+/// Whether a day still shows what it was found for; the seed that does, of the one given and a few more.
+fn still(scenario: &Scenario, seed: u64, shows: Shows, decider: &str, runs: &mut usize) -> Option<u64> {
+    if !check::faults(scenario).is_empty() {
+        return None;
+    }
+    let seeds: Vec<u64> = std::iter::once(seed).chain(1..=7).collect();
+    *runs += seeds.len();
+    let fails = |&&seed: &&u64| {
+        let Ok(maker) = deciders::maker(decider) else { return false };
+        let own = figures(scenario, seed, &*maker);
+        match shows {
+            Shows::Breaks(rule) => own.broken.iter().any(|b| b.rule == rule),
+            Shows::Loses(whole) => loss(scenario, seed, &own).is_ok_and(|l| l >= KEPT_LOSS * whole),
+        }
+    };
+    seeds.par_iter().find_first(fails).copied()
+}
+
+/// Smaller days than this one, the boldest cuts first.
+fn cuts(s: &Scenario) -> Vec<Scenario> {
+    let mut cuts = Vec::new();
+    let mut cut = |change: &dyn Fn(&mut Scenario)| {
+        let mut smaller = s.clone();
+        change(&mut smaller);
+        if smaller != *s {
+            cuts.push(smaller);
+        }
+    };
+    for i in 0..s.trouble.len() {
+        cut(&|s| drop(s.trouble.remove(i)));
+    }
+    let scaled = |figure: Figure, by: f64, least: f64| Figure::One((figure.low() * by).floor().max(least));
+    for by in [0.25, 0.5, 0.8] {
+        cut(&|s| s.couriers = scaled(s.couriers, by, 1.0));
+        cut(&|s| s.partners = scaled(s.partners, by, 1.0));
+        cut(&|s| s.seconds = scaled(s.seconds, by, 2.0));
+        cut(&|s| s.mails.full_rate = Figure::One((s.mails.full_rate.low() * by).max(1.0)));
+    }
+    for i in 0..s.class.len().min(if s.class.len() > 1 { usize::MAX } else { 0 }) {
+        cut(&|s| drop(s.class.remove(i)));
+    }
+    for i in 0..s.kind.len().min(if s.kind.len() > 1 { usize::MAX } else { 0 }) {
+        cut(&|s| drop(s.kind.remove(i)));
+    }
+    cut(&|s| s.mails.clumps = Figure::One(0.0));
+    cut(&|s| s.mails.retries = Figure::One(0.0));
+    cut(&|s| s.mails.hang_up = Figure::One(0.0));
+    cut(&|s| s.mails.short_lived = Figure::One(0.0));
+    cut(&|s| s.mails.shape = Default::default());
+    cut(&|s| s.halls.jitter = Figure::One(0.0));
+    cut(&|s| s.halls.names.truncate(1));
+    for i in 0..s.trouble.len() {
+        cut(&|s| s.trouble[i].for_s = Figure::One((s.trouble[i].for_s.low() * 50.0).round() / 100.0));
+        cut(&|s| s.trouble[i].by = By::Any);
+    }
+    cuts
+}
+
+/// Cuts a found day down as long as it shows the same; how many runs that took.
+/// At most so many runs are spent on it.
+pub fn shrink(found: &Found, decider: &str, most: usize) -> (Found, usize) {
+    let (mut best, mut runs) = (found.clone(), 0);
+    best.scenario.trouble.iter_mut().enumerate().for_each(|(i, t)| t.mark = t.mark.or(Some(i as u64)));
+    'again: while runs < most {
+        for smaller in cuts(&best.scenario) {
+            if runs >= most {
+                break 'again;
+            }
+            if let Some(seed) = still(&smaller, best.seed, found.shows, decider, &mut runs) {
+                (best.scenario, best.seed) = (smaller, seed);
+                continue 'again;
+            }
+        }
+        break;
+    }
+    (best, runs)
+}
+
+/// A found day as a scenario file of its own.
+pub fn as_file(found: &Found) -> Result<String, Refused> {
+    let mut scenario = found.scenario.clone();
+    scenario.about = found.words.clone();
+    scenario.seed = Some(found.seed);
+    let text = toml::to_string(&scenario).map_err(|e| Refused::one(format!("a found day: {e}")))?;
+    Ok(format!("# Found near {}.\n{text}", found.from))
+}
--- /dev/null
+++ b/crates/lab/src/load.rs
@@ -0,0 +1,245 @@
+//! Reads scenarios: files that include others, values set on the command line over them, and faults with their place.
+
+use std::fmt;
+use std::path::{Path, PathBuf};
+
+use meadowhold_emulator::check::{self, Fault};
+use meadowhold_emulator::scenario::Scenario;
+use serde::Deserialize;
+use toml::{Table, Value};
+
+/// Files that include files, so many deep at most: guards against one that includes itself.
+const DEEPEST: usize = 8;
+
+/// What a person is told of input that can't be used; nothing else is printed of it.
+#[derive(Debug)]
+pub struct Refused(pub Vec<String>);
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(&self.0.join("\n"))
+    }
+}
+
+impl Refused {
+    pub fn one(words: impl Into<String>) -> Refused {
+        Refused(vec![words.into()])
+    }
+}
+
+/// A scenario with its name: that of its file, without folder and ending.
+#[derive(Clone, Debug)]
+pub struct Named {
+    pub name: String,
+    pub scenario: Scenario,
+}
+
+/// Reads a file, what it includes, and sets values over it (`mails.load=0.8`, `trouble.0.part=[0.1,0.3]`).
+pub fn load(path: &Path, sets: &[String]) -> Result<Named, Refused> {
+    let merged = merged(path, 0)?;
+    let mut scenario = Scenario::deserialize(Value::Table(merged)).map_err(|e| at_file(path, &e))?;
+    if !sets.is_empty() {
+        scenario = with_sets(&scenario, sets)?;
+    }
+    let faults = check::faults(&scenario);
+    if !faults.is_empty() {
+        return Err(Refused(faults.iter().map(|fault| placed(path, sets, fault)).collect()));
+    }
+    let name = path.file_stem().map_or("day".into(), |stem| stem.to_string_lossy().into_owned());
+    Ok(Named { name, scenario })
+}
+
+fn at_file(path: &Path, words: &dyn fmt::Display) -> Refused {
+    Refused::one(format!("{}: {}", path.display(), words.to_string().trim_end()))
+}
+
+fn merged(path: &Path, depth: usize) -> Result<Table, Refused> {
+    if depth > DEEPEST {
+        let words = format!("files include each other more than {DEEPEST} deep; take the circle out");
+        return Err(at_file(path, &words));
+    }
+    let text = std::fs::read_to_string(path).map_err(|e| at_file(path, &e))?;
+    // Each file is read by itself first, so that what it says wrong is told with its line.
+    toml::from_str::<Scenario>(&text).map_err(|e| at_file(path, &e))?;
+    let own: Table = toml::from_str(&text).map_err(|e| at_file(path, &e))?;
+    let includes = own.get("include").and_then(Value::as_array).cloned().unwrap_or_default();
+    let mut whole = Table::new();
+    for include in includes.iter().filter_map(Value::as_str) {
+        let beside = path.parent().unwrap_or(Path::new(".")).join(include);
+        lay_over(&mut whole, merged(&beside, depth + 1)?);
+    }
+    lay_over(&mut whole, own);
+    whole.remove("include");
+    Ok(whole)
+}
+
+/// Tables are merged key by key; lists and values take the place of what was there.
+fn lay_over(under: &mut Table, over: Table) {
+    for (key, value) in over {
+        match (under.get_mut(&key), value) {
+            (Some(Value::Table(below)), Value::Table(above)) => lay_over(below, above),
+            (_, value) => {
+                under.insert(key, value);
+            }
+        }
+    }
+}
+
+/// A scenario with values set by path.
+pub fn with_sets(scenario: &Scenario, sets: &[String]) -> Result<Scenario, Refused> {
+    // Written out whole first, so that what no file names can be set too.
+    let mut whole = Value::try_from(scenario).map_err(|e| Refused::one(format!("--set: {e}")))?;
+    for set in sets {
+        let told = |words: String| Refused::one(format!("--set {set}: {words}"));
+        let (path, text) = set.split_once('=').ok_or_else(|| told("say KEY=VALUE".into()))?;
+        let table = format!("value = {text}");
+        let value = toml::from_str::<Table>(&table).ok().and_then(|mut t| t.remove("value"));
+        // A bare word is a text.
+        let value = value.unwrap_or_else(|| Value::String(text.trim().to_string()));
+        place(&mut whole, path.trim(), value).map_err(told)?;
+    }
+    Scenario::deserialize(whole).map_err(|e| Refused::one(format!("--set {}: {e}", sets.join(" "))))
+}
+
+fn place(whole: &mut Value, path: &str, value: Value) -> Result<(), String> {
+    let mut at = whole;
+    let mut value = Some(value);
+    let parts: Vec<&str> = path.split('.').collect();
+    for (depth, part) in parts.iter().enumerate() {
+        let last = depth + 1 == parts.len();
+        at = match at {
+            Value::Table(table) if last => {
+                table.insert((*part).to_string(), value.take().unwrap_or(Value::Boolean(false)));
+                return Ok(());
+            }
+            Value::Table(table) => {
+                let known: Vec<String> = table.keys().cloned().collect();
+                table.get_mut(*part).ok_or_else(|| format!("no {part}; there are {}", known.join(", ")))?
+            }
+            Value::Array(items) => {
+                let count = items.len();
+                let index = part.parse::<usize>().map_err(|_| format!("{part} is no number from 0"))?;
+                let item =
+                    items.get_mut(index).ok_or_else(|| format!("{index} of {count}, counted from 0"))?;
+                if last {
+                    *item = value.take().unwrap_or(Value::Boolean(false));
+                    return Ok(());
+                }
+                item
+            }
+            _ => return Err(format!("nothing stands below {}", parts[..depth].join("."))),
+        };
+    }
+    Ok(())
+}
+
+/// A fault with file and line, where the file names the key; else with the key alone.
+fn placed(path: &Path, sets: &[String], fault: &Fault) -> String {
+    if let Some(set) = sets.iter().find(|set| set.split('=').next().map(str::trim) == Some(&fault.path)) {
+        return format!("--set {set}: {}; {}", fault.found, fault.remedy);
+    }
+    let text = std::fs::read_to_string(path).unwrap_or_default();
+    match line_of(&text, &fault.path) {
+        Some(line) => format!("{}:{line}: {fault}", path.display()),
+        None => format!("{}: {fault}", path.display()),
+    }
+}
+
+/// The line on which a key stands, or the part of its path that the file names.
+fn line_of(text: &str, path: &str) -> Option<usize> {
+    let document = toml_edit::Document::parse(text).ok()?;
+    let mut item = document.as_item();
+    let mut span = None;
+    for part in path.split('.') {
+        let below = match part.parse::<usize>() {
+            Ok(index) => item.get(index),
+            Err(_) => item.get(part),
+        };
+        let Some(below) = below else { break };
+        span = below.span().or(span);
+        item = below;
+    }
+    span.map(|span| text[..span.start].matches('\n').count() + 1)
+}
+
+/// `7`, `1..20` (both ends counted) or `3,9,11`.
+pub fn seeds(text: &str) -> Result<Vec<u64>, String> {
+    let number = |part: &str| part.trim().parse::<u64>().map_err(|_| format!("{part:?} is no seed"));
+    if let Some((from, to)) = text.split_once("..") {
+        let (from, to) = (number(from)?, number(to.trim_start_matches('='))?);
+        if from > to || to - from >= 1_000_000 {
+            return Err(format!("{text} names no seeds, or over a million"));
+        }
+        return Ok((from..=to).collect());
+    }
+    text.split(',').map(number).collect()
+}
+
+/// All scenario files of a folder that can be run by themselves, by name.
+pub fn library(folder: &Path) -> Result<Vec<PathBuf>, Refused> {
+    let entries = std::fs::read_dir(folder).map_err(|e| at_file(folder, &e))?;
+    let mut files: Vec<PathBuf> = entries
+        .filter_map(|entry| entry.ok().map(|entry| entry.path()))
+        .filter(|path| path.extension().is_some_and(|ending| ending == "toml"))
+        .collect();
+    files.sort();
+    if files.is_empty() {
+        return Err(at_file(folder, &"no scenario here: a scenario is a file that ends in .toml"));
+    }
+    Ok(files)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn folder(files: &[(&str, &str)]) -> tempfile::TempDir {
+        let folder = tempfile::tempdir().unwrap();
+        for (name, text) in files {
+            std::fs::write(folder.path().join(name), text).unwrap();
+        }
+        folder
+    }
+
+    #[test]
+    fn what_cannot_be_used_is_refused_with_file_and_line() {
+        let cases = [
+            ("seconds = 10\npartnerz = 3\n", "2"),
+            ("seconds = 10\n[mails]\nload = 0.5\nfull_rate = -3\n", ":4: mails.full_rate"),
+            ("[[trouble]]\nwhat = \"crash\"\nat_s = 1\nfor_s = 2\nhall = \"south\"\n", ":5: trouble.0.hall"),
+            ("couriers = 0\n", ":1: couriers"),
+            ("seconds = \"long\"\n", "expected a number, or a range"),
+            ("include = [\"none.toml\"]\n", "none.toml"),
+            ("include = [\"a.toml\"]\n", "include each other"),
+        ];
+        for (text, words) in cases {
+            let folder = folder(&[("a.toml", text)]);
+            let refused = load(&folder.path().join("a.toml"), &[]).unwrap_err().to_string();
+            assert!(refused.contains(words) && refused.contains(".toml"), "{text}: {refused}");
+        }
+    }
+
+    #[test]
+    fn files_lie_over_what_they_include_and_sets_over_both() {
+        let folder = folder(&[
+            ("base.toml", "seconds = 9\n[mails]\nload = 0.3\nswing = 0.1\n"),
+            ("a.toml", "include = [\"base.toml\"]\n[mails]\nload = 0.5\n"),
+        ]);
+        let path = folder.path().join("a.toml");
+        let plain = load(&path, &[]).unwrap().scenario;
+        assert_eq!((plain.seconds.low(), plain.mails.load.low(), plain.mails.swing.low()), (9.0, 0.5, 0.1));
+        let set = load(&path, &["mails.load=[0.6, 0.7]".into(), "class.0.importance=9".into()]).unwrap();
+        assert_eq!((set.scenario.mails.load.high(), set.scenario.class[0].importance), (0.7, 9.0));
+        for wrong in ["mails.lode=1", "mails", "class.7.importance=1", "seconds=-1", "seconds.x=1"] {
+            assert!(load(&path, &[wrong.into()]).unwrap_err().to_string().contains("--set"), "{wrong}");
+        }
+    }
+
+    #[test]
+    fn seeds_are_one_some_or_a_range() {
+        assert_eq!(seeds("7").unwrap(), [7]);
+        assert_eq!(seeds("1..3").unwrap(), [1, 2, 3]);
+        assert_eq!(seeds("4, 2").unwrap(), [4, 2]);
+        assert!(seeds("3..1").is_err() && seeds("x").is_err());
+    }
+}
--- /dev/null
+++ b/crates/lab/src/runs.rs
@@ -0,0 +1,157 @@
+//! Runs days over all cores and keeps each result as a line of JSON as soon as it is there, so that an interrupted run
+//! loses nothing that it finished.
+
+use std::collections::HashSet;
+use std::fs::{File, OpenOptions};
+use std::io::{BufRead, BufReader, Read, Seek, SeekFrom, Write};
+use std::path::Path;
+use std::sync::Mutex;
+
+use indicatif::{ProgressBar, ProgressStyle};
+use meadowhold_emulator::figures;
+use meadowhold_emulator::figures::Figures;
+use meadowhold_emulator::scenario::Scenario;
+use rayon::prelude::*;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::deciders;
+use crate::load::Refused;
+
+/// A day to be run.
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub name: String,
+    pub scenario: Scenario,
+    pub sets: Vec<String>,
+    pub decider: String,
+    pub seed: u64,
+}
+
+/// A line of results.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    pub scenario: String,
+    /// Fingerprint of the scenario with all its values.
+    pub digest: String,
+    pub sets: Vec<String>,
+    pub decider: String,
+    pub build: String,
+    pub seed: u64,
+    pub figures: Figures,
+}
+
+impl Line {
+    /// What makes two lines the same run.
+    fn mark(&self) -> String {
+        mark(&self.digest, &self.decider, &self.build, self.seed)
+    }
+}
+
+fn mark(digest: &str, decider: &str, build: &str, seed: u64) -> String {
+    format!("{digest} {decider} {build} {seed}")
+}
+
+pub fn digest(scenario: &Scenario) -> String {
+    let text = serde_json::to_string(scenario).unwrap_or_default();
+    format!("{:016x}", xxh3_64(text.as_bytes()))
+}
+
+/// Sets the number of threads for all that follows; 0: one for each core.
+pub fn threads(count: usize) -> Result<(), Refused> {
+    let built = rayon::ThreadPoolBuilder::new().num_threads(count).build_global();
+    built.map_err(|e| Refused::one(format!("--threads {count}: {e}")))
+}
+
+/// Lines of a file of results; a last line that was cut off is passed over.
+pub fn read(path: &Path) -> Result<Vec<Line>, Refused> {
+    let told = |words: String| Refused::one(format!("{}: {words}", path.display()));
+    let file = File::open(path).map_err(|e| told(e.to_string()))?;
+    let mut lines = Vec::new();
+    let mut all = BufReader::new(file).lines().enumerate().peekable();
+    while let Some((at, text)) = all.next() {
+        let text = text.map_err(|e| told(e.to_string()))?;
+        match serde_json::from_str(&text) {
+            Ok(line) => lines.push(line),
+            Err(_) if all.peek().is_none() => {}
+            Err(e) => return Err(told(format!("line {} is no result: {e}", at + 1))),
+        }
+    }
+    Ok(lines)
+}
+
+/// A file of results that lines are added to.
+pub struct Kept {
+    file: Mutex<File>,
+    done: HashSet<String>,
+}
+
+impl Kept {
+    /// Opens a file to go on with it; what it holds is not run again.
+    pub fn open(path: &Path) -> Result<Kept, Refused> {
+        let told = |e: std::io::Error| Refused::one(format!("{}: {e}", path.display()));
+        let done = if path.is_file() { read(path)?.iter().map(Line::mark).collect() } else { HashSet::new() };
+        let mut file = OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .read(true)
+            .write(true)
+            .open(path)
+            .map_err(told)?;
+        // Guards against a line that was cut off: the next would be written on to its end. A pipe has no end.
+        if file.metadata().map_err(told)?.is_file() {
+            let mut text = Vec::new();
+            file.read_to_end(&mut text).map_err(told)?;
+            let whole = text.iter().rposition(|&b| b == b'\n').map_or(0, |at| at + 1);
+            file.set_len(whole as u64).map_err(told)?;
+            file.seek(SeekFrom::End(0)).map_err(told)?;
+        }
+        Ok(Kept { file: Mutex::new(file), done })
+    }
+
+    fn has(&self, job: &Job, build: &str) -> bool {
+        self.done.contains(&mark(&digest(&job.scenario), &job.decider, build, job.seed))
+    }
+
+    fn keep(&self, line: &Line) -> Result<(), Refused> {
+        let mut text = serde_json::to_vec(line).map_err(|e| Refused::one(format!("a result: {e}")))?;
+        text.push(b'\n');
+        let mut file = self.file.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        file.write_all(&text).map_err(|e| {
+            Refused::one(format!("a result can't be written ({e}); what was written before is whole"))
+        })
+    }
+}
+
+/// Runs all jobs, those aside that `kept` holds already; results come in the order of the jobs.
+pub fn run(jobs: &[Job], kept: Option<&Kept>) -> Result<Vec<Line>, Refused> {
+    let build = deciders::build();
+    let left: Vec<&Job> = jobs.iter().filter(|job| kept.is_none_or(|kept| !kept.has(job, &build))).collect();
+    let bar = ProgressBar::new(left.len() as u64);
+    if let Ok(style) = ProgressStyle::with_template("{bar:30} {pos}/{len} days, {eta} left") {
+        bar.set_style(style);
+    }
+    let lines = left
+        .par_iter()
+        .map(|job| {
+            let maker = deciders::maker(&job.decider).map_err(Refused::one)?;
+            let figures = figures(&job.scenario, job.seed, &*maker);
+            let line = Line {
+                scenario: job.name.clone(),
+                digest: digest(&job.scenario),
+                sets: job.sets.clone(),
+                decider: job.decider.clone(),
+                build: build.clone(),
+                seed: job.seed,
+                figures,
+            };
+            if let Some(kept) = kept {
+                kept.keep(&line)?;
+            }
+            bar.inc(1);
+            Ok(line)
+        })
+        .collect();
+    bar.finish_and_clear();
+    lines
+}
--- /dev/null
+++ b/crates/lab/src/tables.rs
@@ -0,0 +1,92 @@
+//! Results as a person reads them.
+
+use std::collections::BTreeMap;
+
+use crate::runs::Line;
+
+/// Columns lined up, the first to the left and the others to the right.
+pub fn table(rows: &[Vec<String>]) -> String {
+    let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
+    let width = |c: usize| rows.iter().filter_map(|r| r.get(c)).map(|t| t.chars().count()).max().unwrap_or(0);
+    let widths: Vec<usize> = (0..columns).map(width).collect();
+    let mut text = String::new();
+    for row in rows {
+        let cells = row.iter().enumerate().map(|(c, cell)| match c {
+            0 => format!("{cell:<width$}", width = widths[c]),
+            _ => format!("{cell:>width$}", width = widths[c]),
+        });
+        text.push_str(cells.collect::<Vec<_>>().join("  ").trim_end());
+        text.push('\n');
+    }
+    text
+}
+
+fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len().max(1) as f64
+}
+
+/// One row for each scenario, set of values and decider: means over the seeds, the worst G, rules broken.
+pub fn summary(lines: &[Line]) -> String {
+    let mut groups: BTreeMap<(String, String, String), Vec<&Line>> = BTreeMap::new();
+    for line in lines {
+        let group = (line.scenario.clone(), line.sets.join(" "), line.decider.clone());
+        groups.entry(group).or_default().push(line);
+    }
+    let head = [
+        "scenario",
+        "decider",
+        "days",
+        "G",
+        "worst G",
+        "whole",
+        "worst 10 s",
+        "worst class",
+        "waste",
+        "refused",
+        "connects",
+        "rules broken",
+    ];
+    let mut rows = vec![head.map(String::from).to_vec()];
+    for ((scenario, sets, decider), lines) in groups {
+        let of = |get: &dyn Fn(&Line) -> f64| lines.iter().map(|line| get(line)).collect::<Vec<f64>>();
+        let figure = |get: &dyn Fn(&Line) -> f64| format!("{:.3}", mean(&of(get)));
+        let broken = lines.iter().filter(|line| line.figures.rules_broken > 0).count();
+        let name = if sets.is_empty() { scenario } else { format!("{scenario} {sets}") };
+        rows.push(vec![
+            name,
+            decider,
+            lines.len().to_string(),
+            figure(&|l| l.figures.g),
+            format!("{:.3}", of(&|l| l.figures.g).into_iter().fold(1.0, f64::min)),
+            figure(&|l| l.figures.whole),
+            figure(&|l| l.figures.worst_window),
+            figure(&|l| l.figures.worst_class),
+            figure(&|l| l.figures.waste),
+            figure(&|l| l.figures.refused),
+            figure(&|l| l.figures.connects),
+            if broken == 0 { "none".into() } else { format!("on {broken} days") },
+        ]);
+    }
+    table(&rows)
+}
+
+/// The first broken rules of each run, a line each.
+pub fn broken(lines: &[Line]) -> String {
+    let mut text = String::new();
+    for line in lines {
+        for b in line.figures.broken.iter().take(2) {
+            text.push_str(&format!(
+                "{} seed {} {}: {:?} at {:.2} s, mail {}, courier {}: {}\n",
+                line.scenario,
+                line.seed,
+                line.decider,
+                b.rule,
+                b.at as f64 / 10_000.0,
+                b.mail,
+                b.courier,
+                b.words
+            ));
+        }
+    }
+    text
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -272,7 +272,11 @@
         let left = m.connects < self.set.max_connects && self.now < m.due;
         match (m.ran, c.effect) {
             (None, _) | (_, Effect::Redeliverable) => (left, true),
-            (Some((sent, _)), Effect::Tagged) => (left && self.now < sent + c.window, !c.by_zone),
+            (Some((sent, _)), Effect::Tagged) => {
+                // Guards against a repeat that is still on its way, or its connection made, as the window ends.
+                let known = self.now + self.set.connect_timeout < sent + c.window;
+                (left && known, !c.by_zone)
+            }
             (Some(_), Effect::OnceOnly) => (false, false),
         }
     }
@@ -397,9 +401,20 @@
                 let floor = if even > 0.0 { even / 12.0 } else { 0.2 };
                 unit.pace = if scant { 0.0 } else { (before * SLOWER).max(floor) };
                 unit.saved = Saved { calls: 1.0, at: unit.hold_until };
-                if now > unit.refused_since + self.set.overload_for {
+                let (lasting, unit) = (now > unit.refused_since + self.set.overload_for, e.unit);
+                if lasting {
                     self.sign(endpoint, Sign::Bad);
                 }
+                // Guards against a destination that was shut, opens cold, and gets at once what has waited for it.
+                if wait > self.set.overload_for {
+                    for i in 0..self.dests[self.endpoints[endpoint].dest].endpoints.len() {
+                        let sister = self.dests[self.endpoints[endpoint].dest].endpoints[i];
+                        if self.endpoints[sister].unit == unit {
+                            self.endpoints[sister].bad_since_good = true;
+                            self.sign(sister, Sign::Bad);
+                        }
+                    }
+                }
             }
             Outcome::Silent if (took as f64) < e.latency.tail() => {} // cut short by its mail's own end
             Outcome::Broken if kept => self.stale += 1.0, // closed by the far side meanwhile, most likely
@@ -687,7 +702,7 @@
             Standing::Returning => {
                 let warm = (self.now - e.since) as f64 / self.set.cold.max(1) as f64;
                 let share = self.paced_share(endpoint, warm);
-                self.endpoints[endpoint].ramp.refill(self.now, share, 2.0)
+                self.endpoints[endpoint].ramp.refill(self.now, share, 1.0)
             }
         }
     }
