--- a/crates/emulator/src/baselines.rs
+++ b/crates/emulator/src/baselines.rs
@@ -9,7 +9,7 @@
 
 use crate::chance::{Purpose, Stream};
 use crate::decider::{Decider, Sight};
-use crate::slots::Slots;
+use crate::slots::{grow, may, Slots};
 
 /// How a baseline limits and retries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -114,13 +114,6 @@
     ask_at: Option<Time>,
 }
 
-fn grow<T: Default>(list: &mut Vec<T>, index: usize) -> &mut T {
-    if index >= list.len() {
-        list.resize_with(index + 1, T::default);
-    }
-    &mut list[index]
-}
-
 impl Plain {
     pub fn new(set: Settings, style: Style, wrong: Wrong) -> Plain {
         Plain {
@@ -187,18 +180,11 @@
         }
     }
 
-    /// Whether a mail may go again, and whether its client may try again: the rules' word on effects.
     fn may(&self, now: Time, m: &Held) -> (bool, bool) {
-        let c = &self.set.classes[m.class];
         let left = m.connects < self.set.max_connects && now < m.due;
-        match (m.ran, c.effect) {
-            (None, _) | (_, Effect::Redeliverable) => (left, true),
-            (Some((sent, _)), Effect::Tagged) => {
-                // The window counts at the partner: a connect's own way there is allowed for.
-                (left && now + self.set.connect_timeout < sent + c.window, !c.by_zone)
-            }
-            (Some(_), Effect::OnceOnly) if self.wrong == Wrong::Repeats => (left, true),
-            (Some(_), Effect::OnceOnly) => (false, false),
+        match may(&self.set, now, m.class, m.ran) {
+            _ if self.wrong == Wrong::Repeats => (left, true),
+            (again, deferrable) => (left && again, deferrable),
         }
     }
 
--- a/crates/emulator/src/oracle.rs
+++ b/crates/emulator/src/oracle.rs
@@ -4,7 +4,7 @@
 use meadowhold::interface::{Action, Effect, Input, Life, Settings, Taken, Time};
 
 use crate::decider::{Decider, Sight};
-use crate::slots::Slots;
+use crate::slots::{grow, may, Slots};
 
 /// Chance of being served that a once-only mail waits for.
 const SURE: f64 = 0.9;
@@ -49,13 +49,6 @@
     asked: bool,
 }
 
-fn grow<T: Default>(list: &mut Vec<T>, index: usize) -> &mut T {
-    if index >= list.len() {
-        list.resize_with(index + 1, T::default);
-    }
-    &mut list[index]
-}
-
 impl Oracle {
     /// `courier`: whose eyes it has; the sight differs by hall.
     pub fn new(set: Settings, courier: usize) -> Oracle {
@@ -78,15 +71,9 @@
     }
 
     fn may(&self, now: Time, t: &Taken) -> (bool, bool) {
-        let c = &self.set.classes[t.class];
         let left = t.connects < self.set.max_connects && now < t.due;
-        match (t.ran, c.effect) {
-            (None, _) | (_, Effect::Redeliverable) => (left, true),
-            (Some((sent, _)), Effect::Tagged) => {
-                (left && now + self.set.connect_timeout < sent + c.window, !c.by_zone)
-            }
-            (Some(_), Effect::OnceOnly) => (false, false),
-        }
+        let (again, deferrable) = may(&self.set, now, t.class, t.ran);
+        (left && again, deferrable)
     }
 
     fn end(&mut self, mail: usize, out: &mut Vec<Action>) {
--- a/crates/emulator/src/slots.rs
+++ b/crates/emulator/src/slots.rs
@@ -1,4 +1,26 @@
-//! Call slots as baselines and the oracle count them: connects of one turn to one endpoint travel as one call.
+//! What baselines and the oracle have in common: call slots (connects of one turn to one endpoint travel as one call),
+//! and the rules' word on what may be repeated.
+
+use meadowhold::interface::{Effect, Settings, Time};
+
+/// The place of an index in a list that grows with its indices.
+pub fn grow<T: Default>(list: &mut Vec<T>, index: usize) -> &mut T {
+    if index >= list.len() {
+        list.resize_with(index + 1, T::default);
+    }
+    &mut list[index]
+}
+
+/// Whether a mail may go again, and whether its client may be told that trying again is harmless. `ran`: send and hall of
+/// the first connect that may have run. A repeat leaves the time that a connect may take to the end of its window.
+pub fn may(set: &Settings, now: Time, class: usize, ran: Option<(Time, usize)>) -> (bool, bool) {
+    let c = &set.classes[class];
+    match (ran, c.effect) {
+        (None, _) | (_, Effect::Redeliverable) => (true, true),
+        (Some((sent, _)), Effect::Tagged) => (now + set.connect_timeout < sent + c.window, !c.by_zone),
+        (Some(_), Effect::OnceOnly) => (false, false),
+    }
+}
 
 #[derive(Default)]
 pub struct Slots {
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -313,7 +313,9 @@
         // while another ends.
         let full = site.active.len() + waiting > e.slots;
         let cut = !self.passes(hall, e.hall) || !self.passes(e.hall, hall);
-        if bad || full || cut || sure <= 0.0 || !self.has_allowance(site.unit, now, coming) {
+        let kept = self.couriers[courier].idle.get(&(endpoint as u32)).is_some_and(|idle| !idle.is_empty());
+        let barred = e.connections > 0 && site.connections >= e.connections && !kept;
+        if bad || full || barred || cut || sure <= 0.0 || !self.has_allowance(site.unit, now, coming) {
             return None;
         }
         let ahead = (waiting + site.active.len()) as f64 / e.slots as f64;
--- a/crates/lab/src/charts.rs
+++ b/crates/lab/src/charts.rs
@@ -164,7 +164,7 @@
 {
     let bins = by_birth(&ended.day, &ended.mails);
     let seconds: Vec<(f64, f64)> = bins
-        .chunks(10)
+        .chunks_exact(10)
         .map(|second| second.iter().fold((0.0, 0.0), |sum, bin| (sum.0 + bin.0, sum.1 + bin.1)))
         .collect();
     let line = |name: &str, of: &dyn Fn(&(f64, f64)) -> f64| Line {
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -52,6 +52,15 @@
     assert_eq!(output.status.code(), Some(0), "{}{}", text(&output.stdout), text(&output.stderr));
 }
 
+/// Each broke a rule once: a supplier order took effect twice, its repeat decided on as its window ended.
+#[test]
+fn days_that_once_broke_a_rule_break_none() {
+    for (day, seed) in [("roll.toml", "4"), ("in-turn.toml", "5")] {
+        let output = lab(&["run", &scenario(day), "--seeds", seed]);
+        assert_eq!(output.status.code(), Some(0), "{}", text(&output.stdout));
+    }
+}
+
 #[test]
 fn an_interrupted_sweep_goes_on_where_it_was() {
     let folder = tempfile::tempdir().unwrap();
