Read-through: a unit's limit is reckoned in one place, and what nothing read is gone

The limit's tokens and span stood twice in the emulator, for a call that comes and for who sees all; a kept connection's time stood three times; a unit kept a count that nothing read; a courier's death listed all endpoints before walking them; the speed command kept its time in a shared cell.

--- a/crates/emulator/src/baselines.rs
+++ b/crates/emulator/src/baselines.rs
@@ -55,8 +55,8 @@
 const EJECT_AFTER: u32 = 5;
 const EJECT_FOR: Time = 5 * SECOND;
 const RETRY_SHARE: f64 = 0.2;
-/// A gradient limit shrinks once latency is so many times the best seen.
-const SLOW_MULTIPLE: f64 = 2.0;
+/// A gradient limit stops growing once latency is so many times the best seen.
+const SLOW_MULTIPLE: f64 = 4.0;
 const SHRINK: f64 = 0.8;
 
 #[derive(Clone, Default)]
@@ -252,7 +252,7 @@
             (e.fails, e.ejections) = (0, e.ejections.saturating_sub(1));
             let took = took as f64;
             d.best = if d.best > 0.0 { d.best.min(took) * 1.001 } else { took };
-            d.limit = if took > SLOW_MULTIPLE * d.best * 2.0 { d.limit } else { d.limit + 1.0 / d.limit };
+            d.limit = if took > SLOW_MULTIPLE * d.best { d.limit } else { d.limit + 1.0 / d.limit };
         } else if !neutral {
             e.fails += 1;
             d.limit *= SHRINK;
--- a/crates/emulator/src/clients.rs
+++ b/crates/emulator/src/clients.rs
@@ -6,7 +6,7 @@
 use crate::chance::{Purpose, Stream};
 use crate::judge::Rule;
 use crate::parts::{Answer, Event, Mail, Stage, NOBODY};
-use crate::scenario::{Shape, What};
+use crate::scenario::Shape;
 use crate::world::World;
 
 /// Mails of a clump come within this time.
@@ -139,9 +139,8 @@
             let start = t.couriers[(near * t.couriers.len() as f64) as usize];
             return from(start, &|c| t.couriers.contains(&c)).unwrap_or(any);
         }
-        let shifted = self.shift.last().is_some_and(|&t| self.day.troubles[t].what == What::HallShift);
         let hall = usize::from(m.hall);
-        let near = (self.day.mails.by_hall || shifted)
+        let near = (self.day.mails.by_hall || !self.shift.is_empty())
             .then(|| from(any, &|c| self.couriers[c].hall == hall))
             .flatten();
         near.or_else(|| from(any, &|_| true)).unwrap_or(any)
--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -254,6 +254,11 @@
         Settings { seed: Stream::new(self.seed, Purpose::Decider, index).number(), ..self.settings.clone() }
     }
 
+    /// How long a courier keeps an idle connection: a little less than its endpoint does.
+    pub fn kept_for(&self) -> Time {
+        self.keep_idle / 20 * 19
+    }
+
     /// Mean time of a call with one mail at a partner that is well and warm, in tenths of a millisecond.
     pub fn mean_service(&self, partner: usize) -> f64 {
         let mean: f64 = self.classes.iter().map(|c| c.share * c.service).sum();
--- a/crates/emulator/src/judge.rs
+++ b/crates/emulator/src/judge.rs
@@ -86,7 +86,6 @@
     }
 
     /// The first byte of a call goes out.
-    #[allow(clippy::too_many_arguments)]
     pub fn sent(
         &mut self,
         (courier, process): (u32, u32),
--- a/crates/emulator/src/parts.rs
+++ b/crates/emulator/src/parts.rs
@@ -96,9 +96,8 @@
     /// What is left of a plain rate, and when that was reckoned.
     pub tokens: f64,
     pub at: Time,
-    /// Calls in the span before and in the present one.
+    /// The present span, and the calls that count in it.
     pub span: Time,
-    pub before: f64,
     pub used: f64,
     pub throttle: f64,
     pub out: bool,
--- a/crates/emulator/src/serving.rs
+++ b/crates/emulator/src/serving.rs
@@ -92,14 +92,13 @@
     /// The limit's word on one call; refused calls may use it up too.
     fn admit(&mut self, now: Time, endpoint: usize) -> bool {
         let unit = self.sites[endpoint].unit;
+        let (rate, tokens, allowed) = (self.rate(unit), self.tokens(unit, now), self.span_allows(unit));
         let u = &mut self.units[unit];
         let p = &self.day.partners[u.partner];
-        let rate = p.rate * u.throttle;
         match p.limit {
             Limit::None => true,
             Limit::Rate => {
-                let gained = rate * (now - u.at) as f64 / SECOND as f64;
-                (u.tokens, u.at) = ((u.tokens + gained).min(rate.max(1.0)), now);
+                (u.tokens, u.at) = (tokens, now);
                 let room = u.tokens >= 1.0;
                 if room || p.refused_count {
                     u.tokens = (u.tokens - 1.0).max(-rate);
@@ -107,14 +106,13 @@
                 room
             }
             Limit::Span => {
-                let allowed = (rate * p.span as f64 / SECOND as f64).max(1.0);
                 let span = now / p.span;
                 if span != u.span {
                     // Refused calls are carried over into the next span, up to half of what it allows.
                     let over = if span == u.span + 1 { (u.used - allowed).max(0.0) } else { 0.0 };
-                    (u.span, u.before, u.used) = (span, u.used, over.min(allowed / 2.0));
+                    (u.span, u.used) = (span, over.min(allowed / 2.0));
                 }
-                let room = u.used + 1.0 <= allowed.max(1.0);
+                let room = u.used + 1.0 <= allowed;
                 u.used += f64::from(u8::from(room || p.refused_count));
                 room
             }
@@ -123,12 +121,12 @@
 
     /// Time until the limit has room again, as a refusal would tell it.
     fn told_wait(&self, now: Time, endpoint: usize) -> Time {
-        let u = &self.units[self.sites[endpoint].unit];
-        let p = &self.day.partners[u.partner];
+        let unit = self.sites[endpoint].unit;
+        let p = &self.day.partners[self.units[unit].partner];
         match p.limit {
             Limit::None => 0,
             Limit::Rate => {
-                let lacks = (1.0 - u.tokens).max(0.0) / (p.rate * u.throttle).max(1e-6);
+                let lacks = (1.0 - self.units[unit].tokens).max(0.0) / self.rate(unit).max(1e-6);
                 p.wait.max((lacks * SECOND as f64) as Time)
             }
             Limit::Span => (now / p.span + 1) * p.span - now,
@@ -146,14 +144,11 @@
     }
 
     fn report(&self, now: Time, endpoint: usize) -> Option<Report> {
-        let unit = &self.units[self.sites[endpoint].unit];
-        let p = &self.day.partners[unit.partner];
-        let limit = p.rate * unit.throttle;
-        let used = if p.limit == Limit::Span && now / p.span == unit.span { unit.used } else { 0.0 };
-        let allowed = (limit * p.span as f64 / SECOND as f64).max(1.0);
+        let unit = self.sites[endpoint].unit;
+        let (p, limit) = (&self.day.partners[self.units[unit].partner], self.rate(unit));
         let left = match p.limit {
-            Limit::Rate => (unit.tokens / limit.max(1.0)).clamp(0.0, 1.0),
-            _ => (1.0 - used / allowed).clamp(0.0, 1.0),
+            Limit::Rate => (self.units[unit].tokens / limit.max(1.0)).clamp(0.0, 1.0),
+            _ => (1.0 - self.span_used(unit, now) / self.span_allows(unit)).clamp(0.0, 1.0),
         };
         (self.day.told_limits && p.limit != Limit::None).then_some(Report { left, limit })
     }
--- a/crates/emulator/src/turns.rs
+++ b/crates/emulator/src/turns.rs
@@ -231,7 +231,7 @@
 
     /// The connection used last that is not known to be closed.
     fn kept_connection(&mut self, now: Time, courier: usize, endpoint: u32) -> Option<Idle> {
-        let keep = self.day.keep_idle / 20 * 19;
+        let keep = self.day.kept_for();
         let site = &mut self.sites[endpoint as usize];
         let far = site.idle_close.unwrap_or(Time::MAX);
         let way = self.day.journey[self.couriers[courier].hall][self.day.endpoints[endpoint as usize].hall];
@@ -258,14 +258,14 @@
         }
         idle.push(Idle { since: now, place });
         if limited {
-            let at = now + self.day.keep_idle / 20 * 19;
+            let at = now + self.day.kept_for();
             self.agenda.put(at, Event::Sweep { courier: courier as u32, endpoint });
         }
     }
 
     /// Connections that were idle for too long are closed.
     pub fn sweep(&mut self, now: Time, courier: usize, endpoint: u32) {
-        let keep = self.day.keep_idle / 20 * 19;
+        let keep = self.day.kept_for();
         let site = &mut self.sites[endpoint as usize];
         if let Some(idle) = self.couriers[courier].idle.get_mut(&endpoint) {
             idle.retain(|i| {
@@ -306,8 +306,7 @@
                 self.hang_up_call(call as u32);
             }
         }
-        let endpoints: Vec<u32> = (0..self.sites.len() as u32).collect();
-        for endpoint in endpoints {
+        for endpoint in 0..self.sites.len() as u32 {
             self.let_go(courier, endpoint);
         }
         for &mail in &owed {
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -279,20 +279,38 @@
 
     /// Whether a unit's limit has room for a call, `ahead` of them being on their way.
     pub fn has_allowance(&self, unit: usize, now: Time, ahead: usize) -> bool {
-        let u = &self.units[unit];
-        let p = &self.day.partners[u.partner];
-        let rate = p.rate * u.throttle;
-        match p.limit {
+        match self.day.partners[self.units[unit].partner].limit {
             Limit::None => true,
-            Limit::Rate => {
-                let gained = rate * (now - u.at) as f64 / SECOND as f64;
-                (u.tokens + gained).min(rate.max(1.0)) >= 1.0 + ahead as f64
-            }
-            Limit::Span => {
-                let allowed = (rate * p.span as f64 / SECOND as f64).max(1.0);
-                let (used, ahead) = (if now / p.span == u.span { u.used } else { 0.0 }, ahead as f64);
-                used + ahead + 1.0 <= allowed.max(1.0)
-            }
+            Limit::Rate => self.tokens(unit, now) >= 1.0 + ahead as f64,
+            Limit::Span => self.span_used(unit, now) + ahead as f64 + 1.0 <= self.span_allows(unit),
+        }
+    }
+
+    /// Calls a second that a unit's limit allows just now.
+    pub fn rate(&self, unit: usize) -> f64 {
+        let u = &self.units[unit];
+        self.day.partners[u.partner].rate * u.throttle
+    }
+
+    /// What is left of a plain rate.
+    pub fn tokens(&self, unit: usize, now: Time) -> f64 {
+        let (u, rate) = (&self.units[unit], self.rate(unit));
+        let gained = rate * (now - u.at) as f64 / SECOND as f64;
+        (u.tokens + gained).min(rate.max(1.0))
+    }
+
+    /// Calls that a span allows, and those that count in the present one.
+    pub fn span_allows(&self, unit: usize) -> f64 {
+        let span = self.day.partners[self.units[unit].partner].span;
+        (self.rate(unit) * span as f64 / SECOND as f64).max(1.0)
+    }
+
+    pub fn span_used(&self, unit: usize, now: Time) -> f64 {
+        let u = &self.units[unit];
+        if now / self.day.partners[u.partner].span == u.span {
+            u.used
+        } else {
+            0.0
         }
     }
 }
--- a/crates/lab/src/speed.rs
+++ b/crates/lab/src/speed.rs
@@ -1,7 +1,5 @@
 //! How fast days are simulated, by size, with the deciders' own share of the time and the memory that it took.
 
-use std::cell::Cell;
-use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
@@ -32,8 +30,8 @@
 /// Counts the time that its decider takes; a look at the clock costs some 25 ns twice a turn.
 struct Timed {
     inner: Box<dyn Decider>,
-    spent: Rc<Cell<u64>>,
-    total: &'static AtomicU64,
+    /// Nanoseconds; added to `SPENT` at the end.
+    spent: u64,
 }
 
 static SPENT: AtomicU64 = AtomicU64::new(0);
@@ -48,7 +46,7 @@
     ) -> Option<Time> {
         let begun = Instant::now();
         let next = self.inner.round(now, inputs, out, sight);
-        self.spent.set(self.spent.get() + begun.elapsed().as_nanos() as u64);
+        self.spent += begun.elapsed().as_nanos() as u64;
         next
     }
 
@@ -59,7 +57,7 @@
 
 impl Drop for Timed {
     fn drop(&mut self) {
-        self.total.fetch_add(self.spent.get(), Ordering::Relaxed);
+        SPENT.fetch_add(self.spent, Ordering::Relaxed);
     }
 }
 
@@ -79,7 +77,7 @@
     SPENT.store(0, Ordering::Relaxed);
     let begun = Instant::now();
     let maker = |courier: usize, set| -> Box<dyn Decider> {
-        Box::new(Timed { inner: control(courier, set), spent: Rc::default(), total: &SPENT })
+        Box::new(Timed { inner: control(courier, set), spent: 0 })
     };
     let ended = run(scenario, seed, &maker, Options::default());
     let took = begun.elapsed();
