--- a/crates/lab/src/command.rs
+++ b/crates/lab/src/command.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
+use meadowhold_emulator::decider::Maker;
 use meadowhold_emulator::figures::Figures;
 use meadowhold_emulator::world::Options;
 use meadowhold_emulator::{figures, history, run};
@@ -59,6 +60,27 @@
     decider: Vec<String>,
 }
 
+/// One day of one decider.
+#[derive(Args)]
+struct OneDay {
+    scenario: PathBuf,
+    #[arg(long = "set", value_name = "KEY=VALUE")]
+    sets: Vec<String>,
+    /// Where none is named: the file's own, else 1.
+    #[arg(long)]
+    seed: Option<u64>,
+    #[arg(long, default_value = deciders::CONTROL)]
+    decider: String,
+}
+
+impl OneDay {
+    fn load(&self) -> Result<(Named, u64, Box<Maker>), Refused> {
+        let named = load::load(&self.scenario, &self.sets)?;
+        let seed = self.seed.or(named.scenario.seed).unwrap_or(1);
+        Ok((named, seed, deciders::maker(&self.decider).map_err(Refused::one)?))
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
 enum Format {
     Text,
@@ -133,14 +155,8 @@
     },
     /// Cuts a day down to the fewest troubles, smallest fleet and shortest time that still show the same.
     Shrink {
-        scenario: PathBuf,
-        #[arg(long = "set", value_name = "KEY=VALUE")]
-        sets: Vec<String>,
-        /// Where none is named: the file's own, else 1.
-        #[arg(long)]
-        seed: Option<u64>,
-        #[arg(long, default_value = deciders::CONTROL)]
-        decider: String,
+        #[command(flatten)]
+        day: OneDay,
         /// Runs that it may take.
         #[arg(long, default_value_t = 5_000)]
         runs: usize,
@@ -149,25 +165,15 @@
     },
     /// Plays one day again, and tells the history of the mails of broken rules, or of a mail that is named.
     Replay {
-        scenario: PathBuf,
-        #[arg(long = "set", value_name = "KEY=VALUE")]
-        sets: Vec<String>,
-        #[arg(long)]
-        seed: Option<u64>,
-        #[arg(long, default_value = deciders::CONTROL)]
-        decider: String,
+        #[command(flatten)]
+        day: OneDay,
         #[arg(long)]
         mail: Option<u32>,
     },
     /// Draws one day: charts as SVG or PNG, and one page of HTML.
     Plot {
-        scenario: PathBuf,
-        #[arg(long = "set", value_name = "KEY=VALUE")]
-        sets: Vec<String>,
-        #[arg(long)]
-        seed: Option<u64>,
-        #[arg(long, default_value = deciders::CONTROL)]
-        decider: String,
+        #[command(flatten)]
+        day: OneDay,
         /// Folder for the files; it is made if it is not there.
         #[arg(long, default_value = "plots")]
         out: PathBuf,
@@ -207,15 +213,9 @@
                     Hunt { library: &library, decider: &decider, seed, runs, seconds, rules_only: rules };
                 hunt_days(&hunt, keep.as_deref(), shrink_runs)
             }
-            Work::Shrink { scenario, sets, seed, decider, runs, out } => {
-                shrink(&load::load(&scenario, &sets)?, seed, (&decider, runs), out.as_deref())
-            }
-            Work::Replay { scenario, sets, seed, decider, mail } => {
-                replay(&load::load(&scenario, &sets)?, seed, &decider, mail)
-            }
-            Work::Plot { scenario, sets, seed, decider, out, format } => {
-                plot(&load::load(&scenario, &sets)?, seed, &decider, &out, format)
-            }
+            Work::Shrink { day, runs, out } => shrink(&day, runs, out.as_deref()),
+            Work::Replay { day, mail } => replay(&day, mail),
+            Work::Plot { day, out, format } => plot(&day, &out, format),
             Work::Check { scenarios, sets } => {
                 let all = named(&scenarios, &sets)?;
                 say(&format!("{} scenarios can be run\n", all.len()))?;
@@ -463,18 +463,8 @@
     std::fs::write(path, text).map_err(|e| Refused::one(format!("{}: {e}", path.display())))
 }
 
-fn the_seed(named: &Named, seed: Option<u64>) -> u64 {
-    seed.or(named.scenario.seed).unwrap_or(1)
-}
-
-fn shrink(
-    named: &Named,
-    seed: Option<u64>,
-    (decider, runs): (&str, usize),
-    out: Option<&Path>,
-) -> Result<Verdict, Refused> {
-    let seed = the_seed(named, seed);
-    let maker = deciders::maker(decider).map_err(Refused::one)?;
+fn shrink(day: &OneDay, runs: usize, out: Option<&Path>) -> Result<Verdict, Refused> {
+    let (named, seed, maker) = day.load()?;
     let own = figures(&named.scenario, seed, &*maker);
     let (shows, words) = match own.broken.first() {
         Some(b) => (Shows::Breaks(b.rule), format!("{:?}: {}", b.rule, b.words)),
@@ -491,7 +481,7 @@
         }
     };
     let found = Found { from: named.name.clone(), scenario: named.scenario.clone(), seed, shows, words };
-    let (small, runs) = hunt::shrink(&found, decider, runs);
+    let (small, runs) = hunt::shrink(&found, &day.decider, runs);
     let text = hunt::as_file(&small)?;
     eprintln!("{}; cut down in {runs} runs to {}, seed {}", found.words, small_words(&small), small.seed);
     match out {
@@ -501,9 +491,8 @@
     Ok(Verdict::Fine)
 }
 
-fn replay(named: &Named, seed: Option<u64>, decider: &str, mail: Option<u32>) -> Result<Verdict, Refused> {
-    let seed = the_seed(named, seed);
-    let maker = deciders::maker(decider).map_err(Refused::one)?;
+fn replay(day: &OneDay, mail: Option<u32>) -> Result<Verdict, Refused> {
+    let (named, seed, maker) = day.load()?;
     let found = figures(&named.scenario, seed, &*maker);
     let told: Vec<u32> = match mail {
         Some(mail) if u64::from(mail) >= found.mails => {
@@ -523,15 +512,9 @@
     Ok(if found.rules_broken > 0 { Verdict::RulesBroken } else { Verdict::Fine })
 }
 
-fn plot(
-    named: &Named,
-    seed: Option<u64>,
-    decider: &str,
-    out: &Path,
-    format: Picture,
-) -> Result<Verdict, Refused> {
-    let seed = the_seed(named, seed);
-    let maker = deciders::maker(decider).map_err(Refused::one)?;
+fn plot(day: &OneDay, out: &Path, format: Picture) -> Result<Verdict, Refused> {
+    let (named, seed, maker) = day.load()?;
+    let decider = &day.decider;
     std::fs::create_dir_all(out).map_err(|e| Refused::one(format!("{}: {e}", out.display())))?;
     // Some two hundred samples, whatever the day's length.
     let every = ((named.scenario.seconds.low() * 50.0) as u64).max(10);
@@ -552,7 +535,7 @@
     }
     if matches!(format, Picture::Html | Picture::All) {
         let path = out.join(format!("{stem}.html"));
-        write(&path, &report::page(named, decider, &*maker, &ended)?)?;
+        write(&path, &report::page(&named, decider, &*maker, &ended)?)?;
         files.push(path);
     }
     for path in files {
