While calls are refused, couriers keep to shares of the limits that go by their traffic

Destination 5 gets 144 under limits of 167 and still has 220 calls, 164 refused, 50 relayed. Of one route (endpoint 6, limit 32): 17.152 n287 'Refused after .. wait 676ms', 17.155 n109 'Refused .. wait 0ns', 17.166 n290 'Refused .. wait 0ns' and so on without a relayed call for 15 s, though under 77 calls a second came for limits of 64. Cause: refused calls use the limit up, so that a route over its limit serves next to nothing until it is offered less. At the lines at fault (judge, Outcome::Refused) an even share under half a call a target delay kept no pace at all, and one above it fell by 15 parts in 100 a refusal, while a courier sees a route a few times a minute. A share that is even also gives most couriers more than they use and the few with four times the traffic a quarter of what they need. Ruled out: failed starts, crashes, lost lists (none in the logs), connections (no Unreached), told waits (heeded; one and the same 676 ms). Change: refused calls of a kind are counted, fading with each served one. From four on its limits are tight for two warm-ups, and an endpoint whose even share is under two calls a target delay gets the share times this courier's part of the traffic, eight parts in ten of it, half after a refusal, all again two lifetimes later. Where a destination's share is under one call a lifetime nothing changes. The arithmetic of latency moves to state.rs.

--- a/src/control.rs
+++ b/src/control.rs
@@ -4,7 +4,7 @@
 //! The ordinary path is the design's: a cap on each destination's calls in flight, what is over it is parked.
 
 use crate::interface::{Action, Effect, Ended, Input, Life, Listed, Outcome, Settings, Taken, Time, SECOND};
-use crate::state::{grow, seconds, Call, Dest, Endpoint, Key, Latency, Mail, Place, Saved, Unit};
+use crate::state::{grow, seconds, Call, Dest, Endpoint, Fading, Key, Mail, Place, Regained, Saved, Unit};
 
 /// Headroom of Little's law; the design's figure for arrivals in batches.
 const HEADROOM: f64 = 1.0 / 3.0;
@@ -27,6 +27,17 @@
 const FASTER: f64 = 0.05;
 /// Calls a target delay in an even share, under which no pace is kept: it would starve a courier's few mails.
 const SCANT: f64 = 0.5;
+/// The same, under which the share is kept to while limits are tight: refusals would teach a pace too late.
+const FEW: f64 = 2.0;
+/// Refused calls, fading with each served one, from which on the limits of a kind are tight, and warm-ups till then.
+const TIGHT: f64 = 4.0;
+const TIGHT_FOR: Time = 2;
+/// Calls that a destination's share saves up in the shortest lifetime, under which it is too coarse to wait for.
+const COARSE: f64 = 1.0;
+/// Part of the share that is used, of that what is left after a refusal, and calls that it saves up.
+const AIMED: f64 = 0.8;
+const STRAINED: f64 = 0.5;
+const SAVED: f64 = 2.0;
 /// Target delays that a fee of a whole mail's worth weighs in the pick.
 const FEE_TARGETS: f64 = 8.0;
 /// Part of its paced share that a returning endpoint is sent.
@@ -42,6 +53,14 @@
     Returning, // back and cold: a paced share that grows
 }
 
+/// What keeps the calls to an endpoint within its limit, by how much of it is this courier's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kept {
+    Pace,  // a pace that refusals teach
+    Share, // too little for that: once refused, the share itself
+    Stay,  // too little to wait for: it stays away for a while after a refusal
+}
+
 /// What was seen of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Sign {
@@ -73,20 +92,6 @@
     (Standing::Returning, Sign::Warm, Standing::Well, Step::Note),
 ];
 
-impl Latency {
-    fn learn(&mut self, took: f64) {
-        if !self.seen {
-            *self = Latency { mean: took, deviation: took / 2.0, seen: true };
-        }
-        self.deviation += NEWEST * ((took - self.mean).abs() - self.deviation);
-        self.mean += NEWEST * (took - self.mean);
-    }
-
-    fn tail(&self) -> f64 {
-        self.mean + TAIL_DEVIATIONS * self.deviation
-    }
-}
-
 #[derive(Default)]
 pub struct Control {
     set: Settings,
@@ -95,6 +100,8 @@
     /// The shortest target delay of all queue classes, and the highest importance.
     target: Time,
     top: f64,
+    /// The shortest lifetime: what is learnt over it is learnt in time for what waits.
+    window: Time,
     mails: Vec<Mail>,
     calls: Vec<Call>,
     endpoints: Vec<Endpoint>,
@@ -111,8 +118,13 @@
     /// Connects that found nobody, by kind, fading with each served call; endpoints whose connections close.
     crowded: Vec<f64>,
     unused: Vec<usize>,
+    /// Refused calls by kind, fading with each served call, and until when the kind's limits are held to be tight.
+    tight: Vec<(f64, Time)>,
     /// Endpoints that left the list and are still kept in mind.
     leaving: Vec<usize>,
+    /// Arrivals at all destinations, and the calls a second that are this courier's even share of all limits.
+    traffic: Fading,
+    even: f64,
     order: Vec<(f64, usize)>,
     resting: Vec<usize>,
 }
@@ -125,7 +137,9 @@
             calls: vec![Call::default(); set.slots.min(1 << 16)],
             ask_at: set.ask_list.then_some(0),
             crowded: vec![0.0; set.kinds.len()],
+            tight: vec![(0.0, 0); set.kinds.len()],
             top: set.classes.iter().map(|c| c.importance).fold(0.0, f64::max),
+            window: set.classes.iter().map(|c| c.lifetime).min().unwrap_or(WINDOW).max(WINDOW),
             target: set.classes.iter().map(|c| c.target).min().unwrap_or(SECOND),
             set,
             ..Control::default()
@@ -181,6 +195,7 @@
                         self.leaving.push(endpoint);
                     }
                 }
+                self.sum_shares();
             }
             Input::ListFailed => {
                 self.asks_failed = (self.asks_failed + 1).min(4);
@@ -243,6 +258,44 @@
         }
     }
 
+    /// This courier's even share of the limits. Its traffic counts as even until it is known.
+    fn sum_shares(&mut self) {
+        self.dests.iter_mut().for_each(|d| d.even = 0.0);
+        for e in self.endpoints.iter().filter(|e| e.known && e.life == Life::Ready) {
+            let (d, even) = (&mut self.dests[e.dest], self.units[e.unit].even);
+            d.even = if self.set.kinds[e.kind].apart { d.even + even } else { even };
+        }
+        self.even = self.dests.iter().map(|d| d.even).sum();
+        if self.traffic.at == 0 {
+            self.traffic = Fading { count: self.even * seconds(self.window), at: self.now };
+        }
+    }
+
+    /// What keeps an endpoint's calls within its limit.
+    fn kept_by(&self, e: &Endpoint) -> Kept {
+        let (even, tight) = (self.units[e.unit].even, self.now < self.tight[e.kind].1);
+        let waited_for = self.dests[e.dest].even * seconds(self.window) >= COARSE;
+        match even * seconds(self.target) {
+            calls if even > 0.0 && calls < FEW && tight && waited_for => Kept::Share,
+            calls if even > 0.0 && calls < SCANT => Kept::Stay,
+            _ => Kept::Pace,
+        }
+    }
+
+    /// Calls a second that this courier allows itself at an endpoint's unit, and how many it saves up; 0: no pace.
+    fn pace(&self, e: &Endpoint) -> (f64, f64) {
+        let unit = &self.units[e.unit];
+        match self.kept_by(e) {
+            // Guards against couriers that all send a limited unit what they have: refused calls use the limit up.
+            Kept::Share => {
+                let part = self.traffic.rate(self.now, self.window) / self.even.max(unit.even);
+                (unit.even * part.max(1.0) * AIMED * unit.used.part(self.now, 2 * self.window), SAVED)
+            }
+            Kept::Pace => (unit.pace, unit.pace / 2.0),
+            Kept::Stay => (0.0, 0.0),
+        }
+    }
+
     /// A limit is listed or told. Where calls carry several mails a pace from the start fills them.
     fn limited(&mut self, endpoint: usize, limit: f64) {
         let e = &self.endpoints[endpoint];
@@ -269,6 +322,7 @@
             Mail { place: Place::Parked, dest, class, key, target, due, connects, ran, call: 0 };
         grow(&mut self.dests, dest);
         self.dests[dest].arrivals.count(self.now, WINDOW);
+        self.traffic.count(self.now, self.window);
         self.dests[dest].steady.count(self.now, self.set.cold.max(WINDOW));
         self.dests[dest].lines[usize::from(connects > 0)].push(mail);
         self.open += 1;
@@ -363,13 +417,15 @@
     fn judge(&mut self, endpoint: usize, started: Time, ended: &Ended) {
         let Ended { outcome, wait, took, kept, .. } = *ended;
         let now = self.now;
+        let (kept_by, dest) = (self.kept_by(&self.endpoints[endpoint]), self.endpoints[endpoint].dest);
         let e = &mut self.endpoints[endpoint];
         let unit = &mut self.units[e.unit];
         match outcome {
             Outcome::Relayed => {
                 // Guards against calls that get lost one by one: silence, then an answer as quick as ever.
-                let quick = e.silent && (took as f64) <= e.latency.tail();
+                let quick = e.silent && (took as f64) <= e.latency.tail(TAIL_DEVIATIONS);
                 self.stale *= LOST_KEPT;
+                self.tight[e.kind].0 *= LOST_KEPT;
                 self.lost = self.lost * LOST_KEPT + f64::from(u8::from(quick));
                 // Guards against tables full of many couriers' idle connections; few couriers hardly fill one.
                 self.crowded[e.kind] *= LOST_KEPT;
@@ -380,9 +436,9 @@
                 let back = doubt && now > e.last_good + self.set.overload_for;
                 (e.last_good, e.bad_since_good, unit.refused) = (now, false, 0);
                 e.errs -= NEWEST * e.errs;
-                e.latency.learn(took as f64);
+                e.latency.learn(took as f64, NEWEST);
                 let d = &mut self.dests[e.dest];
-                d.latency.learn(took as f64);
+                d.latency.learn(took as f64, NEWEST);
                 d.grown = if d.waiting() > 0 { d.grown + 1 } else { 0 };
                 // More for a courier that carries more than an even share.
                 let more = unit.pace > 0.0 && d.waiting() > 0;
@@ -394,29 +450,34 @@
             Outcome::Refused => {
                 (e.bad_since_good, unit.refused_at) = (true, now);
                 unit.refused_since = if unit.refused == 0 { now } else { unit.refused_since };
-                let scant = unit.even > 0.0 && unit.even * seconds(self.target) < SCANT;
-                // Guards against couriers back in step after a wait: they spread; what is worth most goes first.
-                let turns = 2.0 * SECOND as f64 / unit.even * self.chance.f64();
                 let own = e.latency.mean.max(1.0) * f64::from(1 << unit.refused.min(4));
                 let own = if wait > 0 { 0.0 } else { own };
-                let (first, rest) = if scant { (turns / 4.0, turns) } else { (own, 0.0) };
+                // Guards against couriers back in step after a wait: they spread; what is worth most goes first.
+                let turns = 2.0 * SECOND as f64 / unit.even * self.chance.f64();
+                let (first, rest) = if kept_by == Kept::Stay { (turns / 4.0, turns) } else { (own, 0.0) };
                 unit.hold_until = unit.hold_until.max(now + wait + first as Time);
                 unit.ease_until = now + wait + rest as Time;
                 unit.refused += 1;
+                let (refused, until) = &mut self.tight[e.kind];
+                *refused += 1.0;
+                *until = if *refused >= TIGHT { now + TIGHT_FOR * self.set.cold } else { *until };
+                let used = unit.used.part(now, 2 * self.window);
+                unit.used = Regained { lost: 1.0 - used * STRAINED, at: now };
                 // Guards against refused calls that use up the limit, whoever else shares it.
                 let even = unit.even;
                 let before = if unit.pace > 0.0 { unit.pace } else { unit.sent.rate(now, WINDOW).max(even) };
                 let floor = if even > 0.0 { even / 12.0 } else { 0.2 };
-                unit.pace = if scant { 0.0 } else { (before * SLOWER).max(floor) };
-                unit.saved = Saved { calls: 1.0, at: unit.hold_until };
+                unit.pace = if kept_by == Kept::Pace { (before * SLOWER).max(floor) } else { 0.0 };
+                // Guards against couriers back in step after a wait: they spread over what a call takes to save up.
+                let calls = if kept_by == Kept::Share { self.chance.f64() } else { 1.0 };
+                unit.saved = Saved { calls, at: unit.hold_until };
                 let (lasting, unit) = (now > unit.refused_since + self.set.overload_for, e.unit);
                 if lasting {
                     self.sign(endpoint, Sign::Bad);
                 }
                 // Guards against a destination that was shut, opens cold, and gets at once what has waited for it.
                 if wait > self.set.overload_for {
-                    for i in 0..self.dests[self.endpoints[endpoint].dest].endpoints.len() {
-                        let sister = self.dests[self.endpoints[endpoint].dest].endpoints[i];
+                    for sister in self.dests[dest].endpoints.clone() {
                         if self.endpoints[sister].unit == unit {
                             self.endpoints[sister].bad_since_good = true;
                             self.sign(sister, Sign::Bad);
@@ -424,7 +485,7 @@
                     }
                 }
             }
-            Outcome::Silent if (took as f64) < e.latency.tail() => {} // cut short by its mail's own end
+            Outcome::Silent if (took as f64) < e.latency.tail(TAIL_DEVIATIONS) => {} // cut short by its mail's own end
             Outcome::Broken if kept => self.stale += 1.0, // closed by the far side meanwhile, most likely
             Outcome::Error | Outcome::Silent | Outcome::Unreached | Outcome::Broken => {
                 e.bad_since_good = true;
@@ -483,8 +544,8 @@
         let e = &self.endpoints[endpoint];
         let d = &self.dests[e.dest].latency;
         match (e.latency.seen, d.seen) {
-            (true, _) => e.latency.tail(),
-            (_, true) => d.tail(),
+            (true, _) => e.latency.tail(TAIL_DEVIATIONS),
+            (_, true) => d.tail(TAIL_DEVIATIONS),
             _ => self.target as f64,
         }
     }
@@ -500,7 +561,8 @@
             _ => SICK_WHOLE,
         };
         let rate = d.arrivals.rate(self.now, WINDOW) + d.waiting() as f64 / seconds(WINDOW);
-        let little = (rate * d.latency.tail() / SECOND as f64 * (1.0 + HEADROOM)).ceil() as usize;
+        let little =
+            (rate * d.latency.tail(TAIL_DEVIATIONS) / SECOND as f64 * (1.0 + HEADROOM)).ceil() as usize;
         let cap = if d.latency.seen { (little + d.grown).clamp(1, clamp) } else { clamp };
         cap.min(part(share))
     }
@@ -691,11 +753,15 @@
     /// Whether an endpoint may be sent a call now. Refills the paced share of one that returns.
     fn free(&mut self, endpoint: usize) -> bool {
         let e = &self.endpoints[endpoint];
+        let (pace, depth) = self.pace(e);
         let unit = &mut self.units[e.unit];
         unit.share.refill(self.now, unit.even, 2.0);
+        if pace == 0.0 {
+            unit.saved = Saved { calls: 0.0, at: self.now }; // nothing is saved up before a pace is kept
+        }
         if e.life != Life::Ready
             || self.now < unit.hold_until
-            || (unit.pace > 0.0 && !unit.saved.refill(self.now, unit.pace, unit.pace / 2.0))
+            || (pace > 0.0 && !unit.saved.refill(self.now, pace, depth))
         {
             return false;
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -30,6 +30,21 @@
     pub seen: bool,
 }
 
+impl Latency {
+    /// `newest`: weight of this call.
+    pub fn learn(&mut self, took: f64, newest: f64) {
+        if !self.seen {
+            *self = Latency { mean: took, deviation: took / 2.0, seen: true };
+        }
+        self.deviation += newest * ((took - self.mean).abs() - self.deviation);
+        self.mean += newest * (took - self.mean);
+    }
+
+    pub fn tail(&self, deviations: f64) -> f64 {
+        self.mean + deviations * self.deviation
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Place {
     #[default]
@@ -81,6 +96,8 @@
     pub pace: f64,
     pub saved: Saved,
     pub sent: Fading,
+    /// What is used of the share after refusals.
+    pub used: Regained,
     /// What is left of this courier's even share of the limit.
     pub share: Saved,
 }
@@ -101,6 +118,20 @@
     }
 }
 
+/// A part that was lost and comes back evenly.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Regained {
+    pub lost: f64,
+    pub at: Time,
+}
+
+impl Regained {
+    /// What is there of the whole, which is regained over this time.
+    pub fn part(&self, now: Time, over: Time) -> f64 {
+        (1.0 - self.lost + (now - self.at) as f64 / over as f64).min(1.0)
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Endpoint {
     pub known: bool,
@@ -137,6 +168,8 @@
     /// Arrivals over the time that a destination takes to warm up.
     pub steady: Fading,
     pub grown: usize,
+    /// This courier's even share, in calls a second, of the limits of its ready endpoints.
+    pub even: f64,
     pub latency: Latency,
 }
 
