--- a/crates/courier/tests/courier.rs
+++ b/crates/courier/tests/courier.rs
@@ -18,9 +18,18 @@
 
 /// A courier with one endpoint of this kind that goes through a script.
 fn world(kind: &str, script: &[Reply]) -> (Platform, Endpoint, Courier) {
+    world_with(kind, script, unchanged)
+}
+
+/// The same, with another configuration.
+fn world_with(
+    kind: &str,
+    script: &[Reply],
+    change: impl FnOnce(&mut Value),
+) -> (Platform, Endpoint, Courier) {
     let (platform, endpoint) = (Platform::new(), Endpoint::new(script));
     platform.list("e1", endpoint.address, kind, 7, "SERVING");
-    let courier = Courier::start(&platform, unchanged);
+    let courier = Courier::start(&platform, change);
     (platform, endpoint, courier)
 }
 
@@ -93,9 +102,9 @@
         ("once", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 500 X\r\n\r\n", 1, ""),
     ];
     // A few couriers at a time: a connection that takes a tenth of a second counts as none.
-    let few = |rows: &[(&'static str, &'static str, usize, &'static str)]| {
+    for few in rows.chunks(4) {
         thread::scope(|scope| {
-            for &(class, answer, calls, notice) in rows {
+            for &(class, answer, calls, notice) in few {
                 scope.spawn(move || {
                     let (platform, endpoint, courier) = world("single", &[Reply::Raw(answer)]);
                     let mut client = courier.client();
@@ -113,8 +122,7 @@
                 });
             }
         });
-    };
-    rows.chunks(4).for_each(few);
+    }
 }
 
 #[test]
@@ -247,11 +255,9 @@
 
 #[test]
 fn killed_again_and_again_it_loses_nothing() {
-    let (platform, endpoint) = (Platform::new(), Endpoint::new(&[]));
-    platform.list("e1", endpoint.address, "single", 7, "SERVING");
     // Room for all of them: a loaded machine leaves some to each next process.
     let room = |config: &mut Value| config["settings"]["Limits"]["MaxOpen"] = json!(10_000);
-    let mut courier = Courier::start(&platform, room);
+    let (platform, endpoint, mut courier) = world_with("single", &[], room);
     let mut sent = Vec::new();
     for round in 0..6 {
         let mut client = courier.client();
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -669,7 +669,7 @@
     for (couriers, class, prompt) in cases {
         let mut back = Vec::new();
         for seed in 0..8 {
-            let mut rig = Rig::new(Settings { couriers, seed, ..settings() }, BATCHED, 1, 10.0);
+            let mut rig = Rig::new(Settings { couriers, seed, ..settings() }, BATCHED, 1, 20.0);
             let (mail, _) = connects(&rig.arrive(0, class, 1))[0];
             rig.at(10, &[told(mail, Outcome::Refused, 10, 500)]);
             back.extend((102..1990).find(|i| !connects(&rig.at(i * 5, &[])).is_empty()).map(|i| i * 5));
