A pace from the start needs several calls a target delay: setpoint orders no longer queue

Checked: keys' own queues are short (one mail in 0.9 to 1.8 s, 0.5 s a call). Cause: limited() starts batched kinds at the courier's even share, but mails of a key all come to one courier, which then gets 0.75 a second against a share of 0.1 to 0.4.

--- a/src/control.rs
+++ b/src/control.rs
@@ -304,7 +304,7 @@
         if unit.even > 0.0 && before > 0.0 {
             // Guards against a limit that sinks: the pace goes with it, before refusals teach it.
             unit.pace *= unit.even / before;
-        } else if self.set.kinds[e.kind].batch > 1 && unit.even * seconds(self.target) >= SCANT {
+        } else if self.set.kinds[e.kind].batch > 1 && unit.even * seconds(self.target) >= FEW {
             unit.pace = unit.even;
         }
     }
