A full room makes way by what a mail earns for its place, dead destinations first

Cause: hope() ranked by worth alone, whatever the time until the destination takes it. Now over the time that the place is held, waits and outages in.

--- a/src/control.rs
+++ b/src/control.rs
@@ -621,10 +621,20 @@
         slope * near(m.target) + left / target * near(m.due)
     }
 
-    /// What is lost by giving a mail up: its worth after one more target delay of waiting.
+    /// What is lost by giving a mail up, for the room that it takes: its worth after one more target delay of
+    /// waiting and as long as its destination may keep it, over that time.
     fn hope(&self, mail: usize) -> f64 {
-        let target = self.set.classes[self.mails[mail].class].target;
-        self.worth(mail, self.now + target).0
+        let m = &self.mails[mail];
+        let target = self.set.classes[m.class].target;
+        let wait = self.dests[m.dest].endpoints.iter().map(|&e| self.away(e)).min().unwrap_or(target);
+        self.worth(mail, self.now + target + wait).0 / seconds(self.target + wait)
+    }
+
+    /// How long an endpoint may take no mail yet: a wait, or an outage that has lasted as long as it goes on.
+    fn away(&self, endpoint: usize) -> Time {
+        let e = &self.endpoints[endpoint];
+        let out = if e.standing == Standing::Down { self.now.saturating_sub(e.since) } else { 0 };
+        out.max(self.units[e.unit].hold_until.saturating_sub(self.now))
     }
 
     /// Offers parked mails to their destinations, most urgent destination first.
