--- a/src/control.rs
+++ b/src/control.rs
@@ -42,8 +42,6 @@
 const FEE_TARGETS: f64 = 8.0;
 /// Calls at an endpoint in the time that a connection is kept idle, under which it is closed: it would only fill a table.
 const SELDOM: f64 = 0.25;
-/// Times as long as an endpoint has been ill that its next trial waits at most.
-const TRIALS_APART: Time = 10;
 /// Part of its paced share that a returning endpoint is sent.
 const RETURN_SHARE: f64 = 1.3;
 
@@ -424,6 +422,14 @@
         let (kept_by, dest) = (self.kept_by(&self.endpoints[endpoint]), self.endpoints[endpoint].dest);
         let e = &mut self.endpoints[endpoint];
         let unit = &mut self.units[e.unit];
+        // Guards against tables full of many couriers' idle connections; few couriers hardly fill one.
+        if matches!(outcome, Outcome::Relayed | Outcome::Refused | Outcome::Error) {
+            let crowded = self.crowded[e.kind] * self.set.couriers as f64 >= self.set.slots as f64;
+            let d = &self.dests[dest];
+            let rate = d.steady.rate(now, self.set.cold.max(WINDOW)) / d.endpoints.len() as f64;
+            let seldom = rate * seconds(self.set.keep_idle) < SELDOM;
+            self.unused.extend((crowded || seldom).then_some(endpoint));
+        }
         match outcome {
             Outcome::Relayed => {
                 // Guards against calls that get lost one by one: silence, then an answer as quick as ever.
@@ -431,13 +437,7 @@
                 self.stale *= LOST_KEPT;
                 self.tight[e.kind].0 *= LOST_KEPT;
                 self.lost = self.lost * LOST_KEPT + f64::from(u8::from(quick));
-                // Guards against tables full of many couriers' idle connections; few couriers hardly fill one.
                 self.crowded[e.kind] *= LOST_KEPT;
-                let crowded = self.crowded[e.kind] * self.set.couriers as f64 >= self.set.slots as f64;
-                let ends = self.dests[e.dest].endpoints.len() as f64;
-                let rate = self.dests[e.dest].steady.rate(now, self.set.cold.max(WINDOW)) / ends;
-                let crowded = crowded || rate * seconds(self.set.keep_idle) < SELDOM;
-                self.unused.extend(crowded.then_some(endpoint));
                 e.silent = false;
                 let doubt = e.standing == Standing::Doubt && e.bad_since_good;
                 let back = doubt && now > e.last_good + self.set.overload_for;
@@ -512,10 +512,6 @@
         let e = &mut self.endpoints[endpoint];
         let row = STANDINGS.iter().find(|row| row.0 == e.standing && row.1 == sign);
         let Some(&(_, _, next, step)) = row else { return };
-        if matches!(e.standing, Standing::Well | Standing::Returning) {
-            e.ill_since = now;
-        }
-        let ill = now - e.ill_since;
         if next != e.standing {
             (e.standing, e.since) = (next, now);
         }
@@ -527,7 +523,7 @@
                 e.trials += 1;
                 // Guards against the trials of many couriers that push a returning destination over together.
                 let turn = SECOND as f64 / self.paced_share(endpoint, 0.0) * (0.5 + self.chance.f64());
-                let turn = if next == Standing::Down { (turn as Time).min(TRIALS_APART * ill) } else { 0 };
+                let turn = if next == Standing::Down { turn as Time } else { 0 };
                 self.endpoints[endpoint].trial_at = now + pause.max(turn);
             }
             Step::Ramp => (e.ramp, e.trials) = (Saved { calls: 1.0, at: now }, 0),
--- a/src/state.rs
+++ b/src/state.rs
@@ -145,8 +145,6 @@
     pub gone_at: Time,
     pub standing: Standing,
     pub since: Time,
-    /// When it was last held to be well, or returning.
-    pub ill_since: Time,
     pub last_good: Time,
     pub bad_since_good: bool,
     pub silent: bool,
