--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -1,5 +1,7 @@
 //! Many couriers in one process: each with its own doors and decisions. They share the numbered lists only.
 
+use std::collections::HashMap;
+
 use meadowhold::control::Control;
 use meadowhold::door::Door;
 use meadowhold::interface::{Action, Ended, Input, Listed, Taken, Time};
@@ -14,6 +16,8 @@
     in_turn: Vec<bool>,
     mails: Door<u32>,
     endpoints: Door<Address>,
+    /// Endpoints by the short names that notes use.
+    named: HashMap<u32, Address>,
     dests: Door<u16>,
     keys: Door<u64>,
     /// Earliest timer that is still to fire.
@@ -103,6 +107,7 @@
             report: decoded.report,
             mails: Door::default(),
             endpoints: Door::default(),
+            named: HashMap::new(),
             dests: Door::default(),
             keys: Door::default(),
             timer: None,
@@ -118,6 +123,7 @@
                 self.inputs.push(Input::ListBegin { whole: scope != 0 });
                 for e in list {
                     let endpoint = self.endpoints.enter(e.endpoint);
+                    self.named.insert(wire::short(e.endpoint), e.endpoint);
                     let dest = self.dests.enter(e.dest);
                     let (zone, kind, life, rate) = (e.zone, e.kind, e.life, e.rate);
                     self.inputs.push(Input::Listed(Listed { endpoint, dest, zone, kind, life, rate }));
@@ -153,6 +159,15 @@
                 }),
                 None => return Ok(()),
             },
+            Event::Message { body } => {
+                let note = wire::noted(body);
+                let Some((endpoint, news)) =
+                    note.and_then(|(name, news)| Some((self.endpoints.find(self.named.get(&name)?)?, news)))
+                else {
+                    return Ok(());
+                };
+                Input::Heard { endpoint, news }
+            }
             _ => return Ok(()),
         };
         self.inputs.push(input);
@@ -193,6 +208,11 @@
                     reply.let_go(instance, e);
                 }
             }
+            Action::Tell { endpoint, news } => {
+                if let Some(&e) = self.endpoints.outside(endpoint) {
+                    reply.publish(instance, &wire::note(e, news));
+                }
+            }
             Action::WatchList => reply.watch(instance),
             Action::FreeMail(mail) => self.mails.leave(mail),
             Action::FreeKey(key) => self.keys.leave(key),
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -1,6 +1,6 @@
 //! The bench wire: frames of fixed-size records with one tail. Every offset is checked before use.
 
-use meadowhold::interface::{Life, Outcome, Report, Time};
+use meadowhold::interface::{Life, News, Outcome, Report, Time};
 use meadowhold_settings::tenths;
 
 pub const EVENT: usize = 48;
@@ -54,6 +54,7 @@
     Alarm,
     Crash,
     Settled(Settled),
+    Message { body: &'a [u8] },
     Other,
 }
 
@@ -103,6 +104,7 @@
                 }
             }
             80 => Event::Crash,
+            100 => Event::Message { body: self.cut(r, 7, 1)? },
             110 => {
                 let count = usize::from(r[27]).min(4);
                 let outcome = outcome(be16(r, 10)).ok_or("an outcome has an unknown reason")?;
@@ -130,6 +132,38 @@
     }
 }
 
+/// A name of three bytes for an endpoint in notes, which are paid for by the byte. Two endpoints of one list
+/// hardly share one; a note that is taken for another's is a wrong hint, as a late one is.
+pub fn short(endpoint: Address) -> u32 {
+    let mixed = endpoint.iter().fold(0x811c_9dc5_u32, |h, &b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
+    (mixed ^ mixed >> 24) & 0xff_ffff
+}
+
+/// Tenths of a second that a note can hold: six bits.
+const LONGEST: Time = 63;
+
+/// A note: the endpoint's short name, then two bits of news and six of its time in tenths of a second, rounded up.
+pub fn note(endpoint: Address, news: News) -> [u8; 4] {
+    let news = match news {
+        News::Full(wait) => wait.div_ceil(1000).min(LONGEST) as u32,
+        News::Out => 1 << 6,
+        News::Back => 2 << 6,
+    };
+    (short(endpoint) << 8 | news).to_be_bytes()
+}
+
+/// What is no note that this courier knows is none.
+pub fn noted(body: &[u8]) -> Option<(u32, News)> {
+    let note = u32::from_be_bytes(body.try_into().ok()?);
+    let news = match note >> 6 & 3 {
+        0 => News::Full(Time::from(note & 63) * 1000),
+        1 => News::Out,
+        2 => News::Back,
+        _ => return None,
+    };
+    Some((note >> 8, news))
+}
+
 pub fn entries(bytes: &[u8]) -> impl Iterator<Item = Entry> + '_ {
     bytes.chunks_exact(ENTRY).map(|e| Entry {
         endpoint: address(e, 0),
@@ -200,6 +234,13 @@
         self.record(20, instance, &[&endpoint]);
     }
 
+    /// To all other couriers.
+    pub fn publish(&mut self, instance: u32, body: &[u8]) {
+        let (offset, length) = (self.tail.len() as u32, body.len() as u32);
+        self.tail.extend_from_slice(body);
+        self.record(100, instance, &[&[0xff; 4], &offset.to_be_bytes(), &length.to_be_bytes()]);
+    }
+
     pub fn watch(&mut self, instance: u32) {
         self.record(10, instance, &[&[1]]);
     }
--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -568,7 +568,7 @@
                     self.endpoints.leave(endpoint);
                 }
                 // A watch is always kept open.
-                Action::WatchList => {}
+                Action::WatchList | Action::Tell { .. } => {}
                 Action::FreeMail(mail) => self.mails.leave(mail),
                 Action::FreeKey(key) => self.keys.leave(key),
             }
--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -190,6 +190,8 @@
             max_connects: s.courier.max_connects,
             resolution: ms(s.courier.resolution_ms).max(1),
             connect_timeout: ms(s.courier.connect_timeout_ms),
+            keep_idle: secs(s.courier.keep_idle_s),
+            may_tell: false,
             max_pause: ms(s.courier.max_pause_ms),
             ask_list: s.list.mode == ListMode::Ask,
             ask_within: secs(s.list.ask_within_s),
--- a/crates/emulator/src/turns.rs
+++ b/crates/emulator/src/turns.rs
@@ -113,6 +113,7 @@
                 }
             }
             Action::WatchList => self.ask_list(now, courier),
+            Action::Tell { .. } => {}
             Action::LetGo(endpoint) => self.let_go(courier, endpoint as u32),
             Action::FreeMail(index) => self.couriers[courier].free.push(index as u32),
             Action::FreeKey(_) | Action::FreeEndpoint(_) => {}
--- a/src/control.rs
+++ b/src/control.rs
@@ -3,7 +3,9 @@
 //! What goes in and out is in `interface.rs`, indices come from `door.rs`; no I/O, no clock, no names.
 //! The ordinary path is the design's: a cap on each destination's calls in flight, what is over it is parked.
 
-use crate::interface::{Action, Effect, Ended, Input, Life, Listed, Outcome, Settings, Taken, Time, SECOND};
+use crate::interface::{
+    Action, Effect, Ended, Input, Life, Listed, News, Outcome, Settings, Taken, Time, SECOND,
+};
 use crate::state::{grow, seconds, Call, Dest, Endpoint, Fading, Key, Mail, Place, Regained, Saved, Unit};
 
 /// Headroom of Little's law; the design's figure for arrivals in batches.
@@ -42,6 +44,8 @@
 const FEE_TARGETS: f64 = 8.0;
 /// Calls at an endpoint in the time that a connection is kept idle, under which it is closed: it would only fill a table.
 const SELDOM: f64 = 0.25;
+/// Target delays over which mails for a full unit spread, for each note of that of late.
+const SPREAD: f64 = 4.0;
 /// Part of its paced share that a returning endpoint is sent.
 const RETURN_SHARE: f64 = 1.3;
 
@@ -66,11 +70,14 @@
 /// What was seen of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Sign {
-    Good, // a call was served
-    Back, // a call was served after a gap in which an outage may have come and gone
-    Bad,  // a call failed, found nobody, got no answer, or was refused when no limit explains it
-    Late, // a call has outlasted its usual latency, and nothing was served since it was sent
-    Warm, // the time for warming up is over
+    Good,  // a call was served
+    Back,  // a call was served after a gap in which an outage may have come and gone
+    Bad,   // a call failed, found nobody, got no answer, or was refused when no limit explains it
+    Late,  // a call has outlasted its usual latency, and nothing was served since it was sent
+    Warm,  // the time for warming up is over
+    Told,  // another courier holds it to be down
+    Heard, // another courier's call was served after that
+    Brief, // the same, too soon for an outage that leaves it cold
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,10 +85,12 @@
     Note,
     BackOff,
     Ramp,
+    Spread,  // as BackOff, the first trials of all couriers spread from now on
+    Trickle, // as Ramp, all couriers together from next to nothing
 }
 
 /// (state, input, next state, effect); a pair that is not listed changes nothing.
-const STANDINGS: [(Standing, Sign, Standing, Step); 10] = [
+const STANDINGS: [(Standing, Sign, Standing, Step); 15] = [
     (Standing::Well, Sign::Bad, Standing::Doubt, Step::BackOff),
     (Standing::Well, Sign::Late, Standing::Doubt, Step::BackOff),
     (Standing::Doubt, Sign::Late, Standing::Doubt, Step::BackOff),
@@ -92,6 +101,11 @@
     (Standing::Down, Sign::Bad, Standing::Down, Step::BackOff),
     (Standing::Returning, Sign::Bad, Standing::Down, Step::BackOff),
     (Standing::Returning, Sign::Warm, Standing::Well, Step::Note),
+    (Standing::Well, Sign::Told, Standing::Down, Step::Spread),
+    (Standing::Doubt, Sign::Told, Standing::Down, Step::Spread),
+    (Standing::Returning, Sign::Told, Standing::Down, Step::Spread),
+    (Standing::Down, Sign::Heard, Standing::Returning, Step::Trickle),
+    (Standing::Down, Sign::Brief, Standing::Well, Step::Note),
 ];
 
 #[derive(Default)]
@@ -120,6 +134,8 @@
     /// Connects that found nobody, by kind, fading with each served call; endpoints whose connections close.
     crowded: Vec<f64>,
     unused: Vec<usize>,
+    /// What the other couriers are to be told.
+    news: Vec<(usize, News)>,
     /// Refused calls by kind, fading with each served call, and until when the kind's limits are held to be tight.
     tight: Vec<(f64, Time)>,
     /// Endpoints that left the list and are still kept in mind.
@@ -172,6 +188,8 @@
         self.give_up_hopeless(out);
         self.dispatch(out);
         out.extend(self.unused.drain(..).map(Action::LetGo));
+        let news = self.news.drain(..).filter(|_| self.set.may_tell);
+        out.extend(news.map(|(endpoint, news)| Action::Tell { endpoint, news }));
         self.rest_keys(out);
         self.forget(out);
         let busy = self.open > 0 || self.out > 0 || !self.resting.is_empty();
@@ -219,10 +237,44 @@
                     self.settle(ended, out);
                 }
             }
+            Input::Heard { endpoint, news } => self.hear(endpoint, news),
             Input::Woken => {}
         }
     }
 
+    /// What another courier saw. Nothing of it is passed on.
+    fn hear(&mut self, endpoint: usize, news: News) {
+        let Some(e) = self.endpoints.get(endpoint).filter(|e| e.known) else { return };
+        let brief = self.now < e.since + self.set.overload_for;
+        let (unit, wait) = (e.unit, if let News::Full(wait) = news { wait } else { 0 });
+        if news != News::Out && (wait > 0 || brief || news != News::Back) {
+            // After a false alarm too they come back spread, not all at once.
+            let until = self.now + wait + self.spread(unit) as Time;
+            self.units[unit].hold_until = self.units[unit].hold_until.max(until);
+        }
+        match news {
+            News::Full(_) => {}
+            News::Out => {
+                self.endpoints[endpoint].told = true;
+                self.sign(endpoint, Sign::Told);
+            }
+            News::Back => {
+                self.endpoints[endpoint].told = false;
+                self.sign(endpoint, if brief { Sign::Brief } else { Sign::Heard });
+            }
+        }
+    }
+
+    /// A random part of the time over which mails for a unit that is full spread: by the calls that it was told to
+    /// refuse of late, over its limit.
+    fn spread(&mut self, unit: usize) -> f64 {
+        let limit = (self.units[unit].even * self.set.couriers as f64).max(0.5);
+        let (now, unit) = (self.now, &mut self.units[unit]);
+        let count = unit.full.rate(now, WINDOW) * seconds(WINDOW) + 1.0;
+        unit.full = Fading { count, at: now };
+        count / limit * SPREAD * SECOND as f64 * self.chance.f64()
+    }
+
     fn list(&mut self, entry: &Listed) {
         let Listed { endpoint, dest, zone, kind, life, rate } = *entry;
         grow(&mut self.endpoints, endpoint);
@@ -420,6 +472,11 @@
         let Ended { outcome, wait, took, kept, .. } = *ended;
         let now = self.now;
         let (kept_by, dest) = (self.kept_by(&self.endpoints[endpoint]), self.endpoints[endpoint].dest);
+        let spread = if outcome == Outcome::Refused && self.set.may_tell {
+            self.spread(self.endpoints[endpoint].unit)
+        } else {
+            0.0
+        };
         let e = &mut self.endpoints[endpoint];
         let unit = &mut self.units[e.unit];
         // Guards against tables full of many couriers' idle connections; few couriers hardly fill one.
@@ -450,17 +507,28 @@
                 // More for a courier that carries more than an even share.
                 let more = unit.pace > 0.0 && d.waiting() > 0;
                 unit.pace += if more { FASTER * unit.even.max(unit.pace) } else { 0.0 };
+                if e.told && e.standing == Standing::Down {
+                    self.news.push((endpoint, News::Back));
+                }
+                e.told &= e.standing != Standing::Down;
                 self.sign(endpoint, if back { Sign::Back } else { Sign::Good });
             }
             // Guards against calls refused together that would count as refused one after the other.
             Outcome::Refused if started < unit.refused_at => e.bad_since_good = true,
             Outcome::Refused => {
+                self.news.push((endpoint, News::Full(wait)));
+                // What came long before the last refusal does not make one that lasts: calls in between may be others'.
+                let anew = unit.refused == 0 || now > unit.refused_at + self.set.overload_for;
+                unit.refused_since = if anew { now } else { unit.refused_since };
                 (e.bad_since_good, unit.refused_at) = (true, now);
-                unit.refused_since = if unit.refused == 0 { now } else { unit.refused_since };
                 let own = e.latency.mean.max(1.0) * f64::from(1 << unit.refused.min(4));
                 let own = if wait > 0 { 0.0 } else { own };
                 // Guards against couriers back in step after a wait: they spread; what is worth most goes first.
-                let turns = 2.0 * SECOND as f64 / unit.even * self.chance.f64();
+                let turns = if self.set.may_tell {
+                    spread
+                } else {
+                    2.0 * SECOND as f64 / unit.even * self.chance.f64()
+                };
                 let (first, rest) = if kept_by == Kept::Stay { (turns / 4.0, turns) } else { (own, 0.0) };
                 unit.hold_until = unit.hold_until.max(now + wait + first as Time);
                 unit.ease_until = now + wait + rest as Time;
@@ -501,6 +569,11 @@
                 let found_nobody = outcome == Outcome::Unreached && e.standing != Standing::Down;
                 self.crowded[e.kind] += f64::from(u8::from(found_nobody));
                 self.sign(endpoint, Sign::Bad);
+                let e = &mut self.endpoints[endpoint];
+                if outcome != Outcome::Unreached && e.standing == Standing::Down && !e.told {
+                    e.told = true;
+                    self.news.push((endpoint, News::Out));
+                }
             }
             Outcome::Spoilt | Outcome::CalledOff | Outcome::Unsent => {}
         }
@@ -517,16 +590,18 @@
         }
         match step {
             Step::Note => e.trials = 0,
-            Step::BackOff => {
+            Step::BackOff | Step::Spread => {
                 // Doubling from a quarter of the time to make a connection, up to a share of the warm-up.
                 let pause = ((self.set.connect_timeout / 4) << e.trials.min(5)).min(self.set.cold / 6);
                 e.trials += 1;
                 // Guards against the trials of many couriers that push a returning destination over together.
-                let turn = SECOND as f64 / self.paced_share(endpoint, 0.0) * (0.5 + self.chance.f64());
+                let turn = SECOND as f64 / self.paced_share(endpoint, 0.0)
+                    * (self.chance.f64() + if step == Step::Spread { 0.0 } else { 0.5 });
                 let turn = if next == Standing::Down { turn as Time } else { 0 };
                 self.endpoints[endpoint].trial_at = now + pause.max(turn);
             }
             Step::Ramp => (e.ramp, e.trials) = (Saved { calls: 1.0, at: now }, 0),
+            Step::Trickle => (e.ramp, e.trials) = (Saved { calls: self.chance.f64(), at: now }, 0),
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -50,6 +50,8 @@
     pub keep_idle: Time,
     /// Longest time to come back that a client heeds; 0 where none can be named.
     pub max_pause: Time,
+    /// Couriers may send each other notes.
+    pub may_tell: bool,
     /// The list must be asked for.
     pub ask_list: bool,
     pub ask_within: Time,
@@ -76,6 +78,15 @@
     Gone,
 }
 
+/// What couriers tell each other of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum News {
+    /// It refused a call, and told to wait so long.
+    Full(Time),
+    Out,
+    Back,
+}
+
 /// How a connect ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -172,6 +183,11 @@
         mail: usize,
     },
     Ended(Ended),
+    /// A note from another courier; it may be late, and others may be lost.
+    Heard {
+        endpoint: usize,
+        news: News,
+    },
     Woken,
 }
 
@@ -195,6 +211,11 @@
         mail: usize,
     },
     WatchList,
+    /// A note to all other couriers.
+    Tell {
+        endpoint: usize,
+        news: News,
+    },
     /// Close the idle connections to this endpoint.
     LetGo(usize),
     /// Nothing more will be said of this index: it may be reused.
--- a/src/state.rs
+++ b/src/state.rs
@@ -90,6 +90,8 @@
     pub refused_since: Time,
     /// When the last of them came: a call that began before says nothing new.
     pub refused_at: Time,
+    /// Notes that it is full, fading.
+    pub full: Fading,
     /// This courier's even share, in calls a second, of the limit that is listed or told; 0: not known.
     pub even: f64,
     /// Calls a second that this courier allows itself, and what it has saved up; 0: no pace is kept.
@@ -147,6 +149,8 @@
     pub since: Time,
     pub last_good: Time,
     pub bad_since_good: bool,
+    /// The other couriers know that it is down.
+    pub told: bool,
     pub silent: bool,
     /// Share of errors among its latest answers.
     pub errs: f64,
