--- a/src/control.rs
+++ b/src/control.rs
@@ -44,6 +44,8 @@
 const FEE_TARGETS: f64 = 8.0;
 /// Calls at an endpoint in the time that a connection is kept idle, under which it is closed: it would only fill a table.
 const SELDOM: f64 = 0.25;
+/// Part of a limit that is left, up to which it counts as used up.
+const USED_UP: f64 = 0.02;
 /// Target delays over which mails for a full unit spread, for each note of that of late.
 const SPREAD: f64 = 4.0;
 /// Part of its paced share that a returning endpoint is sent.
@@ -469,7 +471,7 @@
 
     /// What one call's outcome says of its endpoint, and of the unit that limits it.
     fn judge(&mut self, endpoint: usize, started: Time, ended: &Ended) {
-        let Ended { outcome, wait, took, kept, .. } = *ended;
+        let Ended { outcome, wait, took, kept, report, .. } = *ended;
         let now = self.now;
         let (kept_by, dest) = (self.kept_by(&self.endpoints[endpoint]), self.endpoints[endpoint].dest);
         let spread = if outcome == Outcome::Refused && self.set.may_tell {
@@ -524,10 +526,13 @@
                 let own = e.latency.mean.max(1.0) * f64::from(1 << unit.refused.min(4));
                 let own = if wait > 0 { 0.0 } else { own };
                 // Guards against couriers back in step after a wait: they spread; what is worth most goes first.
-                let turns = if self.set.may_tell {
-                    spread
-                } else {
-                    2.0 * SECOND as f64 / unit.even * self.chance.f64()
+                let turns = 2.0 * SECOND as f64 / unit.even * self.chance.f64();
+                // What is left of the limit says whether it is used up for long, or for a moment.
+                let brief = report.is_some_and(|told| told.left > USED_UP);
+                let turns = match () {
+                    () if self.set.may_tell => spread,
+                    () if brief => turns.min(self.target as f64 * f64::from(1 << unit.refused.min(4)) * self.chance.f64()),
+                    () => turns,
                 };
                 let (first, rest) = if kept_by == Kept::Stay { (turns / 4.0, turns) } else { (own, 0.0) };
                 unit.hold_until = unit.hold_until.max(now + wait + first as Time);
