--- a/src/control.rs
+++ b/src/control.rs
@@ -272,7 +272,7 @@
     fn spread(&mut self, unit: usize) -> f64 {
         let limit = (self.units[unit].even * self.set.couriers as f64).max(0.5);
         let (now, unit) = (self.now, &mut self.units[unit]);
-        let count = unit.full.rate(now, WINDOW) * seconds(WINDOW) + 1.0;
+        let count = unit.full.rate(now, self.set.connect_timeout) * seconds(self.set.connect_timeout) + 1.0;
         unit.full = Fading { count, at: now };
         count / limit * SPREAD * SECOND as f64 * self.chance.f64()
     }
