--- a/src/control.rs
+++ b/src/control.rs
@@ -247,11 +247,11 @@
     /// What another courier saw. Nothing of it is passed on.
     fn hear(&mut self, endpoint: usize, news: News) {
         let Some(e) = self.endpoints.get(endpoint).filter(|e| e.known) else { return };
-        let brief = self.now < e.since + self.set.overload_for;
+        let brief = self.now < e.ill_since + self.set.overload_for;
         let (unit, wait) = (e.unit, if let News::Full(wait) = news { wait } else { 0 });
-        if news != News::Out && (wait > 0 || brief || news != News::Back) {
+        if news != News::Out && (brief || news != News::Back) {
             // After a false alarm too they come back spread, not all at once.
-            let until = self.now + wait + self.spread(unit) as Time;
+            let until = self.now + wait + self.spread(unit, wait, 0.0) as Time;
             self.units[unit].hold_until = self.units[unit].hold_until.max(until);
         }
         match news {
@@ -267,14 +267,22 @@
         }
     }
 
-    /// A random part of the time over which mails for a unit that is full spread: by the calls that it was told to
-    /// refuse of late, over its limit.
-    fn spread(&mut self, unit: usize) -> f64 {
-        let limit = (self.units[unit].even * self.set.couriers as f64).max(0.5);
-        let (now, unit) = (self.now, &mut self.units[unit]);
-        let count = unit.full.rate(now, self.set.connect_timeout) * seconds(self.set.connect_timeout) + 1.0;
+    /// A random part of the time over which couriers spread that a unit refused, with this part of its limit left:
+    /// its calls of each of them; the refusals told of late over its limit; a few target delays if it was full for
+    /// a moment only. What was shut opens cold, and all have mails waiting for it.
+    fn spread(&mut self, unit: usize, wait: Time, left: f64) -> f64 {
+        let (now, all, memory) = (self.now, self.set.couriers as f64, self.set.connect_timeout.max(1));
+        let unit = &mut self.units[unit];
+        let turns = 2.0 * SECOND as f64 / unit.even;
+        let count = unit.full.rate(now, memory) * seconds(memory) + 1.0;
         unit.full = Fading { count, at: now };
-        count / limit * SPREAD * SECOND as f64 * self.chance.f64()
+        let most = match () {
+            () if wait > self.set.overload_for => turns,
+            () if self.set.may_tell => count / (unit.even * all).max(0.5) * SPREAD * SECOND as f64,
+            () if left > USED_UP => turns.min((self.target << unit.refused.min(4)) as f64),
+            () => turns,
+        };
+        most * self.chance.f64()
     }
 
     fn list(&mut self, entry: &Listed) {
@@ -474,11 +482,9 @@
         let Ended { outcome, wait, took, kept, report, .. } = *ended;
         let now = self.now;
         let (kept_by, dest) = (self.kept_by(&self.endpoints[endpoint]), self.endpoints[endpoint].dest);
-        let spread = if outcome == Outcome::Refused && self.set.may_tell {
-            self.spread(self.endpoints[endpoint].unit)
-        } else {
-            0.0
-        };
+        let refused = outcome == Outcome::Refused && started >= self.units[self.endpoints[endpoint].unit].refused_at;
+        let left = report.map_or(0.0, |told| told.left);
+        let spread = if refused { self.spread(self.endpoints[endpoint].unit, wait, left) } else { 0.0 };
         let e = &mut self.endpoints[endpoint];
         let unit = &mut self.units[e.unit];
         // Guards against tables full of many couriers' idle connections; few couriers hardly fill one.
@@ -526,14 +532,7 @@
                 let own = e.latency.mean.max(1.0) * f64::from(1 << unit.refused.min(4));
                 let own = if wait > 0 { 0.0 } else { own };
                 // Guards against couriers back in step after a wait: they spread; what is worth most goes first.
-                let turns = 2.0 * SECOND as f64 / unit.even * self.chance.f64();
-                // What is left of the limit says whether it is used up for long, or for a moment.
-                let brief = report.is_some_and(|told| told.left > USED_UP);
-                let turns = match () {
-                    () if self.set.may_tell => spread,
-                    () if brief => turns.min(self.target as f64 * f64::from(1 << unit.refused.min(4)) * self.chance.f64()),
-                    () => turns,
-                };
+                let turns = spread;
                 let (first, rest) = if kept_by == Kept::Stay { (turns / 4.0, turns) } else { (own, 0.0) };
                 unit.hold_until = unit.hold_until.max(now + wait + first as Time);
                 unit.ease_until = now + wait + rest as Time;
@@ -590,6 +589,7 @@
         let e = &mut self.endpoints[endpoint];
         let row = STANDINGS.iter().find(|row| row.0 == e.standing && row.1 == sign);
         let Some(&(_, _, next, step)) = row else { return };
+        e.ill_since = if e.standing == Standing::Well { now } else { e.ill_since };
         if next != e.standing {
             (e.standing, e.since) = (next, now);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -147,6 +147,8 @@
     pub gone_at: Time,
     pub standing: Standing,
     pub since: Time,
+    /// When it was last held to be well.
+    pub ill_since: Time,
     pub last_good: Time,
     pub bad_since_good: bool,
     /// The other couriers know that it is down.
