--- a/src/control.rs
+++ b/src/control.rs
@@ -8,6 +8,8 @@
 };
 use crate::state::{grow, seconds, Call, Dest, Endpoint, Fading, Key, Mail, Place, Regained, Saved, Unit};
 
+mod glance;
+
 /// Headroom of Little's law; the design's figure for arrivals in batches.
 const HEADROOM: f64 = 1.0 / 3.0;
 /// Deviations above the mean at which the tail of served calls is put.
@@ -18,10 +20,10 @@
 const CLAMP: (usize, usize) = (3, 4);
 const SICK: (usize, usize) = (1, 2);
 const SICK_WHOLE: (usize, usize) = (1, 4);
-/// Time-out in tails: redeliverable, tagged, once-only while calls get lost; else that may run to its end.
-const PATIENCE: [f64; 3] = [3.0, 4.0, 12.0];
-/// What is kept of the count of lost calls at each served one.
-const LOST_KEPT: f64 = 0.95;
+/// Time-out in tails: redeliverable, tagged; once-only calls may run to their end.
+const PATIENCE: [f64; 2] = [3.0, 4.0];
+/// What is kept of a count of bad outcomes at each served call.
+const KEPT: f64 = 0.95;
 /// Window over which rates are counted.
 const WINDOW: Time = 2 * SECOND;
 /// A pace after a refusal, and what a served call adds to it while mails wait, as part of the even share.
@@ -77,9 +79,7 @@
     Bad,   // a call failed, found nobody, got no answer, or was refused when no limit explains it
     Late,  // a call has outlasted its usual latency, and nothing was served since it was sent
     Warm,  // the time for warming up is over
-    Told,  // another courier holds it to be down
-    Heard, // another courier's call was served after that
-    Brief, // the same, too soon for an outage that leaves it cold
+    Brief, // another courier's call was served, too soon for an outage that leaves it cold
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -87,12 +87,10 @@
     Note,
     BackOff,
     Ramp,
-    Spread,  // as BackOff, the first trials of all couriers spread from now on
-    Trickle, // as Ramp, all couriers together from next to nothing
 }
 
 /// (state, input, next state, effect); a pair that is not listed changes nothing.
-const STANDINGS: [(Standing, Sign, Standing, Step); 15] = [
+const STANDINGS: [(Standing, Sign, Standing, Step); 11] = [
     (Standing::Well, Sign::Bad, Standing::Doubt, Step::BackOff),
     (Standing::Well, Sign::Late, Standing::Doubt, Step::BackOff),
     (Standing::Doubt, Sign::Late, Standing::Doubt, Step::BackOff),
@@ -103,10 +101,6 @@
     (Standing::Down, Sign::Bad, Standing::Down, Step::BackOff),
     (Standing::Returning, Sign::Bad, Standing::Down, Step::BackOff),
     (Standing::Returning, Sign::Warm, Standing::Well, Step::Note),
-    (Standing::Well, Sign::Told, Standing::Down, Step::Spread),
-    (Standing::Doubt, Sign::Told, Standing::Down, Step::Spread),
-    (Standing::Returning, Sign::Told, Standing::Down, Step::Spread),
-    (Standing::Down, Sign::Heard, Standing::Returning, Step::Trickle),
     (Standing::Down, Sign::Brief, Standing::Well, Step::Note),
 ];
 
@@ -130,8 +124,7 @@
     out: usize,
     ask_at: Option<Time>,
     asks_failed: u32,
-    /// Calls that got lost, and kept connections that broke, of late; fading with each served call.
-    lost: f64,
+    /// Kept connections that broke of late; fading with each served call.
     stale: f64,
     /// Connects that found nobody, by kind, fading with each served call; endpoints whose connections close.
     crowded: Vec<f64>,
@@ -172,15 +165,6 @@
         e.life == Life::Ready && now >= self.units[e.unit].hold_until
     }
 
-    /// What an endpoint is held to be, and a destination's cap, calls out and parked mails: for plots alone.
-    pub fn standing(&self, endpoint: usize) -> Option<Standing> {
-        self.endpoints.get(endpoint).filter(|e| e.known).map(|e| e.standing)
-    }
-
-    pub fn glance(&self, dest: usize) -> Option<(usize, usize, usize)> {
-        self.dests.get(dest).map(|d| (self.cap(dest), d.out, d.waiting()))
-    }
-
     /// One turn: read all inputs, then decide. Returns when the next turn is wanted at the latest.
     pub fn round(&mut self, now: Time, inputs: &[Input], out: &mut Vec<Action>) -> Option<Time> {
         self.now = self.now.max(now);
@@ -248,21 +232,25 @@
     fn hear(&mut self, endpoint: usize, news: News) {
         let Some(e) = self.endpoints.get(endpoint).filter(|e| e.known) else { return };
         let brief = self.now < e.ill_since + self.set.overload_for;
-        let (unit, wait) = (e.unit, if let News::Full(wait) = news { wait } else { 0 });
-        if news != News::Out && (brief || news != News::Back) {
-            // After a false alarm too they come back spread, not all at once.
-            let until = self.now + wait + self.spread(unit, wait, 0.0) as Time;
-            self.units[unit].hold_until = self.units[unit].hold_until.max(until);
-        }
+        let (unit, down, told) = (e.unit, e.standing == Standing::Down, e.told);
+        let wait = if let News::Full(wait) = news { wait } else { 0 };
+        self.endpoints[endpoint].told = news == News::Out || told && news != News::Back;
         match news {
-            News::Full(_) => {}
-            News::Out => {
-                self.endpoints[endpoint].told = true;
-                self.sign(endpoint, Sign::Told);
+            News::Out if told => {}
+            News::Out => [Sign::Bad; 2].into_iter().for_each(|sign| self.sign(endpoint, sign)),
+            News::Back if !brief => {
+                self.sign(endpoint, Sign::Good);
+                // All couriers together start from next to nothing.
+                let ramp = &mut self.endpoints[endpoint].ramp;
+                ramp.calls = if down { self.chance.f64() } else { ramp.calls };
             }
-            News::Back => {
-                self.endpoints[endpoint].told = false;
-                self.sign(endpoint, if brief { Sign::Brief } else { Sign::Heard });
+            // After a false alarm too they come back spread, not all at once.
+            News::Full(_) | News::Back => {
+                let until = self.now + wait + self.spread(unit, wait, 0.0) as Time;
+                self.units[unit].hold_until = self.units[unit].hold_until.max(until);
+                if news == News::Back {
+                    self.sign(endpoint, Sign::Brief);
+                }
             }
         }
     }
@@ -271,14 +259,14 @@
     /// its calls of each of them; the refusals told of late over its limit; a few target delays if it was full for
     /// a moment only. What was shut opens cold, and all have mails waiting for it.
     fn spread(&mut self, unit: usize, wait: Time, left: f64) -> f64 {
-        let (now, all, memory) = (self.now, self.set.couriers as f64, self.set.connect_timeout.max(1));
-        let unit = &mut self.units[unit];
-        let turns = 2.0 * SECOND as f64 / unit.even;
-        let count = unit.full.rate(now, memory) * seconds(memory) + 1.0;
-        unit.full = Fading { count, at: now };
+        let (now, memory) = (self.now, self.set.connect_timeout.max(1));
+        let (unit, couriers) = (&mut self.units[unit], self.set.couriers as f64);
+        let limit = (unit.even * couriers).max(0.5);
+        let turns = 2.0 * SECOND as f64 * couriers / limit;
+        unit.full = Fading { count: unit.full.rate(now, memory) * seconds(memory) + 1.0, at: now };
         let most = match () {
             () if wait > self.set.overload_for => turns,
-            () if self.set.may_tell => count / (unit.even * all).max(0.5) * SPREAD * SECOND as f64,
+            () if self.set.may_tell => unit.full.count / limit * SPREAD * SECOND as f64,
             () if left > USED_UP => turns.min((self.target << unit.refused.min(4)) as f64),
             () => turns,
         };
@@ -482,9 +470,9 @@
         let Ended { outcome, wait, took, kept, report, .. } = *ended;
         let now = self.now;
         let (kept_by, dest) = (self.kept_by(&self.endpoints[endpoint]), self.endpoints[endpoint].dest);
-        let refused = outcome == Outcome::Refused && started >= self.units[self.endpoints[endpoint].unit].refused_at;
-        let left = report.map_or(0.0, |told| told.left);
-        let spread = if refused { self.spread(self.endpoints[endpoint].unit, wait, left) } else { 0.0 };
+        let (unit_index, left) = (self.endpoints[endpoint].unit, report.map_or(0.0, |told| told.left));
+        let refused = outcome == Outcome::Refused && started >= self.units[unit_index].refused_at;
+        let spread = if refused { self.spread(unit_index, wait, left) } else { 0.0 };
         let e = &mut self.endpoints[endpoint];
         let unit = &mut self.units[e.unit];
         // Guards against tables full of many couriers' idle connections; few couriers hardly fill one.
@@ -497,13 +485,9 @@
         }
         match outcome {
             Outcome::Relayed => {
-                // Guards against calls that get lost one by one: silence, then an answer as quick as ever.
-                let quick = e.silent && (took as f64) <= e.latency.tail(TAIL_DEVIATIONS);
-                self.stale *= LOST_KEPT;
-                self.tight[e.kind].0 *= LOST_KEPT;
-                self.lost = self.lost * LOST_KEPT + f64::from(u8::from(quick));
-                self.crowded[e.kind] *= LOST_KEPT;
-                e.silent = false;
+                self.stale *= KEPT;
+                self.tight[e.kind].0 *= KEPT;
+                self.crowded[e.kind] *= KEPT;
                 let doubt = e.standing == Standing::Doubt && e.bad_since_good;
                 let back = doubt && now > e.last_good + self.set.overload_for;
                 (e.last_good, e.bad_since_good, unit.refused) = (now, false, 0);
@@ -515,25 +499,23 @@
                 // More for a courier that carries more than an even share.
                 let more = unit.pace > 0.0 && d.waiting() > 0;
                 unit.pace += if more { FASTER * unit.even.max(unit.pace) } else { 0.0 };
-                if e.told && e.standing == Standing::Down {
-                    self.news.push((endpoint, News::Back));
-                }
-                e.told &= e.standing != Standing::Down;
+                let tells = std::mem::take(&mut e.told) && e.standing == Standing::Down;
+                self.news.extend(tells.then_some((endpoint, News::Back)));
                 self.sign(endpoint, if back { Sign::Back } else { Sign::Good });
             }
             // Guards against calls refused together that would count as refused one after the other.
             Outcome::Refused if started < unit.refused_at => e.bad_since_good = true,
             Outcome::Refused => {
                 self.news.push((endpoint, News::Full(wait)));
-                // What came long before the last refusal does not make one that lasts: calls in between may be others'.
-                let anew = unit.refused == 0 || now > unit.refused_at + self.set.overload_for;
-                unit.refused_since = if anew { now } else { unit.refused_since };
                 (e.bad_since_good, unit.refused_at) = (true, now);
-                let own = e.latency.mean.max(1.0) * f64::from(1 << unit.refused.min(4));
-                let own = if wait > 0 { 0.0 } else { own };
+                unit.refused_since = if unit.refused == 0 { now } else { unit.refused_since };
+                let own = if wait > 0 {
+                    0.0
+                } else {
+                    e.latency.mean.max(1.0) * f64::from(1 << unit.refused.min(4))
+                };
                 // Guards against couriers back in step after a wait: they spread; what is worth most goes first.
-                let turns = spread;
-                let (first, rest) = if kept_by == Kept::Stay { (turns / 4.0, turns) } else { (own, 0.0) };
+                let (first, rest) = if kept_by == Kept::Stay { (spread / 4.0, spread) } else { (own, 0.0) };
                 unit.hold_until = unit.hold_until.max(now + wait + first as Time);
                 unit.ease_until = now + wait + rest as Time;
                 unit.refused += 1;
@@ -543,21 +525,20 @@
                 let used = unit.used.part(now, 2 * self.window);
                 unit.used = Regained { lost: 1.0 - used * STRAINED, at: now };
                 // Guards against refused calls that use up the limit, whoever else shares it.
-                let even = unit.even;
-                let before = if unit.pace > 0.0 { unit.pace } else { unit.sent.rate(now, WINDOW).max(even) };
-                let floor = if even > 0.0 { even / 12.0 } else { 0.2 };
+                let before =
+                    if unit.pace > 0.0 { unit.pace } else { unit.sent.rate(now, WINDOW).max(unit.even) };
+                let floor = if unit.even > 0.0 { unit.even / 12.0 } else { 0.2 };
                 unit.pace = if kept_by == Kept::Pace { (before * SLOWER).max(floor) } else { 0.0 };
                 // Guards against couriers back in step after a wait: they spread over what a call takes to save up.
                 let calls = if kept_by == Kept::Share { self.chance.f64() } else { 1.0 };
                 unit.saved = Saved { calls, at: unit.hold_until };
-                let (lasting, unit) = (now > unit.refused_since + self.set.overload_for, e.unit);
-                if lasting {
+                if now > unit.refused_since + self.set.overload_for {
                     self.sign(endpoint, Sign::Bad);
                 }
                 // Guards against a destination that was shut, opens cold, and gets at once what has waited for it.
                 if wait > self.set.overload_for {
                     for sister in self.dests[dest].endpoints.clone() {
-                        if self.endpoints[sister].unit == unit {
+                        if self.endpoints[sister].unit == unit_index {
                             self.endpoints[sister].bad_since_good = true;
                             self.sign(sister, Sign::Bad);
                         }
@@ -568,16 +549,15 @@
             Outcome::Broken if kept => self.stale += 1.0, // closed by the far side meanwhile, most likely
             Outcome::Error | Outcome::Silent | Outcome::Unreached | Outcome::Broken => {
                 e.bad_since_good = true;
-                e.silent |= outcome == Outcome::Silent;
                 e.errs += NEWEST * (f64::from(u8::from(outcome == Outcome::Error)) - e.errs);
                 let found_nobody = outcome == Outcome::Unreached && e.standing != Standing::Down;
                 self.crowded[e.kind] += f64::from(u8::from(found_nobody));
                 self.sign(endpoint, Sign::Bad);
                 let e = &mut self.endpoints[endpoint];
-                if outcome != Outcome::Unreached && e.standing == Standing::Down && !e.told {
-                    e.told = true;
-                    self.news.push((endpoint, News::Out));
-                }
+                // Connects that find nobody lose nothing, and full tables would raise the alarm.
+                let tells = outcome != Outcome::Unreached && e.standing == Standing::Down && !e.told;
+                self.news.extend(tells.then_some((endpoint, News::Out)));
+                e.told |= tells;
             }
             Outcome::Spoilt | Outcome::CalledOff | Outcome::Unsent => {}
         }
@@ -595,18 +575,16 @@
         }
         match step {
             Step::Note => e.trials = 0,
-            Step::BackOff | Step::Spread => {
+            Step::BackOff => {
                 // Doubling from a quarter of the time to make a connection, up to a share of the warm-up.
                 let pause = ((self.set.connect_timeout / 4) << e.trials.min(5)).min(self.set.cold / 6);
                 e.trials += 1;
                 // Guards against the trials of many couriers that push a returning destination over together.
-                let turn = SECOND as f64 / self.paced_share(endpoint, 0.0)
-                    * (self.chance.f64() + if step == Step::Spread { 0.0 } else { 0.5 });
+                let turn = SECOND as f64 / self.paced_share(endpoint, 0.0) * 1.5 * self.chance.f64();
                 let turn = if next == Standing::Down { turn as Time } else { 0 };
                 self.endpoints[endpoint].trial_at = now + pause.max(turn);
             }
             Step::Ramp => (e.ramp, e.trials) = (Saved { calls: 1.0, at: now }, 0),
-            Step::Trickle => (e.ramp, e.trials) = (Saved { calls: self.chance.f64(), at: now }, 0),
         }
     }
 
@@ -805,11 +783,7 @@
         let m = &self.mails[mail];
         let left = m.due.saturating_sub(self.now).max(1);
         let effect = self.set.classes[m.class].effect;
-        // While calls get lost, a long silence has lost a once-only mail already; its slot need not go too.
-        if effect == Effect::OnceOnly && self.lost < 1.0 {
-            return left;
-        }
-        let patience = PATIENCE[effect as usize] / (1.0 + self.lost.min(2.0));
+        let Some(patience) = PATIENCE.get(effect as usize) else { return left };
         let own = (self.tail(endpoint) * patience * (1.0 + m.connects as f64)) as Time;
         own.max(4 * self.set.resolution).min(left)
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -153,7 +153,6 @@
     pub bad_since_good: bool,
     /// The other couriers know that it is down.
     pub told: bool,
-    pub silent: bool,
     /// Share of errors among its latest answers.
     pub errs: f64,
     pub trial_at: Time,
