--- a/src/control.rs
+++ b/src/control.rs
@@ -1,11 +1,9 @@
-//! All decisions of a courier. Build one `Control` from `Settings`, then call `round` once a turn with the
-//! clock, that turn's inputs in order and an empty buffer for the actions; it returns when to call again.
-//! What goes in and out is in `interface.rs`, indices come from `door.rs`; no I/O, no clock, no names.
+//! All decisions of a courier: build one `Control`, call `round` once a turn with the clock, its inputs and
+//! a buffer for the actions (`interface.rs`); it returns when to call again.
 //! The ordinary path is the design's: a cap on each destination's calls in flight, what is over it is parked.
 
-use crate::interface::{
-    Action, Effect, Ended, Input, Life, Listed, News, Outcome, Settings, Taken, Time, SECOND,
-};
+use crate::interface::SECOND;
+use crate::interface::{Action, Effect, Ended, Input, Life, Listed, News, Outcome, Settings, Taken, Time};
 use crate::state::{grow, seconds, Call, Dest, Endpoint, Fading, Key, Mail, Place, Regained, Saved, Unit};
 
 mod glance;
@@ -17,9 +15,7 @@
 /// Weight of the newest served call in a latency estimate.
 const NEWEST: f64 = 0.1;
 /// The clamp's share of the slots, that of a sick destination, and of one whose endpoints are all sick.
-const CLAMP: (usize, usize) = (3, 4);
-const SICK: (usize, usize) = (1, 2);
-const SICK_WHOLE: (usize, usize) = (1, 4);
+const SHARES: [(usize, usize); 3] = [(3, 4), (1, 2), (1, 4)];
 /// Time-out in tails: redeliverable, tagged; once-only calls may run to their end.
 const PATIENCE: [f64; 2] = [3.0, 4.0];
 /// What is kept of a count of bad outcomes at each served call.
@@ -33,18 +29,16 @@
 const SCANT: f64 = 0.5;
 /// The same, under which the share is kept to while limits are tight: refusals would teach a pace too late.
 const FEW: f64 = 2.0;
-/// Refused calls, fading with each served one, from which on the limits of a kind are tight, and warm-ups till then.
+/// Refused calls, fading with each served one, from which on limits are tight, and for how many warm-ups.
 const TIGHT: f64 = 4.0;
 const TIGHT_FOR: Time = 2;
-/// Calls that a destination's share saves up in the shortest lifetime, under which it is too coarse to wait for.
-const COARSE: f64 = 1.0;
 /// Part of the share that is used, of that what is left after a refusal, and calls that it saves up.
 const AIMED: f64 = 0.8;
 const STRAINED: f64 = 0.5;
 const SAVED: f64 = 2.0;
 /// Target delays that a fee of a whole mail's worth weighs in the pick.
 const FEE_TARGETS: f64 = 8.0;
-/// Calls at an endpoint in the time that a connection is kept idle, under which it is closed: it would only fill a table.
+/// Calls at an endpoint while a connection is kept idle, under which it is closed, not to fill a table.
 const SELDOM: f64 = 0.25;
 /// Part of a limit that is left, up to which it counts as used up.
 const USED_UP: f64 = 0.02;
@@ -131,7 +125,7 @@
     unused: Vec<usize>,
     /// What the other couriers are to be told.
     news: Vec<(usize, News)>,
-    /// Refused calls by kind, fading with each served call, and until when the kind's limits are held to be tight.
+    /// Refused calls by kind, fading with each served call, and until when its limits are held to be tight.
     tight: Vec<(f64, Time)>,
     /// Endpoints that left the list and are still kept in mind.
     leaving: Vec<usize>,
@@ -232,7 +226,7 @@
     fn hear(&mut self, endpoint: usize, news: News) {
         let Some(e) = self.endpoints.get(endpoint).filter(|e| e.known) else { return };
         let brief = self.now < e.ill_since + self.set.overload_for;
-        let (unit, down, told) = (e.unit, e.standing == Standing::Down, e.told);
+        let (unit, told) = (e.unit, e.told);
         let wait = if let News::Full(wait) = news { wait } else { 0 };
         self.endpoints[endpoint].told = news == News::Out || told && news != News::Back;
         match news {
@@ -242,7 +236,7 @@
                 self.sign(endpoint, Sign::Good);
                 // All couriers together start from next to nothing.
                 let ramp = &mut self.endpoints[endpoint].ramp;
-                ramp.calls = if down { self.chance.f64() } else { ramp.calls };
+                ramp.calls = ramp.calls.min(self.chance.f64());
             }
             // After a false alarm too they come back spread, not all at once.
             News::Full(_) | News::Back => {
@@ -255,15 +249,13 @@
         }
     }
 
-    /// A random part of the time over which couriers spread that a unit refused, with this part of its limit left:
-    /// its calls of each of them; the refusals told of late over its limit; a few target delays if it was full for
-    /// a moment only. What was shut opens cold, and all have mails waiting for it.
+    /// A random part of the time over which couriers spread that a unit refused: a call of each if it was shut,
+    /// refusals told of late over its limit, or a few target delays if some of that was left.
     fn spread(&mut self, unit: usize, wait: Time, left: f64) -> f64 {
-        let (now, memory) = (self.now, self.set.connect_timeout.max(1));
         let (unit, couriers) = (&mut self.units[unit], self.set.couriers as f64);
         let limit = (unit.even * couriers).max(0.5);
         let turns = 2.0 * SECOND as f64 * couriers / limit;
-        unit.full = Fading { count: unit.full.rate(now, memory) * seconds(memory) + 1.0, at: now };
+        unit.full.count(self.now, self.set.connect_timeout.max(1));
         let most = match () {
             () if wait > self.set.overload_for => turns,
             () if self.set.may_tell => unit.full.count / limit * SPREAD * SECOND as f64,
@@ -326,7 +318,7 @@
     /// What keeps an endpoint's calls within its limit.
     fn kept_by(&self, e: &Endpoint) -> Kept {
         let (even, tight) = (self.units[e.unit].even, self.now < self.tight[e.kind].1);
-        let waited_for = self.dests[e.dest].even * seconds(self.window) >= COARSE;
+        let waited_for = self.dests[e.dest].even * seconds(self.window) >= 1.0; // a call a lifetime
         match even * seconds(self.target) {
             calls if even > 0.0 && calls < FEW && tight && waited_for => Kept::Share,
             calls if even > 0.0 && calls < SCANT => Kept::Stay,
@@ -334,11 +326,11 @@
         }
     }
 
-    /// Calls a second that this courier allows itself at an endpoint's unit, and how many it saves up; 0: no pace.
+    /// Calls a second that this courier allows itself at a unit, and how many it saves up; 0: no pace.
     fn pace(&self, e: &Endpoint) -> (f64, f64) {
         let unit = &self.units[e.unit];
         match self.kept_by(e) {
-            // Guards against couriers that all send a limited unit what they have: refused calls use the limit up.
+            // Guards against couriers that all send what they have: refused calls use the limit up.
             Kept::Share => {
                 let part = self.traffic.rate(self.now, self.window) / self.even.max(unit.even);
                 (unit.even * part.max(1.0) * AIMED * unit.used.part(self.now, 2 * self.window), SAVED)
@@ -387,7 +379,7 @@
         match (m.ran, c.effect) {
             (None, _) | (_, Effect::Redeliverable) => (left, true),
             (Some((sent, _)), Effect::Tagged) => {
-                // Guards against a repeat that is still on its way, or its connection made, as the window ends.
+                // Guards against a repeat still on its way, or its connection made, as the window ends.
                 let known = self.now + self.set.connect_timeout < sent + c.window;
                 (left && known, !c.by_zone)
             }
@@ -458,8 +450,7 @@
         if over || was_over {
             self.end(mail, out);
         } else if self.may(&self.mails[mail]).0 {
-            let dest = self.mails[mail].dest;
-            self.dests[dest].lines[1].push(mail);
+            self.dests[self.mails[mail].dest].lines[1].push(mail);
         } else {
             self.give_up(mail, out);
         }
@@ -514,7 +505,7 @@
                 } else {
                     e.latency.mean.max(1.0) * f64::from(1 << unit.refused.min(4))
                 };
-                // Guards against couriers back in step after a wait: they spread; what is worth most goes first.
+                // Guards against couriers back in step after a wait; what is worth most goes first.
                 let (first, rest) = if kept_by == Kept::Stay { (spread / 4.0, spread) } else { (own, 0.0) };
                 unit.hold_until = unit.hold_until.max(now + wait + first as Time);
                 unit.ease_until = now + wait + rest as Time;
@@ -529,13 +520,12 @@
                     if unit.pace > 0.0 { unit.pace } else { unit.sent.rate(now, WINDOW).max(unit.even) };
                 let floor = if unit.even > 0.0 { unit.even / 12.0 } else { 0.2 };
                 unit.pace = if kept_by == Kept::Pace { (before * SLOWER).max(floor) } else { 0.0 };
-                // Guards against couriers back in step after a wait: they spread over what a call takes to save up.
                 let calls = if kept_by == Kept::Share { self.chance.f64() } else { 1.0 };
                 unit.saved = Saved { calls, at: unit.hold_until };
                 if now > unit.refused_since + self.set.overload_for {
                     self.sign(endpoint, Sign::Bad);
                 }
-                // Guards against a destination that was shut, opens cold, and gets at once what has waited for it.
+                // Guards against one that was shut, opens cold, and gets at once what has waited for it.
                 if wait > self.set.overload_for {
                     for sister in self.dests[dest].endpoints.clone() {
                         if self.endpoints[sister].unit == unit_index {
@@ -545,7 +535,7 @@
                     }
                 }
             }
-            Outcome::Silent if (took as f64) < e.latency.tail(TAIL_DEVIATIONS) => {} // cut short by its mail's own end
+            Outcome::Silent if (took as f64) < e.latency.tail(TAIL_DEVIATIONS) => {} // cut short by its mail
             Outcome::Broken if kept => self.stale += 1.0, // closed by the far side meanwhile, most likely
             Outcome::Error | Outcome::Silent | Outcome::Unreached | Outcome::Broken => {
                 e.bad_since_good = true;
@@ -618,27 +608,22 @@
     /// The design's cap on a destination's calls in flight; arriving mails include held ones.
     fn cap(&self, dest: usize) -> usize {
         let d = &self.dests[dest];
-        let part = |share: (usize, usize)| (self.set.slots * share.0 / share.1).max(1);
-        let clamp = part(CLAMP);
-        let share = match self.sick(dest) {
-            (0, _) => CLAMP,
-            (sick, all) if sick < all => SICK,
-            _ => SICK_WHOLE,
-        };
+        let (sick, all) = self.sick(dest);
+        let share = SHARES[usize::from(sick > 0) + usize::from(sick > 0 && sick == all)];
+        let [clamp, share] = [SHARES[0], share].map(|(part, of)| (self.set.slots * part / of).max(1));
         let rate = d.arrivals.rate(self.now, WINDOW) + d.waiting() as f64 / seconds(WINDOW);
         let little =
             (rate * d.latency.tail(TAIL_DEVIATIONS) / SECOND as f64 * (1.0 + HEADROOM)).ceil() as usize;
         let cap = if d.latency.seen { (little + d.grown).clamp(1, clamp) } else { clamp };
-        cap.min(part(share))
+        cap.min(share)
     }
 
     /// Endpoints that err or are slow, and endpoints in all.
     fn sick(&self, dest: usize) -> (usize, usize) {
         let ready = |e: &&Endpoint| e.life == Life::Ready;
         let all = self.dests[dest].endpoints.iter().map(|&e| &self.endpoints[e]).filter(ready);
-        all.fold((0, 0), |(sick, all), e| {
-            (sick + usize::from(e.standing != Standing::Well || e.late > 0), all + 1)
-        })
+        let sick = |e: &Endpoint| usize::from(e.standing != Standing::Well || e.late > 0);
+        all.fold((0, 0), |(ill, all), e| (ill + sick(e), all + 1))
     }
 
     /// Mails whose time is nearly up are answered while the answer still counts.
@@ -653,46 +638,27 @@
         // A full room would turn mails away unseen: what is worth least makes way.
         while self.open * 20 > self.set.room * 19 {
             let parked = (0..self.mails.len()).filter(|&i| self.mails[i].place == Place::Parked);
-            let least = parked.min_by(|&a, &b| self.hope(a).total_cmp(&self.hope(b)));
-            let Some(least) = least else { return };
+            let Some(least) = parked.min_by(|&a, &b| self.hope(a).total_cmp(&self.hope(b))) else { return };
             self.give_up(least, out);
         }
     }
 
-    /// Importance that a mail would earn at a time, and what it then loses a second.
-    fn worth(&self, mail: usize, at: Time) -> (f64, f64) {
-        let m = &self.mails[mail];
-        let c = &self.set.classes[m.class];
-        let target = seconds(c.target.max(1));
-        let late = seconds(at.saturating_sub(m.target));
-        if at >= m.due {
-            (0.0, 0.0)
-        } else if self.set.by_half {
-            let left = c.importance * 0.5f64.powf(late / target).max(c.late_worth);
-            (left, left * std::f64::consts::LN_2 / target)
-        } else {
-            let slope =
-                c.importance * (1.0 - c.late_worth) / seconds(c.lifetime.saturating_sub(c.target).max(1));
-            (c.importance - slope * late, slope)
-        }
-    }
-
     /// What waiting costs: the importance lost a second, felt as the target delay or the end comes near.
     fn urgency(&self, mail: usize) -> f64 {
-        let m = &self.mails[mail];
-        let (left, slope) = self.worth(mail, self.now);
-        let target = seconds(self.set.classes[m.class].target.max(1));
+        let (m, class) = (&self.mails[mail], &self.set.classes[self.mails[mail].class]);
+        let (left, slope) = class.worth(self.set.by_half, self.now.saturating_sub(m.target));
+        let target = seconds(class.target.max(1));
         let near = |end: Time| (-seconds(end.saturating_sub(self.now)) / target).exp();
         slope * near(m.target) + left / target * near(m.due)
     }
 
-    /// What is lost by giving a mail up, for the room that it takes: its worth after one more target delay of
-    /// waiting and as long as its destination may keep it, over that time.
+    /// What giving a mail up loses: its worth a target delay after its destination takes it, over that time.
     fn hope(&self, mail: usize) -> f64 {
-        let m = &self.mails[mail];
-        let target = self.set.classes[m.class].target;
-        let wait = self.dests[m.dest].endpoints.iter().map(|&e| self.away(e)).min().unwrap_or(target);
-        self.worth(mail, self.now + target + wait).0 / seconds(self.target + wait)
+        let (m, class) = (&self.mails[mail], &self.set.classes[self.mails[mail].class]);
+        let wait = self.dests[m.dest].endpoints.iter().map(|&e| self.away(e)).min().unwrap_or(class.target);
+        let at = self.now + class.target + wait;
+        let left = class.worth(self.set.by_half, at.saturating_sub(m.target)).0;
+        f64::from(u8::from(at < m.due)) * left / seconds(self.target + wait)
     }
 
     /// How long an endpoint may take no mail yet: a wait, or an outage that has lasted as long as it goes on.
@@ -827,13 +793,10 @@
         let (pace, depth) = self.pace(e);
         let unit = &mut self.units[e.unit];
         unit.share.refill(self.now, unit.even, 2.0);
-        if pace == 0.0 {
-            unit.saved = Saved { calls: 0.0, at: self.now }; // nothing is saved up before a pace is kept
-        }
-        if e.life != Life::Ready
-            || self.now < unit.hold_until
-            || (pace > 0.0 && !unit.saved.refill(self.now, pace, depth))
-        {
+        // Nothing is saved up before a pace is kept.
+        unit.saved = if pace == 0.0 { Saved { calls: 0.0, at: self.now } } else { unit.saved };
+        let held = e.life != Life::Ready || self.now < unit.hold_until;
+        if held || (pace > 0.0 && !unit.saved.refill(self.now, pace, depth)) {
             return false;
         }
         match e.standing {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -28,6 +28,22 @@
     pub in_turn: bool,
 }
 
+impl QueueClass {
+    /// Importance that a mail earns when relayed so long past its target delay, and what it then loses a second.
+    pub fn worth(&self, by_half: bool, late: Time) -> (f64, f64) {
+        let second = SECOND as f64;
+        if by_half {
+            let target = self.target.max(1) as f64;
+            let left = self.importance * 0.5f64.powf(late as f64 / target).max(self.late_worth);
+            (left, left * std::f64::consts::LN_2 / target * second)
+        } else {
+            let over = self.lifetime.saturating_sub(self.target).max(1) as f64;
+            let slope = self.importance * (1.0 - self.late_worth) / over * second;
+            (self.importance - slope * late as f64 / second, slope)
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Kind {
     /// Mails in one call at most.
