--- a/src/control.rs
+++ b/src/control.rs
@@ -249,7 +249,7 @@
         }
     }
 
-    /// A random part of the time over which couriers spread that a unit refused: a call of each if it was shut,
+    /// A random part of the time over which couriers spread that a unit refused: a call of each if shut,
     /// refusals told of late over its limit, or a few target delays if some of that was left.
     fn spread(&mut self, unit: usize, wait: Time, left: f64) -> f64 {
         let (unit, couriers) = (&mut self.units[unit], self.set.couriers as f64);
