Notes between couriers on sockets: datagrams to named peers, checked at the start

Tests on loopback: a note of what is full is sent and heeded, odd notes and strangers are passed over; two couriers of the old shape and two of the new before two endpoints with one limit: each mail one end, waits kept, neither kind under a third.

--- a/crates/courier/src/config.rs
+++ b/crates/courier/src/config.rs
@@ -19,6 +19,21 @@
     pub disk: u64,
     pub known: List,
     pub decoded: Decoded,
+    pub peers: Option<Peers>,
+}
+
+/// Where notes from other couriers are heard, and where they are.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peers {
+    pub listen: SocketAddr,
+    pub others: Vec<SocketAddr>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PeersText {
+    listen: String,
+    others: Vec<String>,
 }
 
 #[derive(Deserialize)]
@@ -34,6 +49,7 @@
     #[serde(default)]
     known: List,
     settings: Value,
+    peers: Option<PeersText>,
 }
 
 #[derive(Deserialize)]
@@ -54,6 +70,19 @@
     text.parse().map_err(|_| format!("{name} is no address: {text}"))
 }
 
+/// Guards against a note that is sent thousands of times over.
+const MOST_PEERS: usize = 1024;
+
+fn peers(text: PeersText) -> Result<Peers, String> {
+    if text.others.len() > MOST_PEERS {
+        return Err(format!("peers.others names more than {MOST_PEERS}"));
+    }
+    let one = |name: &str, text: String| address(name, None, Some(text));
+    let listen = one("peers.listen", text.listen)?;
+    let others = text.others.into_iter().map(|other| one("peers.others", other));
+    Ok(Peers { listen, others: others.collect::<Result<_, _>>()? })
+}
+
 fn variable(name: &str) -> Option<String> {
     std::env::var(name).ok().filter(|value| !value.is_empty())
 }
@@ -88,6 +117,11 @@
         if !(file.limits.disk_mb > 0.0 && file.limits.disk_mb < 1e9) {
             return Err("limits.disk_mb is no size".to_string());
         }
+        let decoded = decode_json(seed, &file.settings)?;
+        let peers = file.peers.map(peers).transpose()?;
+        if peers.is_some() && !decoded.settings.may_tell {
+            return Err("peers are named, and setting Limits.MayTell does not allow notes".to_string());
+        }
         Ok(Config {
             name: variable("ROUTER_NAME").unwrap_or(file.name),
             listen: address("ROUTER_LISTEN", variable("ROUTER_LISTEN"), file.listen)?,
@@ -96,7 +130,8 @@
             sockets: file.limits.sockets,
             disk: (file.limits.disk_mb * 1e6) as u64,
             known: file.known,
-            decoded: decode_json(seed, &file.settings)?,
+            decoded,
+            peers,
         })
     }
 }
--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use meadowhold::control::Control;
 use meadowhold::door::Door;
-use meadowhold::interface::{Action, Ended, Input, Life, Listed, Outcome, Report, Taken, Time};
+use meadowhold::interface::{Action, Ended, Input, Life, Listed, News, Outcome, Report, Taken, Time};
 use meadowhold_settings::{name, Decoded};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::Notify;
@@ -160,6 +160,9 @@
     pub late: u64,
     pub hangups: u64,
     pub compactions: u64,
+    /// Notes to and from other couriers.
+    pub told: u64,
+    pub heard: u64,
     /// What must hold and did not.
     pub broken: u64,
 }
@@ -197,6 +200,8 @@
     notify: Rc<Notify>,
     orders: UnboundedSender<Order>,
     notices: UnboundedSender<Notice>,
+    /// What goes to the other couriers, where there are any.
+    news: Option<UnboundedSender<(Bytes, News)>>,
     pub counts: Counts,
 }
 
@@ -226,6 +231,7 @@
         (journal, found): (Journal, Found),
         orders: UnboundedSender<Order>,
         notices: UnboundedSender<Notice>,
+        news: Option<UnboundedSender<(Bytes, News)>>,
     ) -> Exchange {
         let Decoded { settings, report, fields, classes, zones, kinds, .. } = decoded;
         let classes = classes.into_iter().enumerate().map(|(i, class)| (Bytes::from(class), i));
@@ -260,6 +266,7 @@
             notify: Rc::default(),
             orders,
             notices,
+            news,
             counts: Counts::default(),
         };
         exchange.restore(found);
@@ -421,6 +428,15 @@
         }
     }
 
+    /// What another courier saw of an endpoint; nothing if the list has not named it here.
+    pub fn heard(&mut self, name: &[u8], news: News) {
+        if let Some(endpoint) = self.endpoints.find(&Bytes::copy_from_slice(name)) {
+            self.counts.heard += 1;
+            self.inputs.push(Input::Heard { endpoint, news });
+            self.notify.notify_one();
+        }
+    }
+
     /// The platform has heard of a mail's end.
     pub fn told(&mut self, serial: u64) {
         self.over(serial);
@@ -568,7 +584,14 @@
                     self.endpoints.leave(endpoint);
                 }
                 // A watch is always kept open.
-                Action::WatchList | Action::Tell { .. } => {}
+                // A watch is always kept open.
+                Action::WatchList => {}
+                Action::Tell { endpoint, news } => {
+                    if let (Some(notes), Some(name)) = (&self.news, self.endpoints.outside(endpoint)) {
+                        self.counts.told += 1;
+                        let _ = notes.send((name.clone(), news));
+                    }
+                }
                 Action::FreeMail(mail) => self.mails.leave(mail),
                 Action::FreeKey(key) => self.keys.leave(key),
             }
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod http;
 pub mod journal;
 pub mod link;
+pub mod notes;
 pub mod notices;
 pub mod resp;
 
@@ -21,7 +22,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout, Instant};
@@ -60,7 +61,7 @@
     discovery: watch::Receiver<SocketAddr>,
     stop: impl Future<Output = ()>,
 ) -> io::Result<()> {
-    let Config { name, listen, state, sockets, disk, known, decoded, .. } = config;
+    let Config { name, listen, state, sockets, disk, known, decoded, peers, .. } = config;
     let for_clients = sockets / 3;
     let limits = endpoints::Limits {
         connect: exchange::duration(decoded.settings.connect_timeout),
@@ -71,12 +72,24 @@
     // First, so that a second start by mistake touches nothing.
     let bound = TcpListener::bind(listen).await;
     let listener = bound.map_err(|e| io::Error::new(e.kind(), format!("cannot listen at {listen}: {e}")))?;
+    let (news, news_in) = mpsc::unbounded_channel();
+    let notes = match peers {
+        None => None,
+        Some(peers) => {
+            let bound = UdpSocket::bind(peers.listen).await;
+            let failed = |e: io::Error| {
+                io::Error::new(e.kind(), format!("cannot hear notes at {}: {e}", peers.listen))
+            };
+            Some((bound.map_err(failed)?, peers.others))
+        }
+    };
     let journal = Journal::open(&state, disk);
     let journal =
         journal.map_err(|e| io::Error::new(e.kind(), format!("the journal in {}: {e}", state.display())))?;
     let (orders, orders_in) = mpsc::unbounded_channel();
     let (notices, notices_in) = mpsc::unbounded_channel();
-    let mut exchange = Exchange::new(decoded, journal, orders, notices);
+    let news = notes.is_some().then_some(news);
+    let mut exchange = Exchange::new(decoded, journal, orders, notices, news);
     let index = known.index;
     exchange.listed(&discovery::List { snapshot: true, ..known });
     let shared: Shared = Rc::new(RefCell::new(exchange));
@@ -88,6 +101,9 @@
     parts.spawn_local(discovery::follow(shared.clone(), discovery, index));
     let listening = parts.spawn_local(clients::listen(shared.clone(), listener, for_clients, phase_in));
     parts.spawn_local(log_counts(shared.clone()));
+    if let Some((socket, others)) = notes {
+        parts.spawn_local(notes::exchange(shared.clone(), socket, others, news_in));
+    }
     log::info!("{name} serves at {listen}");
     tokio::select! {
         () = stop => {}
--- /dev/null
+++ b/crates/courier/src/notes.rs
@@ -0,0 +1,71 @@
+//! Notes between couriers, a datagram each: what one saw of an endpoint that the others may like to know. They may
+//! be late or lost, and nothing is owed for them. Without `peers` in the configuration there is no socket.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use meadowhold::interface::{News, Time};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use crate::exchange::Shared;
+
+/// The first byte of a note; another form takes another.
+const FORM: u8 = 1;
+const LONGEST_NAME: usize = 200;
+/// Nobody is told to wait for longer by a note: told waits of a minute are an outage.
+const LONGEST_WAIT: u16 = 60_000;
+
+/// Form, what is told, the wait in milliseconds (rounded up), and the endpoint's name.
+pub fn write(name: &[u8], news: News) -> Vec<u8> {
+    let (code, wait) = match news {
+        News::Full(wait) => (0, wait.div_ceil(10).min(LONGEST_WAIT.into()) as u16),
+        News::Out => (1, 0),
+        News::Back => (2, 0),
+    };
+    let [high, low] = wait.to_be_bytes();
+    [&[FORM, code, high, low], name].concat()
+}
+
+/// What is no note that this courier knows is none.
+pub fn read(note: &[u8]) -> Option<(&[u8], News)> {
+    let [FORM, code, high, low, name @ ..] = note else { return None };
+    let news = match code {
+        0 => News::Full(Time::from(u16::from_be_bytes([*high, *low]).min(LONGEST_WAIT)) * 10),
+        1 => News::Out,
+        2 => News::Back,
+        _ => return None,
+    };
+    (!name.is_empty() && name.len() <= LONGEST_NAME).then_some((name, news))
+}
+
+/// Sends what this courier tells, and hears the others; whoever is not among them is not listened to.
+pub async fn exchange(
+    shared: Shared,
+    socket: UdpSocket,
+    others: Vec<SocketAddr>,
+    mut told: UnboundedReceiver<(Bytes, News)>,
+) {
+    let mut buffer = [0; LONGEST_NAME + 5];
+    loop {
+        tokio::select! {
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok((length, from)) if others.contains(&from) => {
+                    if let Some((name, news)) = read(&buffer[..length]) {
+                        shared.borrow_mut().heard(name, news);
+                    }
+                }
+                // An error is that of an earlier note that found nobody.
+                Ok(_) | Err(_) => tokio::task::yield_now().await,
+            },
+            told = told.recv() => {
+                let Some((name, news)) = told else { return };
+                let note = write(&name, news);
+                for &other in &others {
+                    // Guards against a full buffer that holds up what is heard: the note is lost.
+                    let _ = socket.try_send_to(&note, other);
+                }
+            }
+        }
+    }
+}
--- a/crates/courier/tests/common/mod.rs
+++ b/crates/courier/tests/common/mod.rs
@@ -145,6 +145,41 @@
 
 pub const OK: Reply = Reply::Status(200, "");
 
+/// A count of calls in each span of time.
+pub struct Limit {
+    pub count: usize,
+    pub span: Duration,
+    start: Instant,
+    used: Mutex<(u128, usize)>,
+    /// What became of each mail's call: when, its id, and how long it was told to wait if it was refused.
+    pub seen: Mutex<Vec<(Instant, String, Option<Duration>)>>,
+}
+
+impl Limit {
+    pub fn new(count: usize, span: Duration) -> Arc<Limit> {
+        let (start, used, seen) = (Instant::now(), Mutex::default(), Mutex::default());
+        Arc::new(Limit { count, span, start, used, seen })
+    }
+
+    pub fn rate(&self) -> f64 {
+        self.count as f64 / self.span.as_secs_f64()
+    }
+
+    /// What is left after this call if it is within the limit, and the seconds to the span's end.
+    fn take(&self, request: &Request) -> (Option<usize>, f64) {
+        let since = self.start.elapsed();
+        let span = since.as_nanos() / self.span.as_nanos();
+        let rest = self.span.as_secs_f64() * (span + 1) as f64 - since.as_secs_f64();
+        let mut used = self.used.lock().unwrap();
+        *used = if used.0 == span { *used } else { (span, 0) };
+        let left = self.count.checked_sub(used.1 + 1);
+        used.1 += usize::from(left.is_some());
+        let wait = left.is_none().then(|| Duration::from_secs_f64(rest));
+        self.seen.lock().unwrap().extend(request.ids().into_iter().map(|id| (Instant::now(), id, wait)));
+        (left, rest)
+    }
+}
+
 /// An endpoint that goes through a script, and then serves everything.
 pub struct Endpoint {
     pub address: SocketAddr,
@@ -169,6 +204,27 @@
         Endpoint { address, calls, connections }
     }
 
+    /// Serves so many calls in each span of time, whichever of the endpoints with this limit they come to; the
+    /// others are told to wait to the span's end. Every answer tells what is left, as limits do.
+    pub fn limited(limit: &Arc<Limit>) -> Endpoint {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let calls: Arc<Mutex<Vec<Request>>> = Arc::default();
+        let (seen, limit) = (calls.clone(), limit.clone());
+        let connections = serve(listener, move |request, out| {
+            let (left, wait) = limit.take(&request);
+            seen.lock().unwrap().push(request);
+            let share = left.unwrap_or(0) as f64 / limit.count as f64;
+            let load = format!("X-Load: x0={share:.2},x1={:.1}", limit.rate());
+            let status = if left.is_some() { "200 X" } else { "429 X" };
+            let wait = if left.is_some() { String::new() } else { format!("Retry-After: {wait:.3}\r\n") };
+            let text = format!("HTTP/1.1 {status}\r\n{load}\r\n{wait}Content-Length: 0\r\n\r\n");
+            thread::sleep(Duration::from_millis(5));
+            out.write_all(text.as_bytes()).is_ok()
+        });
+        Endpoint { address, calls, connections }
+    }
+
     /// Connections so far, and those open now.
     pub fn connections(&self) -> (usize, usize) {
         *self.connections.lock().unwrap()
--- a/crates/courier/tests/courier.rs
+++ b/crates/courier/tests/courier.rs
@@ -3,12 +3,12 @@
 mod common;
 
 use std::io::Write;
-use std::net::{Shutdown, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener, UdpSocket};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use common::{
-    command, output, own_address, put, until, Client, Courier, Endpoint, Folder, Platform, Reply, OK,
+    command, output, own_address, put, until, Client, Courier, Endpoint, Folder, Limit, Platform, Reply, OK,
 };
 use serde_json::{json, Value};
 
@@ -519,12 +519,120 @@
     assert_eq!((endpoint.calls().len(), platform.notices()), (5, vec![]));
 }
 
+/// Where a courier's notes are heard: the port is the test's own.
+fn peers(listen: SocketAddr, others: &[SocketAddr]) -> Value {
+    let others: Vec<String> = others.iter().map(SocketAddr::to_string).collect();
+    json!({"listen": listen.to_string(), "others": others})
+}
+
+#[test]
+fn a_courier_tells_what_is_full_and_keeps_away_from_what_it_is_told_of() {
+    let (platform, refusing) = (Platform::new(), Reply::Status(429, "Retry-After: 0.300\r\n"));
+    let endpoint = Endpoint::new(&[refusing]);
+    platform.list("e1", endpoint.address, "single", 7, "SERVING");
+    let (other, stranger) =
+        (UdpSocket::bind("127.0.0.1:0").unwrap(), UdpSocket::bind("127.0.0.1:0").unwrap());
+    other.set_read_timeout(Some(Duration::from_secs(7))).unwrap();
+    let hears = own_address();
+    let courier = Courier::start(&platform, |c| {
+        c["settings"]["Limits"]["MayTell"] = json!(true);
+        c["peers"] = peers(hears, &[other.local_addr().unwrap()]);
+    });
+    let mut client = courier.client();
+    assert_eq!(client.put("told", "again", LATE), "+OK");
+    let mut note = [0; 64];
+    let (length, from) = other.recv_from(&mut note).unwrap();
+    assert_eq!((from, &note[..length]), (hears, &b"\x01\x00\x01\x2ce1"[..]));
+    until("the end of the first", || courier.owes_nothing());
+    // Who is not named, what is cut short or of another form, and endpoints that no list names say nothing.
+    for bad in
+        [&b""[..], b"\x01", b"\x01\x00\x0b\xb8", b"\x02\x00\x0b\xb8e1", b"\x01\x07\x0b\xb8e1", &[1; 300]]
+    {
+        other.send_to(bad, hears).unwrap();
+    }
+    other.send_to(b"\x01\x00\x0b\xb8e9", hears).unwrap();
+    stranger.send_to(b"\x01\x00\x0b\xb8e1", hears).unwrap();
+    for (note, id, wait) in [(&b""[..], "free", 0), (b"\x01\x00\x01\xf4e1", "held", 500)] {
+        let start = Instant::now();
+        other.send_to(note, hears).unwrap();
+        // Answered after the note was read: both lay in the courier's sockets.
+        assert_eq!(client.say(b"PING\r\n"), "+PONG");
+        assert_eq!(client.put(id, "again", LATE), "+OK");
+        until(id, || endpoint.ids().last().is_some_and(|last| last == id));
+        let took = endpoint.calls().last().unwrap().at - start;
+        assert!(took >= Duration::from_millis(wait), "{id}: {took:?}");
+        assert!(wait > 0 || took < Duration::from_millis(2900), "{id}: {took:?}");
+        until("its end", || courier.owes_nothing());
+    }
+}
+
+#[test]
+fn couriers_of_the_old_and_the_new_shape_share_a_limit_and_keep_its_waits() {
+    let limit = Limit::new(16, Duration::from_millis(400));
+    let (platform, ends) = (Platform::new(), [Endpoint::limited(&limit), Endpoint::limited(&limit)]);
+    for (name, end) in ["e1", "e2"].iter().zip(&ends) {
+        platform.list(name, end.address, "many", 7, "SERVING");
+    }
+    let hears = [own_address(), own_address()];
+    let start = |shape: usize, i: usize| {
+        Courier::start(&platform, |c| {
+            c["settings"]["NInstances"] = json!(4);
+            c["settings"]["FamilyInfo"]["KindBatch"] = json!([1, 1]);
+            if shape == 1 {
+                c["settings"]["Weights"] = json!("rough");
+                c["settings"]["Limits"]["MayTell"] = json!(true);
+                c["settings"]["Limits"]["KeepaliveUs"] = json!(1_000_000);
+                c["settings"]["Telemetry"] = json!({"How": "inline", "Fields": ["x0", "x1"]});
+                c["peers"] = peers(hears[i], &[hears[1 - i]]);
+            }
+        })
+    };
+    let couriers = [[start(0, 0), start(0, 1)], [start(1, 0), start(1, 1)]];
+    // Half as much again as the limit takes in the time; the clients of all four hand in by turns.
+    let mut clients = couriers.each_ref().map(|shape| shape.each_ref().map(Courier::client));
+    for n in 0..30 {
+        for (shape, clients) in clients.iter_mut().enumerate() {
+            for (i, client) in clients.iter_mut().enumerate() {
+                assert_eq!(client.put(&format!("{shape}{i}{n:02}"), "once", LATE), "+OK");
+            }
+        }
+    }
+    for courier in couriers.iter().flatten() {
+        until("each mail's end", || courier.owes_nothing());
+    }
+    let seen = limit.seen.lock().unwrap().clone();
+    let ended: Vec<String> = platform.notices().into_iter().map(|notice| notice.0).collect();
+    let mut relayed = [0, 0];
+    for (shape, i, n) in (0..120).map(|mail| (mail / 60, mail / 30 % 2, mail % 30)) {
+        let id = format!("{shape}{i}{n:02}");
+        let served = seen.iter().filter(|call| call.1 == id && call.2.is_none()).count();
+        let told = ended.iter().filter(|ended| **ended == id).count();
+        assert_eq!(served + told, 1, "{id}: relayed {served} times, told of {told} times");
+        relayed[shape] += served;
+    }
+    // Told to wait, a courier sends nothing; what had left it before it heard so is let through.
+    for (at, id, wait) in &seen {
+        let Some(wait) = wait else { continue };
+        let early = |call: &&(Instant, String, Option<Duration>)| {
+            call.1[..2] == id[..2]
+                && call.0 > *at + Duration::from_millis(60)
+                && call.0 + Duration::from_millis(5) < *at + *wait
+        };
+        assert_eq!(seen.iter().find(early), None, "{id} was told to wait {wait:?}");
+    }
+    // Neither kind starves: each gets at least a third of what was relayed.
+    assert!(
+        relayed[0] + relayed[1] >= 48 && relayed.iter().all(|&n| 3 * n >= relayed[0] + relayed[1]),
+        "{relayed:?}"
+    );
+}
+
 #[test]
 fn a_bad_configuration_ends_with_one_plain_message() {
     let platform = Platform::new();
     let good = common::config(&platform, "127.0.0.1:0".parse().unwrap());
     type Change = fn(&mut Value);
-    let rows: [(Change, &str); 8] = [
+    let rows: [(Change, &str); 12] = [
         (|c| c["listen"] = json!("nowhere"), "ROUTER_LISTEN is no address: nowhere"),
         (|c| c["discovery"] = Value::Null, "ROUTER_DISCOVERY is not set"),
         (|c| c["settings"] = json!({}), "setting NInstances is missing"),
@@ -533,6 +641,10 @@
         (|c| c["limits"]["sockets"] = json!(3), "limits.sockets is under 64"),
         (|c| c["limits"]["disk_mb"] = json!(0), "limits.disk_mb is no size"),
         (|c| c["known"] = json!("x"), "invalid type"),
+        (|c| c["peers"] = json!({"listen": "127.0.0.1:0", "others": []}), "Limits.MayTell does not allow"),
+        (|c| c["peers"] = json!({"listen": "here", "others": []}), "peers.listen is no address: here"),
+        (|c| c["peers"] = json!({"listen": "127.0.0.1:0", "others": ["a"]}), "peers.others is no address: a"),
+        (|c| c["settings"]["Limits"]["MayTell"] = json!("often"), "setting Limits.MayTell cannot be read"),
     ];
     for (change, words) in rows {
         let (folder, mut config) = (Folder::new(), good.clone());
--- a/crates/courier/tests/exchange.rs
+++ b/crates/courier/tests/exchange.rs
@@ -37,7 +37,7 @@
     let (notices_in, notices) = unbounded_channel();
     let decoded = decode_json(1, &settings()).unwrap();
     let journal = Journal::open(&folder.path, allowance).unwrap();
-    let mut exchange = Exchange::new(decoded, journal, orders_in, notices_in);
+    let mut exchange = Exchange::new(decoded, journal, orders_in, notices_in, None);
     exchange.listed(&list("SERVING", kind));
     World { exchange, orders, notices, folder }
 }
