--- a/src/control.rs
+++ b/src/control.rs
@@ -44,6 +44,8 @@
 const USED_UP: f64 = 0.02;
 /// Target delays over which mails for a full unit spread, for each note of that of late.
 const SPREAD: f64 = 4.0;
+/// Couriers that hear what one saw, in the mean: with more of them one sight in several is told of.
+const HEARD_BY: f64 = 256.0;
 /// Part of its paced share that a returning endpoint is sent.
 const RETURN_SHARE: f64 = 1.3;
 
@@ -168,7 +170,8 @@
         self.give_up_hopeless(out);
         self.dispatch(out);
         out.extend(self.unused.drain(..).map(Action::LetGo));
-        let news = self.news.drain(..).filter(|_| self.set.may_tell);
+        let heard_by = if self.set.may_tell { HEARD_BY / self.set.couriers as f64 } else { 0.0 };
+        let news = self.news.drain(..).filter(|_| self.chance.f64() < heard_by);
         out.extend(news.map(|(endpoint, news)| Action::Tell { endpoint, news }));
         self.rest_keys(out);
         self.forget(out);
@@ -255,7 +258,8 @@
         let (unit, couriers) = (&mut self.units[unit], self.set.couriers as f64);
         let limit = (unit.even * couriers).max(0.5);
         let turns = 2.0 * SECOND as f64 * couriers / limit;
-        unit.full.count(self.now, self.set.connect_timeout.max(1));
+        let (memory, told) = (self.set.connect_timeout.max(1), (couriers / HEARD_BY).max(1.0));
+        unit.full = Fading { count: unit.full.rate(self.now, memory) * seconds(memory) + told, at: self.now };
         let most = match () {
             () if wait > self.set.overload_for => turns,
             () if self.set.may_tell => unit.full.count / limit * SPREAD * SECOND as f64,
@@ -292,9 +296,7 @@
             self.dests[dest].endpoints.insert(place, endpoint);
         }
         let e = &mut self.endpoints[endpoint];
-        if life == Life::Gone && e.life != Life::Gone {
-            self.leaving.push(endpoint);
-        }
+        self.leaving.extend((life == Life::Gone && e.life != Life::Gone).then_some(endpoint));
         e.gone_at = if life == Life::Gone && e.life == Life::Gone { e.gone_at } else { now };
         (e.life, e.named) = (life, true);
         if self.set.rates_listed {
@@ -433,8 +435,7 @@
         if settled {
             self.out -= 1;
             self.dests[m.dest].out -= 1;
-            e.out -= 1;
-            e.late -= usize::from(call.late);
+            (e.out, e.late) = (e.out - 1, e.late - usize::from(call.late));
         }
         if !outcome.never_ran() {
             m.ran = m.ran.or(Some((started, e.zone)));
@@ -715,8 +716,7 @@
         self.out += 1;
         self.dests[dest].out += 1;
         let e = &mut self.endpoints[endpoint];
-        e.out += 1;
-        e.ramp.calls -= 1.0;
+        (e.out, e.ramp.calls) = (e.out + 1, e.ramp.calls - 1.0);
         let unit = &mut self.units[e.unit];
         unit.saved.calls = (unit.saved.calls - 1.0).max(0.0); // no debt from before a pace was kept
         unit.sent.count(self.now, WINDOW);
