--- a/src/control.rs
+++ b/src/control.rs
@@ -285,8 +285,8 @@
             // Couriers start at different points of their share, not all with the cheapest route.
             self.units[unit].share = Saved { calls: 2.0 * self.chance.f64(), at: now };
             // Guards against a cold replacement that all couriers fill at once: it warms up like one back.
-            let well = |&s: &usize| self.endpoints[s].standing == Standing::Well;
-            let well = self.dests[dest].endpoints.iter().all(well);
+            let sisters = self.dests[dest].endpoints.iter().map(|&s| &self.endpoints[s]);
+            let well = sisters.filter(|s| s.life == Life::Ready).all(|s| s.standing == Standing::Well);
             let standing = if well { Standing::Well } else { Standing::Returning };
             let new = Endpoint { known: true, dest, unit, zone, kind, standing, ..Endpoint::default() };
             self.endpoints[endpoint] =
@@ -509,8 +509,7 @@
                 // Guards against couriers back in step after a wait; what is worth most goes first.
                 let (first, rest) = if kept_by == Kept::Stay { (spread / 4.0, spread) } else { (own, 0.0) };
                 unit.hold_until = unit.hold_until.max(now + wait + first as Time);
-                unit.ease_until = now + wait + rest as Time;
-                unit.refused += 1;
+                (unit.ease_until, unit.refused) = (now + wait + rest as Time, unit.refused + 1);
                 let (refused, until) = &mut self.tight[e.kind];
                 *refused += 1.0;
                 *until = if *refused >= TIGHT { now + TIGHT_FOR * self.set.cold } else { *until };
@@ -543,12 +542,11 @@
                 e.errs += NEWEST * (f64::from(u8::from(outcome == Outcome::Error)) - e.errs);
                 let found_nobody = outcome == Outcome::Unreached && e.standing != Standing::Down;
                 self.crowded[e.kind] += f64::from(u8::from(found_nobody));
-                self.sign(endpoint, Sign::Bad);
-                let e = &mut self.endpoints[endpoint];
-                // Connects that find nobody lose nothing, and full tables would raise the alarm.
-                let tells = outcome != Outcome::Unreached && e.standing == Standing::Down && !e.told;
+                // Full tables would raise the alarm, and so would slow calls of one that is cold.
+                let tells = outcome != Outcome::Unreached && e.standing == Standing::Doubt && !e.told;
                 self.news.extend(tells.then_some((endpoint, News::Out)));
                 e.told |= tells;
+                self.sign(endpoint, Sign::Bad);
             }
             Outcome::Spoilt | Outcome::CalledOff | Outcome::Unsent => {}
         }
@@ -571,8 +569,10 @@
                 let pause = ((self.set.connect_timeout / 4) << e.trials.min(5)).min(self.set.cold / 6);
                 e.trials += 1;
                 // Guards against the trials of many couriers that push a returning destination over together.
-                let turn = SECOND as f64 / self.paced_share(endpoint, 0.0) * 1.5 * self.chance.f64();
-                let turn = if next == Standing::Down { turn as Time } else { 0 };
+                let least = if self.set.may_tell { 0.0 } else { 0.5 }; // told at once, some try at once
+                let part =
+                    if next == Standing::Down { least + self.chance.f64() * (1.5 - least) } else { 0.0 };
+                let turn = (SECOND as f64 / self.paced_share(endpoint, 0.0) * part) as Time;
                 self.endpoints[endpoint].trial_at = now + pause.max(turn);
             }
             Step::Ramp => (e.ramp, e.trials) = (Saved { calls: 1.0, at: now }, 0),
@@ -821,10 +821,10 @@
         let ends = self.sick(e.dest).1.max(1) as f64;
         let even = self.units[e.unit].even / if self.set.kinds[e.kind].apart { 1.0 } else { ends };
         let arriving = self.dests[e.dest].steady.rate(self.now, self.set.cold.max(WINDOW)) / ends;
-        let whole = if even > 0.0 { even } else { arriving };
+        // One call a warm-up at least: as many couriers have mails waiting as came in that time, not all.
+        let whole = if even > 0.0 { even } else { arriving }.max(1.0 / seconds(self.set.cold.max(SECOND)));
         let warmth = self.set.cold_from + (1.0 - self.set.cold_from) * warm.min(1.0);
-        (whole * warmth * RETURN_SHARE * self.set.tip_multiple.min(2.0) / 2.0)
-            .max(0.5 / seconds(self.set.cold.max(SECOND)))
+        whole * warmth * RETURN_SHARE * self.set.tip_multiple.min(2.0) / 2.0
     }
 
     /// Endpoints that left the list a warm-up ago and have no call out: no input means their index any more.
