--- a/crates/adapter/src/tests.rs
+++ b/crates/adapter/src/tests.rs
@@ -1,7 +1,7 @@
 //! The wire codec and the host: frames both ways, odd and malformed ones.
 
 use super::*;
-use meadowhold::interface::{Life, Outcome, Report};
+use meadowhold::interface::{Life, News, Outcome, Report};
 use wire::{Event, Reply};
 
 const SETTINGS: &str = "NInstances=2\nFamilyInfo.Slots=4\nLimits.MaxOpen=20\nLimits.MaxAttempts=3\n\
@@ -160,3 +160,28 @@
     assert_eq!(ended, Ok(()));
     assert_eq!(output[output.len() - 12..], hex("00000000 0000000c 00000007"));
 }
+
+#[test]
+fn notes_are_four_bytes_that_are_read_as_they_were_written() {
+    let endpoint = [10, 18, 74, 7, 27, 91];
+    // Waits are told in tenths of a second, rounded up, six seconds and a bit at most.
+    let cases = [
+        (News::Out, News::Out),
+        (News::Back, News::Back),
+        (News::Full(0), News::Full(0)),
+        (News::Full(1), News::Full(1000)),
+        (News::Full(3000), News::Full(3000)),
+        (News::Full(900_000), News::Full(63_000)),
+    ];
+    for (told, heard) in cases {
+        let note = wire::note(endpoint, told);
+        assert_eq!(wire::noted(&note), Some((wire::short(endpoint), heard)));
+    }
+    for odd in [&b""[..], b"\x01", b"\0\0\0", b"\0\0\0\xc0", b"\0\0\0\0\0"] {
+        assert_eq!(wire::noted(odd), None, "{odd:?}");
+    }
+    // Endpoints as they are listed: one machine's ports, one port on many machines.
+    let all = (0..400u16).map(|i| [10, 18, (i / 20) as u8, (i % 20) as u8, 27, (i % 7) as u8]);
+    let names: std::collections::HashSet<u32> = all.map(wire::short).collect();
+    assert_eq!(names.len(), 400);
+}
--- a/crates/courier/tests/codecs.rs
+++ b/crates/courier/tests/codecs.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use meadowhold::interface::{News, Time};
 use meadowhold_courier::http::{self, Body, Letter, Piece};
-use meadowhold_courier::resp;
+use meadowhold_courier::{notes, resp};
 
 #[test]
 fn a_command_is_read_wherever_it_is_split() {
@@ -190,3 +191,22 @@
         assert_eq!(http::items(broken), None);
     }
 }
+
+#[test]
+fn notes_are_read_as_they_were_written_and_odd_ones_not_at_all() {
+    // A wait is told in milliseconds, rounded up, a minute at most.
+    let cases = [
+        (News::Out, News::Out),
+        (News::Back, News::Back),
+        (News::Full(0), News::Full(0)),
+        (News::Full(3001), News::Full(3010)),
+        (News::Full(Time::MAX / 2), News::Full(600_000)),
+    ];
+    for (told, heard) in cases {
+        assert_eq!(notes::read(&notes::write(b"e1", told)), Some((&b"e1"[..], heard)));
+    }
+    let long = [&[1, 1, 0, 0][..], &[b'x'; 201]].concat();
+    for odd in [&b""[..], b"\x01\0\0", b"\x01\0\0\0", b"\x02\0\0\0e1", b"\x01\x03\0\0e1", &long] {
+        assert_eq!(notes::read(odd), None, "{odd:?}");
+    }
+}
