--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -191,6 +191,7 @@
             resolution: ms(s.courier.resolution_ms).max(1),
             connect_timeout: ms(s.courier.connect_timeout_ms),
             keep_idle: secs(s.courier.keep_idle_s),
+            handshake_price: 0.0,
             may_tell: false,
             max_pause: ms(s.courier.max_pause_ms),
             ask_list: s.list.mode == ListMode::Ask,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -159,6 +159,7 @@
         connect_timeout: p.time("Limits.ConnectTimeoutUs")?,
         keep_idle: p.time_or("Limits.KeepaliveUs", Some(10_000_000))?,
         max_pause: if p.or("Limits.RetryAfter", false)? { p.time("Limits.MaxRetryAfterUs")? } else { 0 },
+        handshake_price: p.figure("Penalties.Handshake", 0.0)?,
         may_tell: p.or("Limits.MayTell", false)?,
         ask_list: p.text("MembershipMode")? == "ask",
         ask_within: p.time_or("Rules.AskWithinUs", Some(10_000_000))?,
--- a/src/control.rs
+++ b/src/control.rs
@@ -229,8 +229,7 @@
     fn hear(&mut self, endpoint: usize, news: News) {
         let Some(e) = self.endpoints.get(endpoint).filter(|e| e.known) else { return };
         let brief = self.now < e.ill_since + self.set.overload_for;
-        let (unit, told) = (e.unit, e.told);
-        let wait = if let News::Full(wait) = news { wait } else { 0 };
+        let (unit, told, wait) = (e.unit, e.told, if let News::Full(wait) = news { wait } else { 0 });
         self.endpoints[endpoint].told = news == News::Out || told && news != News::Back;
         match news {
             News::Out if told => {}
@@ -471,9 +470,8 @@
         if matches!(outcome, Outcome::Relayed | Outcome::Refused | Outcome::Error) {
             let crowded = self.crowded[e.kind] * self.set.couriers as f64 >= self.set.slots as f64;
             let d = &self.dests[dest];
-            let rate = d.steady.rate(now, self.set.cold.max(WINDOW)) / d.endpoints.len() as f64;
-            let seldom = rate * seconds(self.set.keep_idle) < SELDOM;
-            self.unused.extend((crowded || seldom).then_some(endpoint));
+            let calls = d.steady.rate(now, self.set.cold.max(WINDOW)) * seconds(self.set.keep_idle);
+            self.unused.extend((crowded || calls < SELDOM * d.endpoints.len() as f64).then_some(endpoint));
         }
         match outcome {
             Outcome::Relayed => {
@@ -784,6 +782,8 @@
         // Were all couriers to do as this one does, so long would the queue be at a route with this rate.
         let unit = &self.units[e.unit];
         let lack = if unit.even > 0.0 { (1.0 - unit.share.calls).max(0.0) / unit.even } else { 0.0 };
+        let kept = e.latency.seen && self.now < e.last_good + self.set.keep_idle;
+        let fee = fee + if kept { 0.0 } else { self.set.handshake_price };
         mean * (1 + e.out) as f64 + doubt + lack * SECOND as f64 + fee * FEE_TARGETS * self.target as f64
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -64,6 +64,8 @@
     pub connect_timeout: Time,
     /// The far side closes a connection left idle for so long.
     pub keep_idle: Time,
+    /// Price of a new connection, as part of a mail's worth.
+    pub handshake_price: f64,
     /// Longest time to come back that a client heeds; 0 where none can be named.
     pub max_pause: Time,
     /// Couriers may send each other notes.
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -974,3 +974,26 @@
         assert_eq!(sent, goes, "{rate}");
     }
 }
+
+#[test]
+fn a_connection_that_is_open_is_preferred_where_new_ones_have_a_price() {
+    for (price, to) in [(0.0, 1), (0.05, 0)] {
+        let set = Settings { handshake_price: price, ..settings() };
+        let mut rig = Rig::new(set, SINGLE, 2, 40.0);
+        // Both are measured, the second quicker; long after, a call goes to the first while the second drains.
+        let ends: Vec<Input> = connects(&rig.arrive(0, REDELIVERABLE, 2))
+            .iter()
+            .map(|&(mail, end)| ended(mail, Outcome::Relayed, 100 - 40 * end as Time))
+            .collect();
+        assert_eq!(ends.len(), 2);
+        rig.at(100, &ends);
+        let changed =
+            |life| [Input::ListBegin { whole: false }, listed(1, SINGLE, life, 40.0), Input::ListEnd];
+        rig.at(20_000, &changed(Life::Draining));
+        let alone = connects(&rig.arrive(20_005, REDELIVERABLE, 1))[0];
+        assert_eq!(alone.1, 0);
+        rig.at(20_105, &[ended(alone.0, Outcome::Relayed, 100)]);
+        rig.at(20_110, &changed(Life::Ready));
+        assert_eq!(connects(&rig.arrive(20_200, REDELIVERABLE, 1))[0].1, to, "{price}");
+    }
+}
