--- a/src/control.rs
+++ b/src/control.rs
@@ -38,8 +38,8 @@
 const SAVED: f64 = 2.0;
 /// Target delays that a fee of a whole mail's worth weighs in the pick.
 const FEE_TARGETS: f64 = 8.0;
-/// Calls at an endpoint while a connection is kept idle, under which it is closed, not to fill a table.
-const SELDOM: f64 = 0.25;
+/// Calls while a connection is kept idle, and those times its price, under which it is closed.
+const SELDOM: (f64, f64) = (0.25, 0.005);
 /// Part of a limit that is left, up to which it counts as used up.
 const USED_UP: f64 = 0.02;
 /// Target delays over which mails for a full unit spread, for each note of that of late.
@@ -471,13 +471,14 @@
             let crowded = self.crowded[e.kind] * self.set.couriers as f64 >= self.set.slots as f64;
             let d = &self.dests[dest];
             let calls = d.steady.rate(now, self.set.cold.max(WINDOW)) * seconds(self.set.keep_idle);
-            self.unused.extend((crowded || calls < SELDOM * d.endpoints.len() as f64).then_some(endpoint));
+            let calls = calls / d.endpoints.len() as f64;
+            let seldom = calls < SELDOM.0 && calls * self.set.handshake_price < SELDOM.1;
+            self.unused.extend((crowded || seldom).then_some(endpoint));
         }
         match outcome {
             Outcome::Relayed => {
-                self.stale *= KEPT;
-                self.tight[e.kind].0 *= KEPT;
-                self.crowded[e.kind] *= KEPT;
+                let fading = [&mut self.stale, &mut self.tight[e.kind].0, &mut self.crowded[e.kind]];
+                fading.into_iter().for_each(|count| *count *= KEPT);
                 let doubt = e.standing == Standing::Doubt && e.bad_since_good;
                 let back = doubt && now > e.last_good + self.set.overload_for;
                 (e.last_good, e.bad_since_good, unit.refused) = (now, false, 0);
@@ -766,9 +767,7 @@
             seen += 1;
             // Keeps two of those seen so far, each pair as likely as any other.
             let place = if seen <= 2 { seen - 1 } else { self.chance.usize(..seen) };
-            if place < 2 {
-                pair[place] = Some(endpoint);
-            }
+            pair.get_mut(place).into_iter().for_each(|kept| *kept = Some(endpoint));
         }
         pair.into_iter().flatten().min_by(|&a, &b| self.cost(a).total_cmp(&self.cost(b)))
     }
