--- a/src/control.rs
+++ b/src/control.rs
@@ -47,7 +47,7 @@
 /// Couriers that hear what one saw, in the mean: with more of them one sight in several is told of.
 const HEARD_BY: f64 = 256.0;
 /// Part of its paced share that a returning endpoint is sent.
-const RETURN_SHARE: f64 = 1.3;
+const RETURN_SHARE: f64 = 1.1;
 
 /// What an endpoint is held to be.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -234,12 +234,7 @@
         match news {
             News::Out if told => {}
             News::Out => [Sign::Bad; 2].into_iter().for_each(|sign| self.sign(endpoint, sign)),
-            News::Back if !brief => {
-                self.sign(endpoint, Sign::Good);
-                // All couriers together start from next to nothing.
-                let ramp = &mut self.endpoints[endpoint].ramp;
-                ramp.calls = ramp.calls.min(self.chance.f64());
-            }
+            News::Back if !brief => self.sign(endpoint, Sign::Good),
             // After a false alarm too they come back spread, not all at once.
             News::Full(_) | News::Back => {
                 let until = self.now + wait + self.spread(unit, wait, 0.0) as Time;
@@ -500,11 +495,10 @@
                 self.news.push((endpoint, News::Full(wait)));
                 (e.bad_since_good, unit.refused_at) = (true, now);
                 unit.refused_since = if unit.refused == 0 { now } else { unit.refused_since };
-                let own = if wait > 0 {
-                    0.0
-                } else {
-                    e.latency.mean.max(1.0) * f64::from(1 << unit.refused.min(4))
-                };
+                // One that never served is refused within a round trip, and would be asked again in each.
+                let usual =
+                    if e.latency.seen { e.latency.mean } else { self.set.connect_timeout as f64 / 4.0 };
+                let own = if wait > 0 { 0.0 } else { usual * f64::from(1 << unit.refused.min(4)) };
                 // Guards against couriers back in step after a wait; what is worth most goes first.
                 let (first, rest) = if kept_by == Kept::Stay { (spread / 4.0, spread) } else { (own, 0.0) };
                 unit.hold_until = unit.hold_until.max(now + wait + first as Time);
@@ -574,7 +568,7 @@
                 let turn = (SECOND as f64 / self.paced_share(endpoint, 0.0) * part) as Time;
                 self.endpoints[endpoint].trial_at = now + pause.max(turn);
             }
-            Step::Ramp => (e.ramp, e.trials) = (Saved { calls: 1.0, at: now }, 0),
+            Step::Ramp => (e.ramp, e.trials) = (Saved { calls: self.chance.f64(), at: now }, 0),
         }
     }
 
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -997,3 +997,29 @@
         assert_eq!(connects(&rig.arrive(20_200, REDELIVERABLE, 1))[0].1, to, "{price}");
     }
 }
+
+#[test]
+fn refusals_by_an_endpoint_that_never_served_are_backed_off_from_too() {
+    // The limit is not listed; nothing was served anywhere, or by a sister alone.
+    for served in [false, true] {
+        let mut rig = Rig::new(settings(), SINGLE, 2, 0.0);
+        let first = rig.arrive(0, REDELIVERABLE, 2);
+        let (mut ms, mut refused, mut last) = (100, 0, 0);
+        let mut sent = connects(&first);
+        if served {
+            let (mail, _) = sent.remove(0);
+            rig.at(100, &[ended(mail, Outcome::Relayed, 100)]);
+        } else {
+            sent.truncate(1);
+        }
+        while ms < 1100 {
+            let ends: Vec<Input> = sent.iter().map(|c| ended(c.0, Outcome::Refused, 5)).collect();
+            refused += ends.len();
+            last = if ends.is_empty() { last } else { ms };
+            ms += 5;
+            sent = connects(&rig.at(ms, &ends));
+        }
+        // A tenth of a second, or the target delay, doubling: not one in each round trip.
+        assert!((1..=6).contains(&refused), "{served}: {refused}, the last at {last} ms");
+    }
+}
