--- a/src/control.rs
+++ b/src/control.rs
@@ -86,10 +86,11 @@
 }
 
 /// (state, input, next state, effect); a pair that is not listed changes nothing.
-const STANDINGS: [(Standing, Sign, Standing, Step); 11] = [
+const STANDINGS: [(Standing, Sign, Standing, Step); 12] = [
     (Standing::Well, Sign::Bad, Standing::Doubt, Step::BackOff),
     (Standing::Well, Sign::Late, Standing::Doubt, Step::BackOff),
     (Standing::Doubt, Sign::Late, Standing::Doubt, Step::BackOff),
+    (Standing::Down, Sign::Late, Standing::Down, Step::BackOff),
     (Standing::Doubt, Sign::Good, Standing::Well, Step::Note),
     (Standing::Doubt, Sign::Back, Standing::Returning, Step::Ramp),
     (Standing::Doubt, Sign::Bad, Standing::Down, Step::BackOff),
@@ -515,8 +516,10 @@
                 unit.pace = if kept_by == Kept::Pace { (before * SLOWER).max(floor) } else { 0.0 };
                 let calls = if kept_by == Kept::Share { self.chance.f64() } else { 1.0 };
                 unit.saved = Saved { calls, at: unit.hold_until };
-                if now > unit.refused_since + self.set.overload_for {
-                    self.sign(endpoint, Sign::Bad);
+                // A trial that was turned away is one more sign: others fill what is cold.
+                let lasting = now > unit.refused_since + self.set.overload_for;
+                if lasting || matches!(e.standing, Standing::Doubt | Standing::Down) {
+                    self.sign(endpoint, if lasting { Sign::Bad } else { Sign::Late });
                 }
                 // Guards against one that was shut, opens cold, and gets at once what has waited for it.
                 if wait > self.set.overload_for {
