--- a/src/control.rs
+++ b/src/control.rs
@@ -566,12 +566,16 @@
                 e.trials += 1;
                 // Guards against the trials of many couriers that push a returning destination over together.
                 let least = if self.set.may_tell { 0.0 } else { 0.5 }; // told at once, some try at once
-                let part =
-                    if next == Standing::Down { least + self.chance.f64() * (1.5 - least) } else { 0.0 };
+                let part = least + self.chance.f64() * (1.5 - least);
+                let part = if next == Standing::Down && sign == Sign::Bad { part } else { 0.0 };
                 let turn = (SECOND as f64 / self.paced_share(endpoint, 0.0) * part) as Time;
                 self.endpoints[endpoint].trial_at = now + pause.max(turn);
             }
-            Step::Ramp => (e.ramp, e.trials) = (Saved { calls: self.chance.f64(), at: now }, 0),
+            Step::Ramp => {
+                // Those who were told all begin at once, with next to nothing together.
+                let calls = if self.set.may_tell { self.chance.f64() } else { 1.0 };
+                (e.ramp, e.trials) = (Saved { calls, at: now }, 0);
+            }
         }
     }
 
