Read-through: one idle time in the settings, one fading count, comments that were no longer true

Decoded.keep_idle stood beside Settings.keep_idle; spread() wrote Fading::count again with a weight (Fading::add serves both); a comment stood twice, those on SPREAD, Sign::Late and one test spoke of earlier texts. Left, since it would shift the course of chance: news is kept and drawn for also where couriers may not tell.

--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -584,7 +584,6 @@
                     self.endpoints.leave(endpoint);
                 }
                 // A watch is always kept open.
-                // A watch is always kept open.
                 Action::WatchList => {}
                 Action::Tell { endpoint, news } => {
                     if let (Some(notes), Some(name)) = (&self.news, self.endpoints.outside(endpoint)) {
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -65,7 +65,7 @@
     let for_clients = sockets / 3;
     let limits = endpoints::Limits {
         connect: exchange::duration(decoded.settings.connect_timeout),
-        idle: exchange::duration(decoded.keep_idle),
+        idle: exchange::duration(decoded.settings.keep_idle),
         connections: sockets - OWN_SOCKETS - for_clients,
         may_overlap: decoded.may_overlap,
     };
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -25,8 +25,6 @@
     pub classes: Vec<String>,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
-    /// The far side closes a connection left idle for so long.
-    pub keep_idle: Time,
     /// A mail may have two connects out at once.
     pub may_overlap: bool,
 }
@@ -188,7 +186,6 @@
         classes: p.each("Profiles", |at| p.or(&format!("{at}Name"), String::new()))?,
         zones: p.list("Dcs")?,
         kinds,
-        keep_idle: p.time_or("Limits.KeepaliveUs", Some(10_000_000))?,
         may_overlap: p.or("Limits.MayDuplicate", false)?,
         fields,
     })
@@ -235,7 +232,10 @@
             "Telemetry": {"How": "inline", "Fields": ["x1", "x0"]}});
         let (lines, json) = (decode(9, LINES.as_bytes()).unwrap(), decode_json(9, &json).unwrap());
         assert_eq!(format!("{lines:?}"), format!("{json:?}"));
-        assert_eq!((json.report, &json.kinds[0][..], json.keep_idle), ([Some(1), Some(0)], "a_b", 50_000));
+        assert_eq!(
+            (json.report, &json.kinds[0][..], json.settings.keep_idle),
+            ([Some(1), Some(0)], "a_b", 50_000)
+        );
     }
 
     #[test]
--- a/src/control.rs
+++ b/src/control.rs
@@ -42,7 +42,7 @@
 const SELDOM: (f64, f64) = (0.25, 0.005);
 /// Part of a limit that is left, up to which it counts as used up.
 const USED_UP: f64 = 0.02;
-/// Target delays over which mails for a full unit spread, for each note of that of late.
+/// Seconds over which mails for a full unit spread, for refusals of a second of its limit told of late.
 const SPREAD: f64 = 4.0;
 /// Couriers that hear what one saw, in the mean: with more of them one sight in several is told of.
 const HEARD_BY: f64 = 256.0;
@@ -73,7 +73,7 @@
     Good,  // a call was served
     Back,  // a call was served after a gap in which an outage may have come and gone
     Bad,   // a call failed, found nobody, got no answer, or was refused when no limit explains it
-    Late,  // a call has outlasted its usual latency, and nothing was served since it was sent
+    Late,  // a call outlasts its usual latency with nothing served since it was sent, or a trial was refused
     Warm,  // the time for warming up is over
     Brief, // another courier's call was served, too soon for an outage that leaves it cold
 }
@@ -254,7 +254,7 @@
         let limit = (unit.even * couriers).max(0.5);
         let turns = 2.0 * SECOND as f64 * couriers / limit;
         let (memory, told) = (self.set.connect_timeout.max(1), (couriers / HEARD_BY).max(1.0));
-        unit.full = Fading { count: unit.full.rate(self.now, memory) * seconds(memory) + told, at: self.now };
+        unit.full.add(self.now, memory, told);
         let most = match () {
             () if wait > self.set.overload_for => turns,
             () if self.set.may_tell => unit.full.count / limit * SPREAD * SECOND as f64,
--- a/src/state.rs
+++ b/src/state.rs
@@ -13,7 +13,11 @@
 
 impl Fading {
     pub fn count(&mut self, now: Time, window: Time) {
-        (self.count, self.at) = (self.rate(now, window) * seconds(window) + 1.0, now);
+        self.add(now, window, 1.0);
+    }
+
+    pub fn add(&mut self, now: Time, window: Time, much: f64) {
+        (self.count, self.at) = (self.rate(now, window) * seconds(window) + much, now);
     }
 
     pub fn rate(&self, now: Time, window: Time) -> f64 {
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -822,8 +822,8 @@
             // Twenty refusals told at once over a limit of forty a second: half a second of it, spread fourfold.
             let notes = vec![heard(0, News::Full(wait * 10)); 20];
             rig.at(10, &notes);
-            let at = 10 + (!connects(&rig.arrive(10, REDELIVERABLE, 1)).is_empty()) as Time;
-            let sent = if at > 10 { 10 } else { first_sent(&mut rig, 10, 9000).unwrap() };
+            let at_once = !connects(&rig.arrive(10, REDELIVERABLE, 1)).is_empty();
+            let sent = if at_once { 10 } else { first_sent(&mut rig, 10, 9000).unwrap() };
             (least, most) = (least.min(sent), most.max(sent));
         }
         assert!(least >= 10 + wait && most > 500 + wait && most <= 2100 + wait, "{wait}: {least} to {most}");
@@ -1019,7 +1019,7 @@
             ms += 5;
             sent = connects(&rig.at(ms, &ends));
         }
-        // A tenth of a second, or the target delay, doubling: not one in each round trip.
+        // A tenth of a second, or a quarter of the time to connect, doubling: not one in each round trip.
         assert!((1..=6).contains(&refused), "{served}: {refused}, the last at {last} ms");
     }
 }
