A message's end waits neither for its call's connection nor for a crossing answer

A message with 41 ms left rode in a call of three whose other two had 882 ms; the connection came up late, and all three were told of together: "mail 17: Unreached after 883 ms", 842 ms after its end. Lines at fault: `Endpoints::call` waited for `connection` with the latest `until` of the call, and for the write alike. Ruled out: cut answers (all were whole), wrong ids, restarts (the process ran on), the client's +OK (written at once), late telling (answers 0.1 to 1.6 s before their ends). Line at fault: `Endpoints::report` believed any answer on a call whose messages had partly been given up. Now an answer that crosses the end of one of its messages proves nothing of the others: they may have run. What may run again does, within its window; what may not is told of as failed.

--- a/crates/courier/src/endpoints.rs
+++ b/crates/courier/src/endpoints.rs
@@ -224,24 +224,35 @@
             call.letters.iter_mut().for_each(|letter| letter.until = last.min(letter.due));
         }
         let until = self.clock.instant(last);
-        let mut counted = match self.connection(&call, until).await {
+        let mut letters = std::mem::take(&mut call.letters);
+        let Some(connection) = self.ended(&mut letters, self.connection(&call, until)).await else { return };
+        let mut counted = match connection {
             Ok(counted) => counted,
-            Err(outcome) => return self.tell(&call.letters, &Seen::only(outcome)),
+            Err(outcome) => return self.tell(&letters, &Seen::only(outcome)),
         };
-        let letters = std::mem::take(&mut call.letters);
         let mut letters = self.shared.borrow_mut().begin(&call, letters);
         if letters.is_empty() {
             return self.keep(&call, counted);
         }
         let request = self.request(&call, &letters, until);
         let Some(link) = counted.link.as_mut() else { return };
-        // Before the last byte is written nothing can have run.
+        // Before the last byte is written nothing can have run. Guards against a write that stands still past the
+        // end of one of its messages: after that end it must not run.
+        let first = letters.iter().map(|letter| letter.due).min().unwrap_or(last);
+        let until = until.min(self.clock.instant(first));
         if !matches!(timeout_at(until.into(), link.send(&request)).await, Ok(Ok(()))) {
             return self.tell(&letters, &Seen::only(Outcome::Unreached));
         }
         let several = letters.len() > 1;
         let Some(answer) = self.waited(&mut letters, read_answer(link, several)).await else { return };
+        // Guards against an answer that crosses an end: it may be to what was given up, not to what is waited for.
+        let now = self.clock.now();
+        let crossed = letters.iter().any(|letter| letter.due <= now);
         match answer {
+            Answer::Good(head, _) if crossed => {
+                self.tell(&letters, &with_head(Outcome::Spoilt, false, &head))
+            }
+            Answer::Ended(Outcome::Relayed) if crossed => self.tell(&letters, &Seen::only(Outcome::Spoilt)),
             Answer::Good(head, body) => {
                 self.report(&letters, &head, body.as_deref());
                 let whole = body.is_some() || link.rest(head.body, MOST_ANSWER).await.is_ok();
@@ -268,6 +279,24 @@
         out
     }
 
+    /// Waits for what a call needs before it can begin, and tells of each message whose end comes before that.
+    /// `None` once all have. Guards against an end that is owed at once and waits for a connection that others
+    /// of its call have more time for.
+    async fn ended<T>(&self, letters: &mut Vec<Letter>, ready: impl Future<Output = T>) -> Option<T> {
+        let mut ready = std::pin::pin!(ready);
+        loop {
+            let next = letters.iter().map(|letter| letter.due).min()?;
+            tokio::select! {
+                biased;
+                ready = &mut ready => return Some(ready),
+                () = sleep_until(self.clock.instant(next).into()) => {}
+            }
+            let (over, left) = std::mem::take(letters).into_iter().partition(|letter| letter.due == next);
+            *letters = left;
+            self.tell(&over, &Seen::only(Outcome::Unsent));
+        }
+    }
+
     /// Waits for an answer, and tells of each mail whose time-out passes before it. `None` once all have:
     /// the connection is then to be closed.
     async fn waited<T>(&self, letters: &mut [Letter], answer: impl Future<Output = T>) -> Option<T> {
