--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -10,7 +10,9 @@
 use bytes::Bytes;
 use meadowhold::control::Control;
 use meadowhold::door::Door;
-use meadowhold::interface::{Action, Ended, Input, Life, Listed, News, Outcome, Report, Taken, Time};
+use meadowhold::interface::{
+    Action, Effect, Ended, Input, Life, Listed, News, Outcome, QueueClass, Report, Taken, Time,
+};
 use meadowhold_settings::{name, Decoded};
 use meadowhold_start::backlog::{self, Backlog};
 use tokio::sync::mpsc::UnboundedSender;
@@ -18,7 +20,7 @@
 
 use crate::audit::{self, Books, Flight, Tally};
 use crate::discovery::List;
-use crate::journal::{weight, Found, Journal, Owed, Record, Sent, Verdict};
+use crate::journal::{held_as, weight, Found, Journal, Owed, Record, Sent, Terms, Verdict, NO_ZONE};
 use crate::memory::Keeper;
 use crate::{http, must};
 
@@ -103,6 +105,8 @@
     /// When its connect is given up, by the module's word.
     pub until: Time,
     pub due: Time,
+    /// Only before this may the last byte of its call go out: a repeat is not known as one from then on.
+    pub latest: Time,
 }
 
 /// One call to one endpoint.
@@ -160,6 +164,7 @@
     place: u64,
     address: Option<SocketAddr>,
     since: u64,
+    /// As sends to it are put on file.
     zone: u16,
     group: u64,
     kind: usize,
@@ -196,8 +201,10 @@
     batches: Vec<usize>,
     /// Kinds whose endpoints are limited each on its own.
     apart: Vec<bool>,
-    in_turn: Vec<bool>,
-    importance: Vec<f64>,
+    /// The module's classes: those of the settings, and what stands for such as an earlier process left.
+    classes: Vec<QueueClass>,
+    /// What a mail of each class of the settings is taken on with.
+    terms: Vec<Terms>,
     turn_gap: Time,
     resolution: Time,
     mails: Door<u64>,
@@ -244,13 +251,27 @@
 /// What names on the sockets stand for.
 struct Names {
     classes: HashMap<Bytes, usize>,
+    /// Those of the settings, and then those that only a list has named.
     zones: Vec<String>,
+    /// So many of them have a number that the journal knows.
+    on_file: usize,
     kinds: Vec<String>,
     report: [Option<usize>; 2],
     fields: Vec<String>,
 }
 
 impl Names {
+    /// The module's number of a zone. Guards against two zones, neither of which the settings name, that would
+    /// be held to be one: a key that is known in one of them is not known in the other.
+    fn zone(&mut self, text: &str) -> usize {
+        let zone = name(text);
+        let at = self.zones.iter().position(|known| *known == zone).unwrap_or(self.zones.len());
+        if at == self.zones.len() && at < usize::from(NO_ZONE) {
+            self.zones.push(zone);
+        }
+        at.min(usize::from(NO_ZONE))
+    }
+
     /// What a load report says of the limit.
     fn report(&self, load: &str) -> Option<Report> {
         let value = |place: Option<usize>| -> Option<f64> {
@@ -276,24 +297,29 @@
     pub fn with_clock(
         clock: Clock,
         decoded: Decoded,
-        (journal, found): (Journal, Found),
+        (journal, mut found): (Journal, Found),
         orders: UnboundedSender<Order>,
         notices: UnboundedSender<Notice>,
         news: Option<UnboundedSender<(Bytes, News)>>,
     ) -> Exchange {
-        let Decoded { settings, report, fields, classes, zones, kinds, .. } = decoded;
+        let Decoded { mut settings, report, fields, classes, zones, kinds, .. } = decoded;
+        let terms: Vec<Terms> =
+            classes.iter().zip(&settings.classes).map(|(name, class)| Terms::new(name, class)).collect();
+        for owed in found.owed.values_mut() {
+            owed.class = held_as(owed, &terms, &mut settings.classes);
+        }
         let classes = classes.into_iter().enumerate().map(|(i, class)| (Bytes::from(class), i));
         let (folder, allowance) = journal.place();
         let mut exchange = Exchange {
             keeper: Keeper::new(folder, allowance),
-            names: Names { classes: classes.collect(), zones, kinds, report, fields },
+            names: Names { classes: classes.collect(), zones, on_file: 0, kinds, report, fields },
             room: settings.room,
             batches: settings.kinds.iter().map(|kind| kind.batch).collect(),
             apart: settings.kinds.iter().map(|kind| kind.apart).collect(),
-            in_turn: settings.classes.iter().map(|class| class.in_turn).collect(),
+            classes: settings.classes.clone(),
+            terms,
             turn_gap: settings.turn_gap,
             resolution: settings.resolution,
-            importance: settings.classes.iter().map(|class| class.importance).collect(),
             control: Control::new(settings),
             clock,
             mails: Door::default(),
@@ -332,8 +358,18 @@
     }
 
     /// What an earlier process took on comes back: as it was taken, or by importance, then by its end.
-    fn restore(&mut self, found: Found) {
+    fn restore(&mut self, mut found: Found) {
         let now = self.clock.now();
+        // Guards against a repeat that goes where its key is not known, since zones were named or numbered otherwise.
+        let zones = Bytes::from(self.names.zones.join(","));
+        let known = found.zones == zones;
+        if !known {
+            found.owed.values_mut().for_each(Owed::forget_zones);
+        }
+        // What cannot be put on file is not used: sends are then to no zone that a later process knows.
+        if known || self.note(&Record::Zones { names: &zones }) {
+            self.names.on_file = self.names.zones.len();
+        }
         let mut mails = Vec::with_capacity(found.owed.len());
         let mut keys: HashMap<Bytes, u64> = HashMap::new();
         self.rests = found.rests;
@@ -341,6 +377,8 @@
             // A connect that was out when the process ended may have run, and may be running.
             let out = owed.out.take();
             owed.ran = owed.ran.or(out);
+            // Guards against a clock that was set back: how long ago that was cannot be known.
+            owed.ran = owed.ran.map(|(at, zone)| (if at > now { 0 } else { at }, zone));
             if out.is_some() && !owed.item.is_empty() {
                 self.rests.push((owed.item.clone(), now));
                 self.note(&Record::Rest { item: &owed.item, since: now });
@@ -356,7 +394,7 @@
                     self.open += 1;
                     let next = keys.len() as u64;
                     let key = self.is_ordered(&owed).then(|| *keys.entry(owed.item.clone()).or_insert(next));
-                    let importance = self.importance.get(usize::from(owed.class)).copied().unwrap_or(0.0);
+                    let importance = self.classes[usize::from(owed.class)].importance;
                     mails.push(backlog::Mail { serial, importance, due: owed.due, key });
                 }
             }
@@ -377,7 +415,7 @@
 
     /// Whether a mail keeps its order among those of its key.
     fn is_ordered(&self, owed: &Owed) -> bool {
-        !owed.item.is_empty() && self.in_turn.get(usize::from(owed.class)) == Some(&true)
+        !owed.item.is_empty() && self.classes[usize::from(owed.class)].in_turn
     }
 
     /// What an earlier process took on and is to be offered by now goes to the module.
@@ -423,12 +461,13 @@
         if self.ids.contains_key(&offer.id) {
             return Answer::Known;
         }
-        let ordered = self.in_turn.get(class) == Some(&true) && offer.item.iter().any(|&b| b != b'0');
+        let ordered = self.classes[class].in_turn && offer.item.iter().any(|&b| b != b'0');
         let owed = Owed {
             id: offer.id,
             key: offer.key,
             item: if ordered { offer.item } else { Bytes::new() },
             class: class as u16,
+            terms: self.terms[class].clone(),
             dest: offer.dest,
             since: self.clock.now(),
             due: self.clock.now() + tenths(offer.lifetime),
@@ -447,6 +486,8 @@
         }
         self.next_serial += 1;
         self.counts.taken += 1;
+        let (id, lifetime) = (String::from_utf8_lossy(&owed.id), owed.due - owed.since);
+        log::debug!("message {id} taken on as {serial}, {} ms", lifetime / 10);
         self.ids.insert(owed.id.clone(), serial);
         // Guards against a mail that overtakes one of its key which an earlier process took on.
         let same = |old: u64| self.owed.get(&old).is_some_and(|old| old.item == owed.item);
@@ -567,7 +608,7 @@
         self.inputs.push(Input::ListBegin { whole: list.snapshot });
         for entry in &list.endpoints {
             let place = |names: &[String], text: &str| names.iter().position(|n| *n == name(text));
-            let zone = place(&self.names.zones, &entry.zone).unwrap_or(usize::from(u16::MAX));
+            let zone = self.names.zone(&entry.zone);
             let kind = place(&self.names.kinds, &entry.kind).unwrap_or(self.names.kinds.len());
             let (address, since, group) = (entry.address.parse().ok(), entry.since_ms, entry.group);
             let mut life = entry.life();
@@ -577,7 +618,8 @@
             }
             let endpoint = self.endpoints.enter(name);
             let place = self.next_place;
-            let new = Peer { place, address, since, zone: zone as u16, group, kind, ready: false };
+            let on_file = if zone < self.names.on_file { zone as u16 } else { NO_ZONE };
+            let new = Peer { place, address, since, zone: on_file, group, kind, ready: false };
             match self.peers.get_mut(endpoint) {
                 None => self.peers.push(new),
                 Some(old) if old.place == 0 => *old = new,
@@ -608,6 +650,18 @@
         self.notify.notify_one();
     }
 
+    /// Until when the last byte of a mail's call may go out. Guards against a repeat after the time for which its
+    /// key is known, counted from the first connect that may have run: its call may have waited for a connection,
+    /// and the file has it from an earlier process.
+    fn latest(&self, owed: &Owed) -> Time {
+        let class = &self.classes[usize::from(owed.class)];
+        match (owed.ran, class.effect) {
+            (None, _) | (_, Effect::Redeliverable) => Time::MAX,
+            (Some((sent, _)), Effect::Tagged) => sent.saturating_add(class.window),
+            (Some(_), Effect::OnceOnly) => 0,
+        }
+    }
+
     /// Just before the first byte of a call goes out: which of its mails still go, with their connects on
     /// file. None where its endpoint has moved, has been told of as leaving, or is to be left alone, since.
     pub fn begin(&mut self, call: &Call, letters: Vec<Letter>) -> Vec<Letter> {
@@ -625,7 +679,7 @@
             let serial = letter.serial;
             let owed = self.owed.contains_key(&serial);
             // Guards against a mail whose time passed while its call waited for a connection.
-            let in_time = now < letter.until;
+            let in_time = now < letter.until.min(letter.latest);
             if may && owed && in_time && self.note(&Record::Out { serial, sent }) {
                 let owed = self.owed.get_mut(&serial);
                 owed.into_iter().for_each(|owed| {
@@ -866,6 +920,7 @@
             body: owed.body.clone(),
             until,
             due: owed.due,
+            latest: self.latest(owed),
         };
         let peer = &self.peers[endpoint];
         let most = self.batches[peer.kind.min(self.batches.len() - 1)];
@@ -890,6 +945,7 @@
     }
 
     fn give_up(&mut self, mail: usize, verdict: Verdict) {
+        let now = self.clock.now();
         let serial = self.mails.outside(mail).copied();
         let owed = serial.and_then(|serial| self.owed.get_mut(&serial));
         let (Some(serial), Some(owed)) = (serial, owed) else {
@@ -897,14 +953,24 @@
             return;
         };
         must!(self.counts.broken, owed.verdict.is_none(), "a mail was given up twice");
-        log::debug!("mail {serial} for {}: given up, {verdict:?}", owed.dest);
         owed.verdict = Some(verdict);
         self.journal.shrink(owed.body.len() as u64);
         owed.body.clear();
-        let id = owed.id.clone();
+        let (id, dest, left) = (owed.id.clone(), owed.dest, owed.due.saturating_sub(now));
         self.open -= 1;
         self.counts.given_up += 1;
-        self.note(&Record::GivenUp { serial, verdict });
+        // Guards against a mail that is handed back, handed in anew, and sent by the next process all the same:
+        // what is not on file as given up is not told as harmless to hand in again.
+        let noted = self.note(&Record::GivenUp { serial, verdict });
+        let verdict = if noted { verdict } else { Verdict::Dead };
+        if let Some(owed) = self.owed.get_mut(&serial) {
+            owed.verdict = Some(verdict);
+        }
+        let words = String::from_utf8_lossy(&id);
+        log::debug!(
+            "message {words}, mail {serial} for {dest}: given up, {verdict:?}, {} ms left",
+            left / 10
+        );
         self.tell(Notice { serial, id, verdict });
     }
 
--- a/crates/courier/src/journal.rs
+++ b/crates/courier/src/journal.rs
@@ -8,11 +8,14 @@
 use std::path::{Path, PathBuf};
 
 use bytes::{Buf, BufMut, Bytes};
-use meadowhold::interface::Time;
+use meadowhold::interface::{Effect, QueueClass, Time};
 
-/// A send: when, and to which zone.
+/// A send: when, and to which zone, by its place among those of the settings.
 pub type Sent = (Time, u16);
 
+/// A zone of which no later process can say which one it is: no endpoint is in it.
+pub const NO_ZONE: u16 = u16::MAX;
+
 /// What goes to the platform about a mail that was given up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -21,6 +24,80 @@
     Bounced(Time),
 }
 
+/// What a mail was taken on with, by the settings of then. Guards against a folder that other settings left: a
+/// place in their list of classes says nothing by today's.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Terms {
+    /// The name of its class.
+    pub class: Bytes,
+    /// `None`: on file before that was noted.
+    pub effect: Option<Effect>,
+    pub by_zone: bool,
+    pub window: Time,
+    pub in_turn: bool,
+}
+
+impl Terms {
+    pub fn new(name: &str, class: &QueueClass) -> Terms {
+        let QueueClass { effect, by_zone, window, in_turn, .. } = *class;
+        let class = Bytes::copy_from_slice(name.as_bytes());
+        Terms { class, effect: Some(effect), by_zone, window, in_turn }
+    }
+}
+
+/// So many classes of the module at most stand for what other settings left. Guards against a file of nothing
+/// but classes, by a fault of ours or another's hand.
+const MOST_CLASSES: usize = 4096;
+
+/// The module's class by which a mail of an earlier process is held: today's of the same name, if that allows no
+/// more than what the mail was taken on with, else one more that allows only what both do. `today`: what the
+/// settings' classes stand for, the first of `classes`.
+pub fn held_as(owed: &Owed, today: &[Terms], classes: &mut Vec<QueueClass>) -> u16 {
+    let own = &owed.terms;
+    let named = match own.effect {
+        Some(_) => today.iter().position(|terms| terms.class == own.class),
+        None => Some(usize::from(owed.class)).filter(|&class| class < today.len()),
+    };
+    let alike = || today.iter().position(|terms| terms.effect == own.effect).unwrap_or_default();
+    // What a delay costs, and the like, is today's.
+    let base = classes[named.unwrap_or_else(alike)].clone();
+    // Guards against a second run of what was taken on when nobody noted what a repeat would do.
+    let effect = own.effect.unwrap_or(Effect::OnceOnly);
+    let own = QueueClass { effect, by_zone: own.by_zone, window: own.window, in_turn: own.in_turn, ..base };
+    let mut held = if named.is_some() { stricter(&own, &base, owed.key.is_empty()) } else { own };
+    held.in_turn |= owed.terms.effect.is_none() && !owed.item.is_empty();
+    if classes.len() >= MOST_CLASSES {
+        held.effect = Effect::OnceOnly;
+    }
+    if held.effect != Effect::Tagged {
+        (held.by_zone, held.window) = (base.by_zone, base.window);
+    }
+    let rules = |c: &QueueClass| (c.effect, c.by_zone, c.window, c.in_turn, c.target, c.lifetime);
+    let worth = |c: &QueueClass| (c.importance, c.late_worth);
+    let same = |c: &QueueClass| rules(c) == rules(&held) && worth(c) == worth(&held);
+    let at = classes.iter().position(same).unwrap_or(classes.len());
+    if at == classes.len() {
+        classes.push(held);
+    }
+    at as u16
+}
+
+/// What both classes allow of a mail.
+fn stricter(a: &QueueClass, b: &QueueClass, keyless: bool) -> QueueClass {
+    let in_turn = a.in_turn || b.in_turn;
+    match (a.effect, b.effect) {
+        (Effect::Tagged, Effect::Tagged) => {
+            let (by_zone, window) = (a.by_zone || b.by_zone, a.window.min(b.window));
+            QueueClass { by_zone, window, in_turn, ..a.clone() }
+        }
+        // Guards against repeats of what was taken on without a key.
+        (Effect::Tagged, Effect::Redeliverable) | (Effect::Redeliverable, Effect::Tagged) if keyless => {
+            QueueClass { effect: Effect::OnceOnly, in_turn, ..a.clone() }
+        }
+        (x, y) => QueueClass { in_turn, ..if x as u8 >= y as u8 { a } else { b }.clone() },
+    }
+}
+
 /// A mail that is owed its end. Times are by the system's clock, in tenths of a millisecond.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Owed {
@@ -29,7 +106,9 @@
     pub key: Bytes,
     /// What the mail is about, in a queue class that keeps its order; empty: nothing.
     pub item: Bytes,
+    /// The module's class for it, by today's settings.
     pub class: u16,
+    pub terms: Terms,
     pub dest: u64,
     /// When it was handed in; 0: on file before that was noted.
     pub since: Time,
@@ -44,6 +123,13 @@
     pub verdict: Option<Verdict>,
 }
 
+impl Owed {
+    /// Its sends were to zones of which nothing is known any more.
+    pub fn forget_zones(&mut self) {
+        [&mut self.ran, &mut self.out].into_iter().flatten().for_each(|sent| sent.1 = NO_ZONE);
+    }
+}
+
 #[derive(Debug, PartialEq)]
 pub enum Record<'a> {
     Taken {
@@ -72,6 +158,10 @@
         item: &'a [u8],
         since: Time,
     },
+    /// The settings' zones, by whose places sends name theirs from here on; joined by commas.
+    Zones {
+        names: &'a [u8],
+    },
 }
 
 /// What a journal held at its opening.
@@ -80,6 +170,8 @@
     pub owed: BTreeMap<u64, Owed>,
     /// Keys of which a connect may be running still, and since when.
     pub rests: Vec<(Bytes, Time)>,
+    /// The zones by whose places sends name theirs.
+    pub zones: Bytes,
 }
 
 const NAME: &str = "journal";
@@ -102,9 +194,17 @@
     allowance: u64,
     /// Bytes that the mails owed would take in a fresh file.
     live: u64,
+    /// What the file says of zones.
+    zones: Bytes,
+    /// Part of a record may stand behind the file's last whole one.
+    torn: bool,
     buffer: Vec<u8>,
 }
 
+/// Effects by their number on file.
+const EFFECTS: [Option<Effect>; 4] =
+    [None, Some(Effect::Redeliverable), Some(Effect::Tagged), Some(Effect::OnceOnly)];
+
 fn short(out: &mut Vec<u8>, bytes: &[u8]) {
     out.put_u16(bytes.len() as u16);
     out.extend_from_slice(bytes);
@@ -122,11 +222,16 @@
     out.extend_from_slice(&[0; HEADER]);
     match *record {
         Record::Taken { serial, owed } => {
-            out.put_u8(7);
+            out.put_u8(8);
             out.put_u64(serial);
             out.put_u64(owed.since);
             [&owed.id, &owed.key, &owed.item].into_iter().for_each(|bytes| short(out, bytes));
             out.put_u16(owed.class);
+            let Terms { class, effect, by_zone, window, in_turn } = &owed.terms;
+            short(out, class);
+            out.put_u8(EFFECTS.iter().position(|known| known == effect).unwrap_or(0) as u8);
+            out.put_u8(u8::from(*by_zone) | u8::from(*in_turn) << 1);
+            out.put_u64(*window);
             out.put_u64(owed.dest);
             out.put_u64(owed.due);
             out.put_u32(owed.connects);
@@ -163,6 +268,11 @@
             out.put_u64(since);
             short(out, item);
         }
+        Record::Zones { names } => {
+            out.put_u8(9);
+            out.put_u64(0);
+            out.extend_from_slice(names);
+        }
     }
     let length = (out.len() - start - HEADER) as u32;
     let sum = crc32fast::hash(&out[start + HEADER..]);
@@ -172,7 +282,8 @@
 
 /// What a mail takes in a fresh file, with its verdict, at most.
 pub fn weight(owed: &Owed) -> u64 {
-    (HEADER + 104 + owed.id.len() + owed.key.len() + owed.item.len() + owed.body.len()) as u64
+    let texts = [&owed.id, &owed.key, &owed.item, &owed.terms.class, &owed.body];
+    (HEADER + 104) as u64 + texts.iter().map(|text| text.len() as u64).sum::<u64>()
 }
 
 /// Reads fields off the front of a record; `None` where it is too short.
@@ -200,6 +311,12 @@
         (length <= self.0.len()).then(|| self.0.split_to(length))
     }
 
+    fn terms(&mut self) -> Option<Terms> {
+        let (class, effect, flags) = (self.short()?, self.u8()?, self.u8()?);
+        let effect = *EFFECTS.get(usize::from(effect))?;
+        Some(Terms { class, effect, by_zone: flags & 1 != 0, in_turn: flags & 2 != 0, window: self.u64()? })
+    }
+
     fn maybe(&mut self) -> Option<Option<Sent>> {
         let is = self.u8()? != 0;
         let sent = (self.u64()?, self.u16()?);
@@ -239,15 +356,18 @@
     fn apply(&mut self, mut f: Fields) -> Option<()> {
         let (code, serial) = (f.u8()?, f.u64()?);
         match code {
-            // The first is how earlier versions had it.
-            1 | 7 => {
-                let since = if code == 7 { f.u64()? } else { 0 };
+            // The first two are how earlier versions had it.
+            1 | 7 | 8 => {
+                let since = if code == 1 { 0 } else { f.u64()? };
                 let (id, key, item) = (f.short()?, f.short()?, f.short()?);
-                let (class, dest, due, connects) = (f.u16()?, f.u64()?, f.u64()?, f.u32()?);
+                let class = f.u16()?;
+                let terms = if code == 8 { f.terms()? } else { Terms::default() };
+                let (dest, due, connects) = (f.u64()?, f.u64()?, f.u32()?);
                 let (ran, out) = (f.maybe()?, f.maybe()?);
                 let body = f.0;
                 let verdict = None;
-                let owed = Owed { id, key, item, class, dest, since, due, body, connects, ran, out, verdict };
+                let owed =
+                    Owed { id, key, item, class, terms, dest, since, due, body, connects, ran, out, verdict };
                 self.owed.insert(serial, owed);
             }
             2 => {
@@ -277,6 +397,12 @@
             5 => drop(self.owed.remove(&serial)),
             // The place of the serial holds the time.
             6 => self.rests.push((f.short()?, serial)),
+            9 => {
+                let before = std::mem::replace(&mut self.zones, f.0);
+                if before != self.zones {
+                    self.owed.values_mut().for_each(Owed::forget_zones);
+                }
+            }
             _ => return None,
         }
         Some(())
@@ -295,17 +421,25 @@
             Err(TryLockError::Error(e)) => log::warn!("the folder cannot be locked: {e}"),
             Ok(()) => {}
         }
-        let (found, unread) = match Found::load(folder) {
-            Err(e) if e.kind() == io::ErrorKind::NotFound => (Found::default(), 0),
-            loaded => loaded?,
+        let bytes = match fs::read(folder.join(NAME)) {
+            Err(e) if e.kind() == io::ErrorKind::NotFound => Bytes::new(),
+            read => Bytes::from(read?),
         };
-        if unread > 0 {
-            log::warn!("the journal's last {unread} bytes cannot be read and are passed over");
+        let (found, good) = Found::read(&bytes);
+        if good < bytes.len() {
+            log::warn!("the journal's last {} bytes cannot be read and are passed over", bytes.len() - good);
         }
-        let (file, size) = write_anew(folder, &found.owed, &found.rests)?;
+        let (file, size) = match write_anew(folder, &found.owed, &found.rests, &found.zones) {
+            // Guards against a full disk that keeps what is owed from its end: the old file still serves.
+            Err(e) if good > 0 => {
+                log::warn!("the journal cannot be written anew at the start: {e}");
+                (cut_at(folder, good as u64)?, good as u64)
+            }
+            written => written?,
+        };
         let live = found.owed.values().map(weight).sum();
-        let (folder, buffer) = (folder.to_path_buf(), Vec::new());
-        Ok((Journal { folder, _lock: lock, file, size, allowance, live, buffer }, found))
+        let (folder, buffer, zones, torn) = (folder.to_path_buf(), Vec::new(), found.zones.clone(), false);
+        Ok((Journal { folder, _lock: lock, file, size, allowance, live, zones, torn, buffer }, found))
     }
 
     /// The folder that lasts, and the bytes that it may hold.
@@ -334,14 +468,20 @@
         if self.size + self.buffer.len() as u64 > self.part(FILE_PART + 2) {
             return Err(io::Error::new(io::ErrorKind::StorageFull, "the journal is full"));
         }
+        // Guards against half a record in the middle, behind which nothing would be read again.
+        if self.torn {
+            self.file.set_len(self.size)?;
+            self.torn = false;
+        }
         if let Err(e) = self.file.write_all(&self.buffer) {
-            // Guards against half a record in the middle, behind which nothing would be read again.
-            let _ = self.file.set_len(self.size);
+            self.torn = self.file.set_len(self.size).is_err();
             return Err(e);
         }
         self.size += self.buffer.len() as u64;
-        if let Record::Taken { owed, .. } = record {
-            self.live += weight(owed);
+        match record {
+            Record::Taken { owed, .. } => self.live += weight(owed),
+            Record::Zones { names } => self.zones = Bytes::copy_from_slice(names),
+            _ => {}
         }
         Ok(())
     }
@@ -358,15 +498,31 @@
 
     /// Puts a fresh file of what is owed in the place of the old one.
     pub fn compact(&mut self, owed: &BTreeMap<u64, Owed>, rests: &[(Bytes, Time)]) -> io::Result<()> {
-        (self.file, self.size) = write_anew(&self.folder, owed, rests)?;
+        (self.file, self.size) = write_anew(&self.folder, owed, rests, &self.zones)?;
+        self.torn = false;
         Ok(())
     }
 }
 
+/// The folder's journal as it stands, for appending behind so many bytes of it.
+fn cut_at(folder: &Path, size: u64) -> io::Result<File> {
+    let file = OpenOptions::new().append(true).open(folder.join(NAME))?;
+    file.set_len(size)?;
+    Ok(file)
+}
+
 /// Writes a file of what is owed and renames it to be the folder's journal; the file, for appending, and its
 /// size.
-fn write_anew(folder: &Path, owed: &BTreeMap<u64, Owed>, rests: &[(Bytes, Time)]) -> io::Result<(File, u64)> {
+fn write_anew(
+    folder: &Path,
+    owed: &BTreeMap<u64, Owed>,
+    rests: &[(Bytes, Time)],
+    zones: &[u8],
+) -> io::Result<(File, u64)> {
     let mut bytes = MAGIC.to_vec();
+    if !zones.is_empty() {
+        write(&mut bytes, &Record::Zones { names: zones });
+    }
     for (&serial, owed) in owed {
         write(&mut bytes, &Record::Taken { serial, owed });
         if let Some(verdict) = owed.verdict {
