--- /dev/null
+++ b/crates/courier/src/memory/tests.rs
@@ -0,0 +1,157 @@
+//! The file beside the journal: its forms, its size, and what is passed over.
+
+use super::*;
+
+const NOW: Time = 17_000_000_000_000;
+
+fn memory() -> Memory {
+    let kept = |i: u64| Kept {
+        name: format!("s-{i}"),
+        address: format!("10.1.0.{i}:6379"),
+        status: "SERVING".to_string(),
+        weight: 12.5,
+        group: i % 3,
+        ..Kept::default()
+    };
+    let sight = Sight { at: NOW - 50, out: true, back_at: 0, wait_until: NOW + 9, tail: 700, pace: 3.5 };
+    Memory {
+        saved_at: NOW,
+        index: 41,
+        endpoints: (1..4).map(kept).collect(),
+        sights: vec![Seen::new("s-1", &sight)],
+    }
+}
+
+fn folder(name: &str) -> std::path::PathBuf {
+    let path = std::env::temp_dir().join(format!("meadowhold-memory-{name}-{}", std::process::id()));
+    let _ = fs::remove_dir_all(&path);
+    fs::create_dir_all(&path).unwrap();
+    path
+}
+
+#[test]
+fn what_is_saved_is_loaded_and_replaced_whole() {
+    let folder = folder("saved");
+    assert_eq!(load(&folder, 3_000_000, NOW), None);
+    // Half a file under the other name is what a kill leaves.
+    fs::write(folder.join(FRESH), b"half").unwrap();
+    for index in [41, 42] {
+        let memory = Memory { index, ..memory() };
+        save(&folder, 3_000_000, &memory).unwrap();
+        assert_eq!(load(&folder, 3_000_000, NOW), Some(memory.clone()));
+        assert_eq!(memory.sights[0].sight().tail, 700);
+    }
+    assert!(!folder.join(FRESH).exists());
+    // Over its part it is not written, and the old one stays; what is over it is not read either.
+    assert!(save(&folder, 10_000, &Memory { index: 43, ..memory() }).is_err());
+    assert_eq!(load(&folder, 3_000_000, NOW).unwrap().index, 42);
+    assert_eq!(load(&folder, 10_000, NOW), None);
+    fs::remove_dir_all(folder).unwrap();
+}
+
+#[test]
+fn a_file_cut_or_changed_at_any_byte_is_passed_over() {
+    let good = memory().bytes().unwrap();
+    assert_eq!(Memory::read(&good, NOW), Ok(memory()));
+    for cut in 0..good.len() {
+        assert!(Memory::read(&good[..cut], NOW).is_err(), "cut at {cut}");
+    }
+    for at in 0..good.len() {
+        for bit in 0..8 {
+            let mut bytes = good.clone();
+            bytes[at] ^= 1 << bit;
+            assert!(Memory::read(&bytes, NOW).is_err(), "byte {at}, bit {bit}");
+        }
+    }
+    let mut longer = good.clone();
+    longer.push(b' ');
+    assert!(Memory::read(&longer, NOW).is_err());
+}
+
+#[test]
+fn what_is_newer_or_forged_is_passed_over_with_plain_words() {
+    let anew = |body: &[u8], version: &str| {
+        let mut out = format!("{MAGIC}{version}\n").into_bytes();
+        out.extend_from_slice(&(body.len() as u32).to_be_bytes());
+        out.extend_from_slice(&crc32fast::hash(body).to_be_bytes());
+        [&out, body].concat()
+    };
+    let text = serde_json::to_string(&memory()).unwrap();
+    assert!(Memory::read(&anew(text.as_bytes(), "1"), NOW).is_ok());
+    let swap = |from: &str, to: &str| {
+        assert!(text.contains(from), "{from}");
+        text.replacen(from, to, 1)
+    };
+    // (body, version, words)
+    let rows = [
+        (text.clone(), "2", "a later version wrote it"),
+        (text.clone(), "x", "it is no such file"),
+        (text.clone(), "0", "it is no such file"),
+        ("[]".to_string(), "1", "it cannot be read"),
+        (swap("\"index\":41", "\"index\":0"), "1", "its list has no version"),
+        (swap("s-2", "s-1"), "1", "its list cannot be"),
+        (swap("s-2", ""), "1", "its list cannot be"),
+        (swap("12.5", "-1"), "1", "its list cannot be"),
+        (swap("\"pace\":3.5", "\"pace\":-3.5"), "1", "what it says of endpoints cannot be"),
+        (swap("\"saved_at\":17", "\"saved_at\":18"), "1", "it is from the future"),
+        (swap("\"saved_at\":17", "\"saved_at\":16"), "1", "what it says of endpoints cannot be"),
+    ];
+    for (body, version, words) in rows {
+        assert_eq!(Memory::read(&anew(body.as_bytes(), version), NOW), Err(words), "{body}");
+    }
+}
+
+#[test]
+fn a_start_begins_with_the_newer_list() {
+    let known = |index| List { index, snapshot: true, endpoints: Vec::new() };
+    // (kept, known, what it begins with)
+    for (kept, known_at, from, entries) in
+        [(None, 7, 7, 0), (Some(41), 7, 41, 3), (Some(41), 41, 41, 0), (Some(41), 50, 50, 0)]
+    {
+        let kept = kept.map(|index| Memory { index, ..memory() });
+        let list = Memory::newer(kept, known(known_at));
+        assert_eq!((list.index, list.endpoints.len(), list.snapshot), (from, entries, true));
+    }
+}
+
+#[test]
+fn the_list_is_kept_as_it_changes_and_not_too_often() {
+    let folder = folder("keeper");
+    let entry = |name: &str, status: &str| {
+        Entry::from(Kept { name: name.to_string(), status: status.to_string(), ..Kept::default() })
+    };
+    let list = |index, snapshot, endpoints| List { index, snapshot, endpoints };
+    let on_file = |now| {
+        let memory = load(&folder, 3_000_000, now)?;
+        Some((memory.index, memory.endpoints.into_iter().map(|kept| kept.name).collect::<Vec<_>>()))
+    };
+    let names = |index, names: &[&str]| Some((index, names.iter().map(|n| n.to_string()).collect()));
+    let mut keeper = Keeper::new(&folder, 3_000_000);
+    keeper.listed(&list(0, true, vec![entry("a", "SERVING")]));
+    keeper.save(NOW);
+    assert_eq!(on_file(NOW), None, "no version");
+    keeper.listed(&list(5, true, vec![entry("a", "SERVING"), entry("b", "SERVING")]));
+    keeper.save(NOW);
+    assert_eq!(on_file(NOW), names(5, &["a", "b"]));
+    keeper.listed(&list(6, false, vec![entry("a", "DELETED"), entry("c", "DRAINING")]));
+    keeper.save(NOW + EVERY - 1);
+    assert_eq!(on_file(NOW), names(5, &["a", "b"]), "too soon");
+    keeper.save(NOW + EVERY);
+    assert_eq!(on_file(NOW + EVERY), names(6, &["b", "c"]));
+    // A registry that began anew counts lower: its list is the list.
+    keeper.listed(&list(2, true, vec![entry("d", "SERVING")]));
+    keeper.save(NOW + 2 * EVERY);
+    assert_eq!(on_file(NOW + 2 * EVERY), names(2, &["d"]));
+    // What is the same is not written again.
+    fs::remove_file(folder.join(NAME)).unwrap();
+    keeper.save(NOW + 9 * EVERY);
+    assert_eq!(on_file(NOW + 9 * EVERY), None);
+    fs::remove_dir_all(folder).unwrap();
+}
+
+#[test]
+fn beside_the_journal_it_stays_within_the_allowance() {
+    // Owed and file of the journal at their most, and the two files of this, each in whole blocks.
+    let allowance = 3_000_000;
+    assert!(allowance / 100 * (34 + 46) + 2 * (most(allowance) + BLOCK) + 4 * BLOCK < allowance);
+}
