Kept list: the file says whose settings it was kept under

Now it holds names and effects of classes, zones and kinds, and Memory::of passes over what was kept under others, earlier versions' files included. The start has still to ask for it (lib.rs).

--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -21,7 +21,7 @@
 use crate::audit::{self, Books, Flight, Tally};
 use crate::discovery::List;
 use crate::journal::{held_as, weight, Found, Journal, Owed, Record, Sent, Terms, Verdict, NO_ZONE};
-use crate::memory::Keeper;
+use crate::memory::{deployment, Keeper};
 use crate::{http, must};
 
 /// What an earlier process took on is offered to the module within this time: all with the first turn. Spread over
@@ -302,6 +302,7 @@
         notices: UnboundedSender<Notice>,
         news: Option<UnboundedSender<(Bytes, News)>>,
     ) -> Exchange {
+        let deployment = deployment(&decoded);
         let Decoded { mut settings, report, fields, classes, zones, kinds, .. } = decoded;
         let terms: Vec<Terms> =
             classes.iter().zip(&settings.classes).map(|(name, class)| Terms::new(name, class)).collect();
@@ -311,7 +312,7 @@
         let classes = classes.into_iter().enumerate().map(|(i, class)| (Bytes::from(class), i));
         let (folder, allowance) = journal.place();
         let mut exchange = Exchange {
-            keeper: Keeper::new(folder, allowance),
+            keeper: Keeper::new(folder, allowance, deployment),
             names: Names { classes: classes.collect(), zones, on_file: 0, kinds, report, fields },
             room: settings.room,
             batches: settings.kinds.iter().map(|kind| kind.batch).collect(),
--- a/crates/courier/src/memory.rs
+++ b/crates/courier/src/memory.rs
@@ -8,6 +8,7 @@
 use std::path::{Path, PathBuf};
 
 use meadowhold::interface::{Life, Time, SECOND};
+use meadowhold_settings::Decoded;
 use meadowhold_start::recall::Sight;
 use serde::{Deserialize, Serialize};
 
@@ -32,6 +33,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct Memory {
     pub saved_at: Time,
+    /// Whose it is, by `deployment`; empty in files of earlier versions.
+    #[serde(default)]
+    pub deployment: String,
     /// The list's version; 0: no list is kept.
     pub index: u64,
     pub endpoints: Vec<Kept>,
@@ -90,7 +94,24 @@
     }
 }
 
+/// What tells one deployment's settings from another's: names and effects of classes, zones and kinds. Limits, costs
+/// and the fleet's size may change under a list that still holds.
+pub fn deployment(decoded: &Decoded) -> String {
+    let effects = decoded.settings.classes.iter().map(|class| class.effect);
+    let classes: Vec<_> = decoded.classes.iter().zip(effects).collect();
+    format!("{classes:?} {:?} {:?}", decoded.zones, decoded.kinds)
+}
+
 impl Memory {
+    /// Guards against calls to another deployment's endpoints, whose destinations may bear the same numbers.
+    pub fn of(self, deployment: &str) -> Option<Memory> {
+        let same = self.deployment == deployment;
+        if !same {
+            log::warn!("the memory of an earlier process is passed over: it is another deployment's");
+        }
+        same.then_some(self)
+    }
+
     /// What a start begins with: the newer of what is kept and what the configuration names. Ask for what came
     /// after its version.
     pub fn newer(kept: Option<Memory>, known: List) -> List {
@@ -205,6 +226,7 @@
 pub struct Keeper {
     folder: PathBuf,
     allowance: u64,
+    deployment: String,
     index: u64,
     endpoints: BTreeMap<String, Kept>,
     /// The version on file, and when it was put there.
@@ -214,9 +236,9 @@
 
 impl Keeper {
     /// `allowance`: bytes that the folder may hold.
-    pub fn new(folder: &Path, allowance: u64) -> Keeper {
+    pub fn new(folder: &Path, allowance: u64, deployment: String) -> Keeper {
         let (folder, endpoints) = (folder.to_path_buf(), BTreeMap::new());
-        Keeper { folder, allowance, index: 0, endpoints, saved: (0, 0), unwritten: false }
+        Keeper { folder, allowance, deployment, index: 0, endpoints, saved: (0, 0), unwritten: false }
     }
 
     /// The list, or changes to it.
@@ -242,7 +264,8 @@
         }
         self.saved = (self.index, now);
         let endpoints = self.endpoints.values().cloned().collect();
-        let memory = Memory { saved_at: now, index: self.index, endpoints, sights: Vec::new() };
+        let (deployment, sights) = (self.deployment.clone(), Vec::new());
+        let memory = Memory { saved_at: now, deployment, index: self.index, endpoints, sights };
         let saved = save(&self.folder, self.allowance, &memory);
         // One line for as long as it lasts.
         match &saved {
--- a/crates/courier/src/memory/tests.rs
+++ b/crates/courier/src/memory/tests.rs
@@ -16,6 +16,7 @@
     let sight = Sight { at: NOW - 50, out: true, back_at: 0, wait_until: NOW + 9, tail: 700, pace: 3.5 };
     Memory {
         saved_at: NOW,
+        deployment: "ours".to_string(),
         index: 41,
         endpoints: (1..4).map(kept).collect(),
         sights: vec![Seen::new("s-1", &sight)],
@@ -126,7 +127,7 @@
         Some((memory.index, memory.endpoints.into_iter().map(|kept| kept.name).collect::<Vec<_>>()))
     };
     let names = |index, names: &[&str]| Some((index, names.iter().map(|n| n.to_string()).collect()));
-    let mut keeper = Keeper::new(&folder, 3_000_000);
+    let mut keeper = Keeper::new(&folder, 3_000_000, "ours".to_string());
     keeper.listed(&list(0, true, vec![entry("a", "SERVING")]));
     keeper.save(NOW);
     assert_eq!(on_file(NOW), None, "no version");
@@ -155,3 +156,31 @@
     let allowance = 3_000_000;
     assert!(allowance / 100 * (34 + 46) + 2 * (most(allowance) + BLOCK) + 4 * BLOCK < allowance);
 }
+
+#[test]
+fn what_another_deployment_or_an_earlier_version_kept_is_passed_over() {
+    let settings = meadowhold_rig::scripted::settings();
+    let decoded = |change: fn(&mut serde_json::Value)| {
+        let mut settings = settings.clone();
+        change(&mut settings);
+        deployment(&meadowhold_settings::decode_json(1, &settings).unwrap())
+    };
+    let ours = decoded(|_| {});
+    let kept = Memory { deployment: ours.clone(), ..memory() };
+    let file = Memory::read(&kept.bytes().unwrap(), NOW).unwrap();
+    // The fleet's size, limits and costs may change under the same list.
+    let grown = decoded(|s| (s["NInstances"], s["Limits"]["MaxOpen"]) = (300.into(), 9.into()));
+    assert_eq!((grown == ours, file.clone().of(&ours)), (true, Some(kept)));
+    let others = [
+        decoded(|s| s["Profiles"][0]["Name"] = "renamed".into()),
+        decoded(|s| s["Profiles"][2]["Effect"] = "read_like".into()),
+        decoded(|s| s["Dcs"] = serde_json::json!(["b", "a"])),
+        decoded(|s| s["Kinds"] = serde_json::json!(["other", "many"])),
+    ];
+    others.iter().for_each(|other| assert_eq!(file.clone().of(other), None, "{other}"));
+    // As earlier versions wrote it.
+    let mut old = serde_json::to_value(memory()).unwrap();
+    old.as_object_mut().unwrap().remove("deployment");
+    let old: Memory = serde_json::from_value(old).unwrap();
+    assert_eq!((old.index, old.of(&ours)), (41, None));
+}
