--- a/crates/courier/tests/other_folder.rs
+++ b/crates/courier/tests/other_folder.rs
@@ -216,12 +216,15 @@
     }
 }
 
+/// Zones of the settings then, and now; the zone of the first connect; the endpoints' zones now; where it may go.
+type ZoneRow =
+    (&'static [&'static str], &'static [&'static str], &'static str, &'static [&'static str], Option<usize>);
+
 #[test]
 fn a_repeat_goes_where_its_key_is_known_by_the_name_of_the_zone() {
     let mut by_zone = class("tagged", "idempotency_key");
     by_zone["Group"] = json!("zone");
-    // (zones then, and now; the zone of its first connect; the endpoints' zones now; the one it may go to)
-    let rows: [(&[&str], &[&str], &str, &[&str], Option<usize>); 7] = [
+    let rows: [ZoneRow; 7] = [
         (&["a", "b"], &["a", "b"], "a", &["a"], Some(0)),
         (&["a", "b"], &["a", "b"], "a", &["b"], None),
         (&["a", "b"], &["b", "a"], "a", &["b"], None),
