Settings: a list of over 256 classes is refused, not cut without a word

Seen by reading: Reader::each took the first 256 and passed the rest over, so that clients of the other classes heard 'unknown class'. The test fails without it (the decoder then asked for values of entries that are not there).

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -104,6 +104,8 @@
 
 impl std::error::Error for Faults {}
 
+/// A list of settings is no longer.
+const MOST_ITEMS: usize = 256;
 const MISSING: &str = "is missing";
 const UNREADABLE: &str = "cannot be read";
 
@@ -179,8 +181,13 @@
     }
 
     fn each<T>(&self, list: &str, read: impl Fn(&str) -> T) -> Vec<T> {
-        let count: usize = self.or(&format!("{list}.count"), 0);
-        (0..count.min(256)).map(|i| read(&format!("{list}.{i}."))).collect()
+        let place = format!("{list}.count");
+        let count: usize = self.or(&place, 0);
+        // Guards against a long list of which the rest would be passed over without a word.
+        if count > MOST_ITEMS {
+            self.fault(&place, "is over 256");
+        }
+        (0..count.min(MOST_ITEMS)).map(|i| read(&format!("{list}.{i}."))).collect()
     }
 }
 
--- a/crates/settings/src/tests.rs
+++ b/crates/settings/src/tests.rs
@@ -33,6 +33,7 @@
         ("Profiles.0.Worth=1.5", "Profiles.0.Worth=inf", "is not a number"),
         ("Profiles.count=1", "Profiles.count=0", "setting Profiles.count is missing"),
         ("FamilyInfo.Slots=4", "FamilyInfo.Slots=-4", "setting FamilyInfo.Slots cannot be read"),
+        ("Profiles.count=1", "Profiles.count=257", "setting Profiles.count is over 256"),
     ];
     for (old, new, words) in cases {
         let refused = decode(9, LINES.replace(old, new).as_bytes()).err().unwrap();
