Seeded deployments that follow each other on one folder are judged by what each was taken on with

Seen failing with each of these taken out: classes matched by name, zones forgotten when they differ, the stricter of both effects, the end of the window before a call begins.

--- a/crates/courier/tests/other_folder.rs
+++ b/crates/courier/tests/other_folder.rs
@@ -317,3 +317,162 @@
         assert_eq!(next.ends(), BTreeMap::from([("a1".to_string(), Verdict::Dead)]), "{class}");
     }
 }
+
+/// What is known of a message from outside: what it was taken on with, and what became of it.
+#[derive(Default)]
+struct Life {
+    name: String,
+    effect: String,
+    window: Time,
+    by_zone: bool,
+    /// Attempts that have begun and are not known to have come to nothing: when, and in which zone.
+    ran: Vec<(Time, String)>,
+    over: bool,
+    told: Option<Verdict>,
+}
+
+/// Processes of one deployment after the other on one folder, by chance, each killed in the middle.
+struct Days {
+    chance: fastrand::Rng,
+    lives: BTreeMap<String, Life>,
+    repeats: usize,
+}
+
+impl Days {
+    fn any<'a>(&mut self, of: &[&'a str]) -> &'a str {
+        of[self.chance.usize(..of.len())]
+    }
+
+    /// Classes of some names with any effects, and zones in any order.
+    fn settings(&mut self) -> (Value, Vec<&'static str>) {
+        let mut names = vec!["n", "p", "q", "r"];
+        self.chance.shuffle(&mut names);
+        names.truncate(self.chance.usize(1..=4));
+        let classes = names.into_iter().map(|name| {
+            let effect = self.any(&["read_like", "idempotency_key", "idempotency_key", "non_idempotent"]);
+            let mut class = class(name, effect);
+            class["Group"] = json!(self.any(&["all", "zone"]));
+            class["DedupWindowUs"] = json!(self.chance.u64(5..40) * 100_000);
+            class["InTurn"] = json!(self.chance.u8(..4) == 0);
+            class
+        });
+        let classes: Vec<Value> = classes.collect();
+        let mut zones = vec!["a", "b", "c"];
+        self.chance.shuffle(&mut zones);
+        zones.truncate(self.chance.usize(1..=3));
+        (with(&classes, &zones), zones)
+    }
+
+    fn begin(&mut self, world: &mut World, call: Call, at: &[&str], classes: &[Value]) -> Vec<(u64, String)> {
+        let (now, zone) = (world.now, at[call.endpoint]);
+        let begun = world.exchange.begin(&call, call.letters.clone());
+        let mut out = Vec::new();
+        for letter in begun {
+            let id = String::from_utf8(letter.id.to_vec()).unwrap();
+            let life = self.lives.get_mut(&id).unwrap();
+            assert!(!life.over && life.told.is_none(), "{id} is over");
+            let strict = classes.iter().any(|c| c["Name"] == life.name && c["Effect"] == "non_idempotent");
+            if let Some((first, where_first)) = life.ran.first() {
+                self.repeats += 1;
+                assert!(life.effect != "non_idempotent" && !strict, "{id} must not run twice");
+                if life.effect == "idempotency_key" {
+                    assert!(now < first + life.window, "{id}: its key may be forgotten");
+                    assert!(!life.by_zone || where_first == zone, "{id}: its key is not known there");
+                }
+            }
+            life.ran.push((now, zone.to_string()));
+            out.push((letter.serial, id));
+        }
+        out
+    }
+
+    fn outcome(&mut self, world: &mut World, (serial, id): (u64, String)) {
+        let life = self.lives.get_mut(&id).unwrap();
+        let outcomes =
+            [Outcome::Relayed, Outcome::Error, Outcome::Refused, Outcome::Unreached, Outcome::Broken];
+        let outcome = outcomes[self.chance.usize(..5)];
+        if outcome.never_ran() {
+            life.ran.pop();
+        }
+        life.over = outcome == Outcome::Relayed;
+        world.exchange.seen(serial, Seen::only(outcome));
+    }
+
+    fn heard(&mut self, world: &mut World) {
+        for (id, verdict) in world.ends() {
+            let life = self.lives.get_mut(&id).unwrap();
+            assert!(!life.over && life.told.is_none_or(|told| told == verdict), "{id} ends twice");
+            let harmless = life.ran.is_empty()
+                || life.effect == "read_like"
+                || (life.effect == "idempotency_key" && !life.by_zone);
+            assert!(verdict == Verdict::Dead || harmless, "{id}: handed back though it may have run");
+            life.told = Some(verdict);
+        }
+    }
+
+    fn process(&mut self, folder: &Folder, number: u64, now: Time, last: bool) -> Time {
+        let (settings, zones) = self.settings();
+        let at: Vec<&str> = (0..3).map(|_| self.any(&["a", "b", "c", "x", zones[0]])).collect();
+        let classes = settings["Profiles"].as_array().unwrap().clone();
+        let mut world = process(folder, &settings, &at, now);
+        let (mut waiting, mut out) = (Vec::new(), Vec::new());
+        for step in 0..if last { 500 } else { self.chance.u64(20..200) } {
+            if !last && self.chance.u8(..3) == 0 {
+                let class = &classes[self.chance.usize(..classes.len())];
+                let id = format!("{number}-{step}");
+                let name = class["Name"].as_str().unwrap().to_string();
+                world.put(&id, &name);
+                let effect = class["Effect"].as_str().unwrap().to_string();
+                let window = class["DedupWindowUs"].as_u64().unwrap() / 100;
+                let by_zone = class["Group"] == "zone";
+                self.lives.insert(id, Life { name, effect, window, by_zone, ..Life::default() });
+            }
+            world.exchange.turn();
+            while let Ok(order) = world.orders.try_recv() {
+                waiting.extend(if let Order::Call(call) = order { Some(call) } else { None });
+            }
+            // A connection may take its time.
+            if !waiting.is_empty() && (last || self.chance.bool()) {
+                let call = waiting.swap_remove(self.chance.usize(..waiting.len()));
+                out.extend(self.begin(&mut world, call, &at, &classes));
+            }
+            if !out.is_empty() && (last || self.chance.bool()) {
+                let flight = out.swap_remove(self.chance.usize(..out.len()));
+                self.outcome(&mut world, flight);
+            }
+            self.heard(&mut world);
+            let pass = if last { 10 } else { self.chance.u64(..40) };
+            world.pass(pass);
+        }
+        world.exchange.turn();
+        self.heard(&mut world);
+        assert_eq!(world.exchange.counts.broken, 0);
+        assert_eq!(world.exchange.audit(), Vec::<String>::new());
+        let now = world.now;
+        drop(world);
+        // The record that was being written.
+        let path = folder.path.join("journal");
+        let mut bytes = fs::read(&path).unwrap();
+        bytes.extend(&[0, 0, 0, 60, 7, 7, 7, 7, 8, 0, 0][..self.chance.usize(..11)]);
+        fs::write(path, bytes).unwrap();
+        now
+    }
+}
+
+#[test]
+fn whatever_deployments_follow_each_other_each_message_keeps_its_end_and_its_effect() {
+    let (mut repeats, mut lives) = (0, 0);
+    for seed in 1..=24 {
+        let (chance, lives_of) = (fastrand::Rng::with_seed(seed), BTreeMap::new());
+        let mut days = Days { chance, lives: lives_of, repeats: 0 };
+        let (folder, mut now) = (Folder::new(), START);
+        for number in 0..6 {
+            now = days.process(&folder, number, now, number == 5) + days.chance.u64(..SECOND);
+        }
+        let open: Vec<_> = days.lives.iter().filter(|(_, life)| !life.over && life.told.is_none()).collect();
+        assert!(open.is_empty(), "seed {seed}: {:?}", open.iter().map(|(id, _)| id).collect::<Vec<_>>());
+        repeats += days.repeats;
+        lives += days.lives.len();
+    }
+    assert!(lives > 1000 && repeats > 100, "{lives} {repeats}");
+}
