The list: nothing owed is lost by a gap, a late line, half an object or a list that is none

Read line by line; each fault has a test on sockets that was seen to fail without its change (`tests/list.rs`, in brackets): - a whole list from before a gap was held to fill it, and the watch went on after the gap: what it hid was never told. And a version that discovery never had (one spoilt number) was held for good, and all true lists passed over. `Held::judge` remembered a move and no gap; now a gap, like a move, has the whole list asked for until it reaches what is held, or for 3 s [a_list_from_before_a_gap_..., a_version_that_cannot_be_...]; - a change that came after a later one was passed over as old; now a version that has not come before has the whole list asked for [a_change_that_comes_after_...]. Lines told twice cost nothing, as before; - an answer to the ask for the whole list that is none (changes, an error as an object) counted as taken [an_answer_that_is_no_whole_list_...]; - an entry of changes that cannot be read was passed over, and the endpoint went on serving by what was known of it: it counts as not listed, as it did in a whole list [an_entry_of_a_change_...]; - any piece of an object counted as a watch's word, so one that never ends kept the watch open [an_object_that_never_ends_...]; - with each piece of a long object on a watch all of it was read again: 4 MB kept the process busy for far over 8 s in a debug build [a_long_list_..., and "a line" of what_has_no_end_...]; now it is read when it may be whole; - a list of 80 000 short entries was taken, and no client was answered for seconds; 8192 are the most now ["many entries"].

Held before, now with a test: a whole list that crosses a change (forced: the stand-in stops within it), a watch cut within an object at 40 places by its end, by a close or by a reset, entries told twice, SIGHUP in the middle of six states with the old address going on afterwards, endless heads, lists, texts and fields of chunks, at most two connections at a time.

--- a/crates/courier/src/discovery.rs
+++ b/crates/courier/src/discovery.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, StatusCode};
 use meadowhold::interface::Life;
-use serde::de::{SeqAccess, Visitor};
+use serde::de::{Error, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
 use tokio::sync::{mpsc, watch};
@@ -20,8 +20,10 @@
 use crate::platform::Connection;
 use crate::told::{Ask, Effect, Held, Input, Told, Verdict};
 
-/// Of one object, in bytes.
+/// Of one object, in bytes, and of its entries. Guards against a list of a few bytes for each of a hundred thousand
+/// endpoints, of which each takes far more here.
 const MOST_LIST: usize = 4 << 20;
+const MOST_ENTRIES: usize = 8192;
 
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct List {
@@ -33,8 +35,9 @@
     pub endpoints: Vec<Entry>,
 }
 
-/// Guards against one entry that cannot be read and would cost all the others: it counts as not listed. One at a
-/// time: all of a long list as values would take many times its text.
+/// Guards against one entry that cannot be read and would cost all the others: it counts as not listed, also if it
+/// is one of changes and was listed before. One at a time: all of a long list as values would take many times its
+/// text.
 fn readable<'de, D: Deserializer<'de>>(list: D) -> Result<Vec<Entry>, D::Error> {
     struct Entries;
 
@@ -48,9 +51,15 @@
         fn visit_seq<A: SeqAccess<'de>>(self, mut list: A) -> Result<Vec<Entry>, A::Error> {
             let mut entries = Vec::new();
             while let Some(value) = list.next_element::<Value>()? {
-                match Entry::deserialize(value) {
+                if entries.len() == MOST_ENTRIES {
+                    return Err(A::Error::custom("the list has too many entries"));
+                }
+                match Entry::deserialize(&value) {
                     Ok(entry) => entries.push(entry),
-                    Err(e) => log::warn!("an entry of the list: {e}"),
+                    Err(e) => {
+                        log::warn!("an entry of the list: {e}");
+                        entries.extend(value["name"].as_str().map(Entry::gone));
+                    }
                 }
             }
             Ok(entries)
@@ -79,6 +88,12 @@
 }
 
 impl Entry {
+    fn gone(name: &str) -> Entry {
+        let (name, text) = (name.to_string(), String::new);
+        let (address, zone, kind, status) = (text(), text(), text(), text());
+        Entry { name, address, zone, kind, group: 0, status, weight: 0.0, since_ms: 0 }
+    }
+
     pub fn life(&self) -> Life {
         match self.status.as_str() {
             "SERVING" => Life::Ready,
@@ -116,6 +131,39 @@
     Ok(Event::Ended)
 }
 
+/// What has come of the present ask and is not read yet.
+#[derive(Default)]
+struct Said {
+    bytes: BytesMut,
+    /// As far as it was looked at: how deep within objects and lists that is, within a text, and within a text after
+    /// a backslash.
+    depth: u32,
+    text: bool,
+    escaped: bool,
+}
+
+impl Said {
+    /// Whether there may be something whole to read, or something that is no object. Guards against a long object
+    /// that would be read from its begin with each piece of it.
+    fn add(&mut self, bytes: &[u8]) -> bool {
+        let mut whole = false;
+        for byte in bytes {
+            match byte {
+                _ if self.escaped => self.escaped = false,
+                b'\\' if self.text => self.escaped = true,
+                b'"' => self.text = !self.text,
+                _ if self.text => {}
+                b'{' | b'[' => self.depth = self.depth.saturating_add(1),
+                b'}' | b']' => self.depth = self.depth.saturating_sub(1),
+                _ => {}
+            }
+            whole |= self.depth == 0 && !self.text;
+        }
+        self.bytes.extend_from_slice(bytes);
+        whole
+    }
+}
+
 struct Follower {
     shared: Shared,
     address: watch::Receiver<SocketAddr>,
@@ -123,8 +171,7 @@
     told: Told,
     held: Held,
     chance: fastrand::Rng,
-    /// What has come of the present ask and is not read yet.
-    bytes: BytesMut,
+    said: Said,
     /// The present ask is for the whole list, or for a watch of which nothing was read.
     asked: Ask,
     first: bool,
@@ -153,7 +200,7 @@
     fn drop_ask(&mut self) {
         self.task = JoinSet::new();
         self.events = None;
-        self.bytes = BytesMut::new();
+        self.said = Said::default();
     }
 
     /// Takes a list up as far as the version held allows.
@@ -163,25 +210,26 @@
         let verdict = self.held.judge(now, list.index, whole, list.endpoints.len(), first);
         match verdict {
             Verdict::Take | Verdict::TakeAndAsk => self.shared.borrow_mut().listed(list),
-            Verdict::Pass | Verdict::Again => {
+            Verdict::Pass | Verdict::PassAndAsk | Verdict::Again => {
                 log::debug!("a list of version {} came while {} is held", list.index, self.held.index);
             }
         }
         verdict
     }
 
-    /// Reads what a watch has said so far: one object after another, in one line or in several.
+    /// Reads what a watch has said so far: one object after another, in one line or in several. A part of one is no
+    /// word. Guards against an object that comes byte by byte and keeps a watch open of which nothing is heard.
     fn read_watch(&mut self) -> Result<Input, serde_json::Error> {
-        let bytes = std::mem::take(&mut self.bytes);
+        let bytes = std::mem::take(&mut self.said.bytes);
         let mut lists = serde_json::Deserializer::from_slice(&bytes).into_iter::<List>();
-        let mut input = Input::Word;
+        let mut input = Input::Head;
         loop {
             match lists.next() {
-                Some(Ok(list)) => {
-                    if self.apply(&list) == Verdict::TakeAndAsk {
-                        input = Input::Gap;
-                    }
-                }
+                Some(Ok(list)) => match self.apply(&list) {
+                    Verdict::TakeAndAsk | Verdict::PassAndAsk => input = Input::Gap,
+                    Verdict::Take | Verdict::Pass | Verdict::Again if input == Input::Gap => {}
+                    Verdict::Take | Verdict::Pass | Verdict::Again => input = Input::Word,
+                },
                 // The rest is to come.
                 Some(Err(e)) if e.is_eof() => break,
                 Some(Err(e)) => return Err(e),
@@ -189,13 +237,21 @@
             }
         }
         let read = lists.byte_offset();
-        self.bytes = bytes;
-        self.bytes.advance(read);
+        // An empty line, of one that has been read or of its own.
+        if read > 0 && input == Input::Head {
+            input = Input::Word;
+        }
+        self.said.bytes = bytes;
+        self.said.bytes.advance(read);
         Ok(input)
     }
 
     fn read_whole(&mut self) -> Result<Input, serde_json::Error> {
-        let list: List = serde_json::from_slice(&std::mem::take(&mut self.bytes))?;
+        let list: List = serde_json::from_slice(&std::mem::take(&mut self.said.bytes))?;
+        // Guards against changes, or an error in an object, that would stand for all that there is.
+        if !list.snapshot {
+            return Err(serde_json::Error::custom("the answer is no whole list"));
+        }
         Ok(if self.apply(&list) == Verdict::Again { Input::Older } else { Input::Taken })
     }
 
@@ -203,17 +259,14 @@
     fn read(&mut self, event: Event) -> (Input, String) {
         let read = match event {
             Event::Head => Ok(Input::Head),
-            Event::Bytes(bytes) if self.bytes.len() + bytes.len() > MOST_LIST => {
+            Event::Bytes(bytes) if self.said.bytes.len() + bytes.len() > MOST_LIST => {
                 return (Input::Unreadable, "a list is too long".to_string());
             }
-            Event::Bytes(bytes) => {
-                self.bytes.extend_from_slice(&bytes);
-                match self.asked {
-                    Ask::Watch => self.read_watch(),
-                    // Nothing is read before all has come.
-                    Ask::Whole => Ok(Input::Head),
-                }
-            }
+            Event::Bytes(bytes) => match (self.said.add(&bytes), self.asked) {
+                (true, Ask::Watch) => self.read_watch(),
+                // Nothing is read before all has come.
+                (false, Ask::Watch) | (_, Ask::Whole) => Ok(Input::Head),
+            },
             Event::Ended if self.asked == Ask::Whole => self.read_whole(),
             Event::Ended => return (Input::Ended, "the watch has ended".to_string()),
             Event::Status(status) => return (Input::Refused, format!("discovery answers {status}")),
@@ -224,6 +277,7 @@
         };
         match read {
             Ok(Input::Gap) => (Input::Gap, "changes are missing".to_string()),
+            Ok(Input::Older) => (Input::Older, "the list is from before what is held".to_string()),
             Ok(input) => (input, String::new()),
             Err(e) => (Input::Unreadable, e.to_string()),
         }
@@ -299,7 +353,7 @@
         told,
         held: Held::new(index),
         chance: fastrand::Rng::with_seed(seed),
-        bytes: BytesMut::new(),
+        said: Said::default(),
         asked: Ask::Whole,
         first: true,
         task: JoinSet::new(),
--- a/crates/courier/src/told.rs
+++ b/crates/courier/src/told.rs
@@ -238,21 +238,31 @@
     Take,
     /// It is from before what is held.
     Pass,
-    /// The same, but where discovery has moved: ask again, until it is plain that it counts anew.
+    /// The same, but where discovery has moved, or something was not told: ask again, until it is plain that it
+    /// counts anew, or held a version that it never had.
     Again,
     /// Take it; what came between is not known.
     TakeAndAsk,
+    /// It is from before what is held, and has not come before: what it tells is not known.
+    PassAndAsk,
 }
 
+/// Of so many versions it is known that they came, one by one.
+const MOST_LINES: usize = 64;
+
 /// The version that is held.
 pub struct Held {
     pub index: u64,
+    /// All up to this version is known, and of what came later these.
+    all: u64,
+    lines: Vec<u64>,
+    /// Since when a whole list is owed that may be of a lower version.
     moved: Option<Time>,
 }
 
 impl Held {
     pub fn new(index: u64) -> Held {
-        Held { index, moved: None }
+        Held { index, all: index, lines: Vec::new(), moved: None }
     }
 
     pub fn moved(&mut self, now: Time) {
@@ -270,11 +280,29 @@
             (_, false, _) => Verdict::Take,
             (true, true, Some(moved)) if now >= moved + MOVE => Verdict::Take,
             (true, true, Some(_)) => Verdict::Again,
+            // Guards against a change that comes after a later one, and that the later one hid.
+            (false, true, _) if !first && index > self.all && !self.lines.contains(&index) => {
+                Verdict::PassAndAsk
+            }
             (..) => Verdict::Pass,
         };
         if matches!(verdict, Verdict::Take | Verdict::TakeAndAsk) {
             self.index = index;
             self.moved = self.moved.filter(|_| !whole);
+            if whole || first {
+                self.all = index;
+                self.lines.clear();
+            } else if self.lines.last() != Some(&index) {
+                if self.lines.len() == MOST_LINES {
+                    self.all = self.all.max(self.lines.remove(0));
+                }
+                self.lines.push(index);
+            }
+        }
+        // Guards against a whole list from before the gap, which would be held to fill it, and against a version
+        // that discovery never had, below which nothing would be taken any more.
+        if matches!(verdict, Verdict::TakeAndAsk | Verdict::PassAndAsk) {
+            self.moved = Some(now);
         }
         verdict
     }
--- a/crates/courier/src/told/tests.rs
+++ b/crates/courier/src/told/tests.rs
@@ -378,3 +378,28 @@
     }
     assert_eq!(begun, [Whole, Watch, Watch, Watch, Whole, Watch, Watch]);
 }
+
+#[test]
+fn what_came_out_of_order_or_with_a_gap_has_the_whole_list_asked_for_until_it_is_there() {
+    let mut held = Held::new(50);
+    let line = |held: &mut Held, index, entries| held.judge(0, index, false, entries, false);
+    assert_eq!(line(&mut held, 52, 2), Verdict::Take);
+    // It came before, or was told with what is held; it did neither.
+    assert_eq!(
+        [52, 50, 49].map(|index| line(&mut held, index, 1)),
+        [Verdict::Take, Verdict::Pass, Verdict::Pass]
+    );
+    assert_eq!(line(&mut held, 51, 1), Verdict::PassAndAsk);
+    assert_eq!(held.judge(MS, 51, true, 9, false), Verdict::Again);
+    assert_eq!(held.judge(2 * MS, 52, true, 9, false), Verdict::Take);
+    assert_eq!(line(&mut held, 51, 1), Verdict::Pass);
+    // The lines of a long watch are known by their versions, or by the last of those.
+    (53..200).for_each(|index| assert_eq!(line(&mut held, index, 1), Verdict::Take));
+    assert!((53..200).all(|index| index == 199 || line(&mut held, index, 1) == Verdict::Pass));
+    assert!(held.lines.len() <= MOST_LINES);
+    // A version that cannot be, and what discovery has.
+    assert_eq!(held.judge(0, u64::MAX, false, 1, false), Verdict::TakeAndAsk);
+    assert_eq!(held.judge(MOVE - 1, 200, true, 9, false), Verdict::Again);
+    assert_eq!(held.judge(MOVE, 200, true, 9, false), Verdict::Take);
+    assert_eq!(held.judge(2 * MOVE, 199, true, 9, false), Verdict::Pass);
+}
--- a/crates/courier/tests/list.rs
+++ b/crates/courier/tests/list.rs
@@ -4,7 +4,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -30,6 +30,11 @@
 impl Agent {
     /// `answer` is given which ask in all this is, from 0; it closes the connection by saying false.
     fn new(answer: impl Fn(usize, Ask, &mut TcpStream) -> bool + Send + Sync + 'static) -> Agent {
+        Agent::by(move |nth, ask, _, out| answer(nth, ask, out))
+    }
+
+    /// The same; `answer` is also given the version after which a watch asks for changes.
+    fn by(answer: impl Fn(usize, Ask, u64, &mut TcpStream) -> bool + Send + Sync + 'static) -> Agent {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let asks: Arc<Mutex<Vec<(Instant, Ask)>>> = Arc::default();
@@ -44,7 +49,8 @@
                 seen.push((request.at, ask));
                 seen.len() - 1
             };
-            answer(nth, ask, out)
+            let after = request.target.split_once("after=").map_or(0, |(_, after)| after.parse().unwrap());
+            answer(nth, ask, after, out)
         });
         Agent { address, asks }
     }
@@ -76,6 +82,59 @@
     write!(out, "{:x}\r\n{text}\r\n", text.len()).is_ok()
 }
 
+/// Discovery of which the first watch tells `lines`, and whose whole list is `old` until then; from then on the first
+/// answers are `odd`, and then `new`. What was asked is told by its kind: on a machine with more to do an ask may be
+/// given up and asked again.
+fn told_badly(old: Value, lines: Vec<Value>, odd: Vec<Value>, new: Value) -> Agent {
+    let (watches, answers) = (AtomicUsize::new(0), AtomicUsize::new(0));
+    Agent::new(move |_, ask, out| match ask {
+        Ask::Watch if watches.fetch_add(1, Ordering::SeqCst) == 0 => {
+            head(out) && lines.iter().all(|one| line(out, one)) && quiet(out)
+        }
+        Ask::Watch => head(out) && quiet(out),
+        Ask::Whole if watches.load(Ordering::SeqCst) == 0 => whole(out, &old),
+        Ask::Whole => whole(out, odd.get(answers.fetch_add(1, Ordering::SeqCst)).unwrap_or(&new)),
+    })
+}
+
+/// Where a stand-in stops, until the test has it go on.
+#[derive(Clone, Default)]
+struct Stop {
+    reached: Arc<AtomicBool>,
+    go: Arc<AtomicBool>,
+}
+
+impl Stop {
+    fn here(&self) {
+        self.reached.store(true, Ordering::SeqCst);
+        until("the test's word to go on", || self.go.load(Ordering::SeqCst));
+    }
+
+    fn until_reached(&self) {
+        until("the stand-in's stop", || self.reached.load(Ordering::SeqCst));
+    }
+
+    fn let_go(&self) {
+        self.go.store(true, Ordering::SeqCst);
+    }
+}
+
+fn head(out: &mut TcpStream) -> bool {
+    out.write_all(HEAD.as_bytes()).is_ok()
+}
+
+fn line(out: &mut TcpStream, list: &Value) -> bool {
+    chunk(out, &format!("{list}\n"))
+}
+
+/// The end of the connection with a reset: no end of our side goes before it.
+fn reset(out: &mut TcpStream) -> bool {
+    socket2::SockRef::from(&*out).set_linger(Some(Duration::ZERO)).unwrap();
+    // What is shut down by who serves is this other one.
+    *out = TcpStream::connect(out.local_addr().unwrap()).unwrap();
+    false
+}
+
 /// Says nothing until the courier has closed the connection.
 fn silent(out: &mut TcpStream) -> bool {
     let _ = out.read(&mut [0]);
@@ -320,3 +379,460 @@
         assert!(moved.elapsed() < Duration::from_secs(4), "{mode}: {:?}", moved.elapsed());
     }
 }
+
+#[test]
+fn a_whole_list_that_crosses_a_change_loses_nothing() {
+    for mode in ["push", "ask"] {
+        let pair = Pair::new();
+        let (old, new) = (list(5, true, &pair.before()), list(6, false, &pair.after()));
+        let (stop, changed) = (Stop::default(), Arc::new(AtomicBool::new(false)));
+        let (halfway, change) = (stop.clone(), changed.clone());
+        let agent = Agent::by(move |_, ask, after, out| match ask {
+            Ask::Whole => {
+                // As it is when it is asked for, and read to its end after the change.
+                let text = old.to_string();
+                let (begin, end) = text.split_at(text.len() / 2);
+                let begun = write!(out, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{begin}", text.len());
+                halfway.here();
+                begun.is_ok() && out.write_all(end.as_bytes()).is_ok()
+            }
+            Ask::Watch => {
+                let told = after < 6 && change.load(Ordering::SeqCst);
+                head(out) && (!told || line(out, &new)) && quiet(out)
+            }
+        });
+        let courier = start(&agent, mode, &list(4, true, &pair.before()));
+        stop.until_reached();
+        changed.store(true, Ordering::SeqCst);
+        stop.let_go();
+        goes_to(&mut courier.client(), &pair.second, "the change that the list crossed");
+    }
+}
+
+#[test]
+fn a_list_from_before_a_gap_does_not_fill_it() {
+    for mode in ["push", "ask"] {
+        let pair = Pair::new();
+        let (old, new) = (list(5, true, &pair.before()), list(15, true, &pair.after()));
+        let lines = vec![list(6, false, &[]), list(15, false, &[entry("e3", own_address(), 8, "SERVING")])];
+        // From another machine of discovery, or a moment too early.
+        let between = vec![list(9, true, &pair.before())];
+        let agent = told_badly(old, lines, between, new);
+        let courier = start(&agent, mode, &list(4, true, &pair.before()));
+        goes_to(&mut courier.client(), &pair.second, "what the gap hid");
+    }
+}
+
+#[test]
+fn a_version_that_cannot_be_is_not_held_for_good() {
+    let pair = Pair::new();
+    let (old, new) = (list(5, true, &pair.before()), list(6, true, &pair.after()));
+    let agent = told_badly(old, vec![list(5, false, &[]), list(u64::MAX, false, &[])], vec![], new);
+    let courier = start(&agent, "push", &list(4, true, &pair.before()));
+    goes_to(&mut courier.client(), &pair.second, "the list of a lower version");
+}
+
+#[test]
+fn a_change_that_comes_after_a_later_one_is_not_lost() {
+    for mode in ["push", "ask"] {
+        let pair = Pair::new();
+        let old = list(5, true, &pair.before());
+        let others = ["e3", "e4"].map(|name| entry(name, own_address(), 8, "SERVING"));
+        let new = list(8, true, &[&pair.after()[..], &others].concat());
+        // As many entries as versions, so that nothing seems to be missing.
+        let lines = vec![list(6, false, &[]), list(8, false, &others), list(7, false, &pair.after())];
+        let agent = told_badly(old, lines, vec![], new);
+        let courier = start(&agent, mode, &list(4, true, &pair.before()));
+        goes_to(&mut courier.client(), &pair.second, "the change that came late");
+    }
+}
+
+#[test]
+fn of_an_entry_that_comes_twice_the_last_counts() {
+    for kind in [Ask::Whole, Ask::Watch] {
+        let pair = Pair::new();
+        let (old, both) = (list(5, true, &pair.before()), [pair.before(), pair.after()].concat());
+        let (change, new) = (list(6, false, &both), list(6, true, &both));
+        let agent = Agent::new(move |_, ask, out| match (ask, kind) {
+            (Ask::Whole, Ask::Watch) => whole(out, &old),
+            (Ask::Whole, Ask::Whole) => whole(out, &new),
+            (Ask::Watch, Ask::Watch) => head(out) && line(out, &change) && line(out, &change) && quiet(out),
+            (Ask::Watch, Ask::Whole) => head(out) && quiet(out),
+        });
+        let courier = start(&agent, "push", &list(4, true, &pair.before()));
+        goes_to(&mut courier.client(), &pair.second, "the last of both");
+        let before = pair.first.calls().len();
+        (0..5).for_each(|_| goes_to(&mut courier.client(), &pair.second, "the last of both still"));
+        assert_eq!((pair.first.calls().len(), agent.asks().len()), (before, 2));
+    }
+}
+
+#[test]
+fn an_answer_that_is_no_whole_list_does_not_stand_for_one() {
+    for mode in ["push", "ask"] {
+        let pair = Pair::new();
+        let (old, new) = (list(5, true, &pair.before()), list(15, true, &pair.after()));
+        let changes = list(15, false, &[]);
+        let agent = told_badly(old, vec![list(6, false, &[]), changes.clone()], vec![changes], new);
+        let courier = start(&agent, mode, &list(4, true, &pair.before()));
+        goes_to(&mut courier.client(), &pair.second, "the whole list");
+    }
+}
+
+#[test]
+fn an_entry_of_a_change_that_cannot_be_read_is_not_listed_any_more() {
+    let pair = Pair::new();
+    let (old, mut after) = (list(5, true, &pair.before()), pair.after());
+    after[0]["weight"] = json!("much");
+    let new = list(6, false, &after);
+    let agent = Agent::new(move |_, ask, out| match ask {
+        Ask::Whole => whole(out, &old),
+        Ask::Watch => head(out) && line(out, &new) && quiet(out),
+    });
+    let courier = start(&agent, "push", &list(4, true, &pair.before()));
+    goes_to(&mut courier.client(), &pair.second, "the one that can be read");
+    let before = pair.first.calls().len();
+    (0..9).for_each(|_| goes_to(&mut courier.client(), &pair.second, "the one that can be read still"));
+    assert_eq!(pair.first.calls().len(), before);
+}
+
+#[test]
+fn a_watch_that_ends_within_an_object_is_taken_to_its_last_whole_one() {
+    let pair = Pair::new();
+    let (old, new) = (list(5, true, &pair.before()), list(6, false, &pair.after()));
+    let text = new.to_string();
+    let cuts: Vec<usize> = (0..text.len()).step_by(9).chain([text.len() - 1]).collect();
+    let (stop, watches) = (Stop::default(), Arc::new(Mutex::new(0)));
+    let (last, count) = (stop.clone(), cuts.len());
+    let agent = Agent::by(move |_, ask, after, out| {
+        if ask == Ask::Whole {
+            return whole(out, &old);
+        }
+        let nth = {
+            let mut watches = watches.lock().unwrap();
+            *watches += 1;
+            *watches - 1
+        };
+        assert!(after == 5 || nth > count, "nothing of a part was held");
+        let Some(&cut) = cuts.get(nth) else {
+            last.here();
+            // Whole, with no end of its line; and cut there.
+            return head(out) && chunk(out, &text) && nth > count && quiet(out);
+        };
+        let said = head(out) && (cut == 0 || chunk(out, &text[..cut]));
+        match nth % 3 {
+            0 => said && out.write_all(b"0\r\n\r\n").is_ok() && silent(out),
+            1 => false,
+            _ => reset(out),
+        }
+    });
+    let courier = start(&agent, "push", &list(4, true, &pair.before()));
+    let mut client = courier.client();
+    stop.until_reached();
+    goes_to(&mut client, &pair.first, "the one that still serves");
+    assert_eq!(pair.second.calls().len(), 0);
+    stop.let_go();
+    goes_to(&mut client, &pair.second, "the whole object");
+}
+
+#[test]
+fn an_object_that_never_ends_does_not_keep_a_watch() {
+    for mode in ["push", "ask"] {
+        let pair = Pair::new();
+        let (old, new) = (list(5, true, &pair.before()), list(6, true, &pair.after()));
+        let (begun, watched) = (Arc::new(Mutex::new(None)), AtomicBool::new(false));
+        let at = begun.clone();
+        let agent = Agent::new(move |_, ask, out| match ask {
+            Ask::Watch if !watched.swap(true, Ordering::SeqCst) => {
+                let mut said = head(out) && chunk(out, "\n{\"index\": 6,");
+                *at.lock().unwrap() = Some(Instant::now());
+                while said {
+                    thread::sleep(Duration::from_millis(200));
+                    said = chunk(out, "\n");
+                }
+                false
+            }
+            Ask::Whole if !watched.load(Ordering::SeqCst) => whole(out, &old),
+            Ask::Whole => whole(out, &new),
+            Ask::Watch => head(out) && line(out, &new) && quiet(out),
+        });
+        let courier = start(&agent, mode, &list(4, true, &pair.before()));
+        goes_to(&mut courier.client(), &pair.second, "what the next ask was told");
+        let after = begun.lock().unwrap().unwrap().elapsed();
+        assert!(after < Duration::from_secs(6), "{mode}: {after:?}");
+    }
+}
+
+#[test]
+fn a_long_list_in_one_line_of_a_watch_is_read_as_it_comes() {
+    let pair = Pair::new();
+    let old = list(5, true, &pair.before());
+    // As long as may be; what is unknown of an entry is passed over.
+    let padded = (0..380).map(|i| {
+        let mut padded = entry(&format!("p{i}"), own_address_of(i), 8, "DRAINING");
+        padded["note"] = json!("{[\\\"".repeat(1500));
+        padded
+    });
+    let entries: Vec<Value> = padded.chain(pair.after()).collect();
+    let new = list(6, true, &entries).to_string();
+    assert!(new.len() > 3 << 20 && new.len() < 4 << 20, "{}", new.len());
+    let agent = Agent::new(move |_, ask, out| match ask {
+        Ask::Whole => whole(out, &old),
+        Ask::Watch => {
+            let pieces = || new.as_bytes().chunks(4096).map(|piece| std::str::from_utf8(piece).unwrap());
+            head(out) && pieces().all(|piece| chunk(out, piece)) && chunk(out, "\n") && quiet(out)
+        }
+    });
+    let courier = start(&agent, "push", &list(4, true, &pair.before()));
+    goes_to(&mut courier.client(), &pair.second, "what the long list told");
+    assert_eq!(agent.count(Ask::Watch), 1);
+}
+
+fn own_address_of(i: usize) -> SocketAddr {
+    SocketAddr::from(([127, 250, (i / 250) as u8, (i % 250) as u8], 6379))
+}
+
+/// The most memory that the courier ever held, in MB.
+fn most_memory(pid: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+    line.split_whitespace().next().unwrap().parse::<u64>().unwrap() >> 10
+}
+
+/// By the folder that it was started with.
+fn pid(courier: &Courier) -> u32 {
+    let state = format!("ROUTER_STATE={}", courier.folder.path.join("state").display());
+    let all = std::fs::read_dir("/proc").unwrap().flatten();
+    let pids = all.filter_map(|entry| entry.file_name().to_str()?.parse::<u32>().ok());
+    let mut own = pids.filter(|pid| {
+        let environment = std::fs::read(format!("/proc/{pid}/environ")).unwrap_or_default();
+        environment.split(|&byte| byte == 0).any(|variable| variable == state.as_bytes())
+    });
+    own.next().unwrap()
+}
+
+#[test]
+fn what_has_no_end_is_left_and_takes_little_memory() {
+    const PIECES: usize = 16 << 10;
+    let piece = "x".repeat(4000);
+    let many: String =
+        (0..80_000).map(|i| format!("{{\"name\":\"{i}\",\"group\":9,\"status\":\"SERVING\"}},")).collect();
+    let many = format!("{{\"index\":6,\"snapshot\":true,\"endpoints\":[{}]}}", many.trim_end_matches(','));
+    assert!(many.len() < 4 << 20);
+    // (name, what is asked, what comes first, and then without end)
+    let rows = [
+        ("a head", Ask::Whole, "HTTP/1.1 200 OK\r\n".to_string(), format!("X-Y: {piece}\r\n")),
+        ("a line of a head", Ask::Whole, "HTTP/1.1 200 OK\r\nX: ".to_string(), piece.clone()),
+        ("heads of no answer", Ask::Whole, String::new(), "HTTP/1.1 103 Early\r\n\r\n".repeat(100)),
+        ("a list", Ask::Whole, format!("{HEAD}1\r\n{{\r\n"), format!("fa0\r\n{}\r\n", " ".repeat(4000))),
+        ("a text", Ask::Whole, format!("{HEAD}2\r\n{{\"\r\n"), format!("fa0\r\n{piece}\r\n")),
+        ("a field of a chunk", Ask::Whole, format!("{HEAD}1;"), piece.clone()),
+        ("lists in lists", Ask::Watch, HEAD.to_string(), format!("fa0\r\n{}\r\n", "[".repeat(4000))),
+        ("a line", Ask::Watch, format!("{HEAD}2\r\n{{\"\r\n"), format!("fa0\r\n{piece}\r\n")),
+        ("many entries", Ask::Whole, format!("{HEAD}{:x}\r\n{many}\r\n0\r\n\r\n", many.len()), String::new()),
+        ("many in a line", Ask::Watch, format!("{HEAD}{:x}\r\n{many}\r\n", many.len()), String::new()),
+    ];
+    for (name, kind, first, then) in rows {
+        let pair = Pair::new();
+        let (old, new) = (list(5, true, &pair.before()), list(7, true, &pair.after()));
+        let left = Arc::new(AtomicBool::new(false));
+        let is_left = left.clone();
+        let agent = Agent::new(move |_, ask, out| {
+            if ask == kind && !left.load(Ordering::SeqCst) {
+                let mut said = out.write_all(first.as_bytes()).is_ok();
+                for _ in 0..PIECES {
+                    // With nothing without end, what came first is the matter.
+                    said = said
+                        && if then.is_empty() { silent(out) } else { out.write_all(then.as_bytes()).is_ok() };
+                }
+                assert!(!said, "it is left");
+                left.store(true, Ordering::SeqCst);
+                return false;
+            }
+            match ask {
+                Ask::Whole if left.load(Ordering::SeqCst) => whole(out, &new),
+                Ask::Whole => whole(out, &old),
+                Ask::Watch => head(out) && line(out, &new) && quiet(out),
+            }
+        });
+        let courier = start(&agent, "push", &list(4, true, &pair.before()));
+        let mut client = courier.client();
+        until(name, || {
+            assert_eq!(client.put("m", "again", LATE), "+OK", "{name}");
+            is_left.load(Ordering::SeqCst)
+        });
+        goes_to(&mut client, &pair.second, name);
+        let most = most_memory(pid(&courier));
+        assert!(most < 64, "{name}: {most} MB");
+    }
+}
+
+/// What an ask is in the middle of when discovery moves.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Middle {
+    Silence,
+    Head,
+    List,
+    Open,
+    Object,
+    Refusals,
+}
+
+#[test]
+fn sighup_in_the_middle_of_anything_leaves_the_old_address_for_good() {
+    use Middle::{Head, List, Object, Open, Refusals, Silence};
+    thread::scope(|scope| {
+        for middle in [Silence, Head, List, Open, Object, Refusals] {
+            scope.spawn(move || {
+                for mode in ["push", "ask"] {
+                    moves_in(middle, mode);
+                }
+            });
+        }
+    });
+}
+
+fn moves_in(middle: Middle, mode: &str) {
+    let pair = Pair::new();
+    let (old, new) = (list(5, true, &pair.before()), list(6, true, &pair.after()));
+    // What the old address would tell is of a higher version.
+    let false_list = list(9, true, &pair.before()).to_string();
+    let (stop, closed) = (Stop::default(), Arc::new(AtomicBool::new(false)));
+    let (halfway, is_closed) = (stop.clone(), closed.clone());
+    let down = Agent::new(move |_, ask, out| {
+        let (begin, end) = false_list.split_at(false_list.len() / 2);
+        let length = false_list.len();
+        let wanted = match middle {
+            Middle::Open | Middle::Object => Ask::Watch,
+            _ => Ask::Whole,
+        };
+        if ask != wanted {
+            return whole(out, &old);
+        }
+        let (first, then) = match middle {
+            Middle::Silence => {
+                let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{false_list}");
+                (String::new(), text)
+            }
+            Middle::Head => {
+                ("HTTP/1.1 200 OK\r\nConte".to_string(), format!("nt-Length: {length}\r\n\r\n{false_list}"))
+            }
+            Middle::List => {
+                (format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{begin}"), end.to_string())
+            }
+            Middle::Open => (HEAD.to_string(), format!("{length:x}\r\n{false_list}\r\n")),
+            Middle::Object => {
+                let first = format!("{HEAD}{:x}\r\n{begin}\r\n", begin.len());
+                (first, format!("{:x}\r\n{end}\r\n", end.len()))
+            }
+            Middle::Refusals => {
+                halfway.reached.store(true, Ordering::SeqCst);
+                return out.write_all(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n").is_ok();
+            }
+        };
+        // An ask that was given up for its silence before SIGHUP may be here too: each stops.
+        let _ = out.write_all(first.as_bytes());
+        halfway.here();
+        let _ = out.write_all(then.as_bytes());
+        let mut rest = [0];
+        out.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+        let ended = match out.read(&mut rest) {
+            Ok(n) => n == 0,
+            Err(e) => e.kind() == std::io::ErrorKind::ConnectionReset,
+        };
+        closed.store(ended, Ordering::SeqCst);
+        false
+    });
+    let up = Agent::new(move |_, ask, out| match ask {
+        Ask::Whole => whole(out, &new),
+        Ask::Watch => head(out) && quiet(out),
+    });
+    let courier = start(&down, mode, &list(4, true, &pair.before()));
+    let mut client = courier.client();
+    stop.until_reached();
+    let mut config = courier.config.clone();
+    config["discovery"] = json!(up.address.to_string());
+    let moved = Instant::now();
+    courier.reconfigure(&config.to_string());
+    goes_to(&mut client, &pair.second, "the list of the new address");
+    assert!(moved.elapsed() < Duration::from_secs(4), "{middle:?} {mode}");
+    let (before, asks) = (pair.first.calls().len(), down.asks().len());
+    stop.let_go();
+    if middle != Middle::Refusals {
+        until("the old connection's end", || is_closed.load(Ordering::SeqCst));
+    }
+    (0..5).for_each(|_| goes_to(&mut client, &pair.second, "the new address still"));
+    assert_eq!(
+        (pair.first.calls().len(), down.asks().len(), up.asks().len()),
+        (before, asks, 2),
+        "{middle:?} {mode}"
+    );
+}
+
+/// Counts, whenever a connection comes, those that the courier still holds open. What an ask gets changes with
+/// each.
+fn crowded(most: Arc<Mutex<(usize, usize)>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let mut held: Vec<TcpStream> = Vec::new();
+        for (nth, stream) in listener.incoming().flatten().enumerate() {
+            held.retain(|stream| {
+                stream.set_nonblocking(true).unwrap();
+                let mut rest = [0; 4096];
+                loop {
+                    match (&mut &*stream).read(&mut rest) {
+                        Ok(0) => return false,
+                        Ok(_) => {}
+                        Err(e) => return e.kind() == std::io::ErrorKind::WouldBlock,
+                    }
+                }
+            });
+            let mut most = most.lock().unwrap();
+            *most = (most.0.max(held.len() + 1), nth + 1);
+            drop(most);
+            let text = list(5, true, &[]).to_string();
+            let said = match nth % 8 {
+                0 => String::new(),
+                1 => "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n".to_string(),
+                2 => "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{".to_string(),
+                3 => format!("{HEAD}1\r\n\n\r\n0\r\n\r\n"),
+                4 => "garbage\r\n\r\n".to_string(),
+                5 | 7 => format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len()),
+                _ => format!("{HEAD}3\r\nodd\r\n"),
+            };
+            let _ = (&stream).write_all(said.as_bytes());
+            // None is closed here.
+            held.push(stream);
+        }
+    });
+    address
+}
+
+#[test]
+fn discovery_has_two_connections_at_most_whatever_it_does() {
+    for mode in ["push", "ask"] {
+        let most: [Arc<Mutex<(usize, usize)>>; 2] = Default::default();
+        let addresses = [crowded(most[0].clone()), crowded(most[1].clone())];
+        let endpoint = Endpoint::new(&[]);
+        let mut agent = Agent::new(|_, _, _| false);
+        agent.address = addresses[0];
+        let known = list(4, true, &[entry("e1", endpoint.address, 7, "SERVING")]);
+        let courier = start(&agent, mode, &known);
+        let at_first = courier.sockets();
+        let seen = |which: usize| most[which].lock().unwrap().1;
+        let enough = if mode == "push" { 24 } else { 9 };
+        until("asks", || seen(0) >= enough);
+        // To and fro, each time in the middle of something else.
+        let mut config = courier.config.clone();
+        for turn in 1..12 {
+            let which = turn % 2;
+            let before = seen(which);
+            config["discovery"] = json!(addresses[which].to_string());
+            courier.reconfigure(&config.to_string());
+            until("an ask there", || seen(which) > before);
+        }
+        assert!(most.iter().all(|most| most.lock().unwrap().0 <= 2), "{mode}: {most:?}");
+        until("no more than at first", || courier.sockets() <= at_first + 1);
+    }
+}
