--- a/crates/courier/tests/list.rs
+++ b/crates/courier/tests/list.rs
@@ -4,12 +4,15 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::{own_address, serve, until, Client, Courier, Endpoint, Platform};
+use common::{
+    answers, command, config, own_address, serve, until, Client, Courier, Endpoint, Folder, Platform,
+};
 use serde_json::{json, Value};
 
 const LATE: &str = "d=4000";
@@ -836,3 +839,121 @@
         until("no more than at first", || courier.sockets() <= at_first + 1);
     }
 }
+
+/// A courier that the system allows no more descriptors than its configuration does.
+struct Narrow {
+    child: Child,
+    folder: Folder,
+    config: Value,
+    listen: SocketAddr,
+}
+
+impl Narrow {
+    fn start(agent: &Agent, mode: &str, known: &Value, sockets: usize) -> Narrow {
+        let (folder, listen) = (Folder::new(), own_address());
+        let mut config = config(&Platform::new(), listen);
+        config["discovery"] = json!(agent.address.to_string());
+        config["known"] = known.clone();
+        config["limits"]["sockets"] = json!(sockets);
+        config["settings"]["MembershipMode"] = json!(mode);
+        let plain = command(&folder, &config, "serve");
+        let mut command = Command::new("sh");
+        command.arg("-c").arg(format!("ulimit -n {sockets} && exec \"$0\" serve")).arg(plain.get_program());
+        let variables = plain.get_envs().filter_map(|(name, value)| Some((name, value?)));
+        command.env_clear().envs(variables);
+        let child = command.spawn().unwrap();
+        let narrow = Narrow { child, folder, config, listen };
+        answers(listen);
+        narrow
+    }
+
+    fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
+    /// Hands one in as clients do, on a new connection when the one before made way.
+    fn put(&self, id: &str, more: &str) {
+        until("an answer", || Client::connect(self.listen).unwrap().put(id, "again", more) == "+OK");
+    }
+
+    fn owes_nothing(&self) -> bool {
+        let owed = command(&self.folder, &self.config, "owed").output().unwrap();
+        owed.stdout.starts_with(b"0 mails owed; 0 bytes")
+    }
+}
+
+impl Drop for Narrow {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Keeps that many connections open that ask for nothing, half of them after an answer, until it is told to end.
+fn idle_clients(listen: SocketAddr, count: usize, end: &AtomicBool) {
+    let mut idle: Vec<Option<TcpStream>> = (0..count).map(|_| None).collect();
+    while !end.load(Ordering::SeqCst) {
+        for (i, place) in idle.iter_mut().enumerate() {
+            let is_open = place.as_ref().is_some_and(|stream| match (&mut &*stream).read(&mut [0; 64]) {
+                Ok(n) => n > 0,
+                Err(e) => e.kind() == std::io::ErrorKind::WouldBlock,
+            });
+            if !is_open {
+                *place = TcpStream::connect(listen).ok();
+                if let Some(mut stream) = place.as_ref() {
+                    stream.set_nonblocking(true).unwrap();
+                    let _ = if i % 2 == 0 { stream.write(b"PING\r\n") } else { Ok(0) };
+                }
+            }
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+#[test]
+fn with_all_descriptors_taken_by_idle_clients_list_notices_journal_and_calls_go_on() {
+    const SOCKETS: usize = 64;
+    for mode in ["push", "ask"] {
+        let pair = Pair::new();
+        let (up, end) = (Arc::new(AtomicBool::new(false)), AtomicBool::new(false));
+        let (is_up, new) = (up.clone(), list(6, true, &pair.after()));
+        let agent = Agent::new(move |_, ask, out| match ask {
+            _ if !is_up.load(Ordering::SeqCst) => silent(out),
+            Ask::Whole => whole(out, &new),
+            Ask::Watch => head(out) && line(out, &new) && quiet(out),
+        });
+        // From the smallest number that a configuration may name.
+        let courier = Narrow::start(&agent, mode, &list(5, true, &pair.before()), SOCKETS);
+        let (at_first, mut most) = (courier.descriptors(), 0);
+        thread::scope(|scope| {
+            scope.spawn(|| idle_clients(courier.listen, SOCKETS / 2, &end));
+            // A third of them is for clients, and all those are taken; the first may have been one already.
+            until("all are taken", || courier.descriptors() >= at_first + SOCKETS / 3 - 1);
+            for i in 0..20 {
+                courier.put(&format!("call-{i}"), LATE);
+                // Over at once: its end is a notice, if no call was quicker.
+                courier.put(&format!("brief-{i}"), "d=1");
+                most = most.max(courier.descriptors());
+            }
+            until("calls", || (0..20).all(|i| pair.first.ids().contains(&format!("call-{i}"))));
+            until("an end for all, and on file", || courier.owes_nothing());
+            // Discovery comes back.
+            let back = Instant::now();
+            up.store(true, Ordering::SeqCst);
+            let mut id = 0;
+            until("calls by the new list", || {
+                id += 1;
+                courier.put(&format!("new-{id}"), LATE);
+                most = most.max(courier.descriptors());
+                !pair.second.calls().is_empty()
+            });
+            assert!(back.elapsed() < Duration::from_secs(6), "{mode}: {:?}", back.elapsed());
+            until("an end for all", || courier.owes_nothing());
+            end.store(true, Ordering::SeqCst);
+        });
+        // Never at the limit, where a connection to discovery or a file would be refused.
+        assert!(most < SOCKETS - 4, "{mode}: {most}");
+        let asks = agent.asks().len();
+        assert!(asks > 2, "{mode}: {asks}");
+    }
+}
