--- a/crates/courier/tests/list.rs
+++ b/crates/courier/tests/list.rs
@@ -957,3 +957,77 @@
         assert!(asks > 2, "{mode}: {asks}");
     }
 }
+
+#[test]
+fn a_watch_that_never_pauses_holds_nothing_up() {
+    let lines = |pair: &Pair| list(5, false, &pair.before()).to_string() + "\n";
+    // (name, what the watch says over and over)
+    let rows: [(&str, &dyn Fn(&Pair) -> String); 3] = [
+        ("empty lines", &|_| "\n".repeat(4000)),
+        ("the same change", &|pair| lines(pair).repeat(20)),
+        ("nothing in objects", &|_| "{}".repeat(2000)),
+    ];
+    for (name, text) in rows {
+        let pair = Pair::new();
+        let (old, new) = (list(5, true, &pair.before()), list(6, true, &pair.after()));
+        let (text, end) = (text(&pair), Arc::new(AtomicBool::new(false)));
+        let ended = end.clone();
+        let agent = Agent::new(move |_, ask, out| match ask {
+            Ask::Whole if ended.load(Ordering::SeqCst) => whole(out, &new),
+            Ask::Whole => whole(out, &old),
+            Ask::Watch => {
+                let mut said = head(out);
+                while said && !ended.load(Ordering::SeqCst) {
+                    said = chunk(out, &text);
+                }
+                said && line(out, &new) && quiet(out)
+            }
+        });
+        let courier = start(&agent, "push", &list(4, true, &pair.before()));
+        let mut client = courier.client();
+        until("a watch", || agent.count(Ask::Watch) > 0);
+        (0..30).for_each(|_| goes_to(&mut client, &pair.first, name));
+        end.store(true, Ordering::SeqCst);
+        goes_to(&mut client, &pair.second, name);
+        let most = most_memory(pid(&courier));
+        assert!(most < 64, "{name}: {most} MB");
+    }
+}
+
+#[test]
+fn when_discovery_returns_a_list_is_in_hand_within_six_seconds_though_one_answer_is_cut() {
+    // (mode, how it was gone: refusing, or silent)
+    let rows = [("push", true), ("push", false), ("ask", true), ("ask", false)];
+    thread::scope(|scope| {
+        for (mode, refuses) in rows {
+            scope.spawn(move || {
+                let pair = Pair::new();
+                let new = list(6, true, &pair.after());
+                let (up, cut) = (Arc::new(AtomicBool::new(false)), AtomicBool::new(false));
+                let is_up = up.clone();
+                let agent = Agent::new(move |_, ask, out| match ask {
+                    _ if !is_up.load(Ordering::SeqCst) && refuses => {
+                        out.write_all(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n").is_ok()
+                    }
+                    _ if !is_up.load(Ordering::SeqCst) => silent(out),
+                    Ask::Whole if !cut.swap(true, Ordering::SeqCst) => {
+                        let text = new.to_string();
+                        let half = &text[..text.len() / 2];
+                        let _ =
+                            write!(out, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{half}", text.len());
+                        reset(out)
+                    }
+                    Ask::Whole => whole(out, &new),
+                    Ask::Watch => head(out) && quiet(out),
+                });
+                let courier = start(&agent, mode, &list(5, true, &pair.before()));
+                // By then the pauses are as long as they become.
+                until("a chain of asks", || agent.asks().len() >= if refuses { 6 } else { 5 });
+                let back = Instant::now();
+                up.store(true, Ordering::SeqCst);
+                goes_to(&mut courier.client(), &pair.second, "the list after the return");
+                assert!(back.elapsed() < Duration::from_secs(6), "{mode} {refuses}: {:?}", back.elapsed());
+            });
+        }
+    });
+}
