--- a/crates/courier/tests/list.rs
+++ b/crates/courier/tests/list.rs
@@ -976,7 +976,8 @@
 fn a_watch_that_never_pauses_holds_nothing_up() {
     let lines = |pair: &Pair| list(5, false, &pair.before()).to_string() + "\n";
     // (name, what the watch says over and over)
-    let rows: [(&str, &dyn Fn(&Pair) -> String); 3] = [
+    type Says<'a> = &'a dyn Fn(&Pair) -> String;
+    let rows: [(&str, Says); 3] = [
         ("empty lines", &|_| "\n".repeat(4000)),
         ("the same change", &|pair| lines(pair).repeat(20)),
         ("nothing in objects", &|_| "{}".repeat(2000)),
