--- a/crates/courier/src/endpoints.rs
+++ b/crates/courier/src/endpoints.rs
@@ -240,6 +240,7 @@
         // end of one of its messages, or until a key may be forgotten: after that none of it must run.
         let ends = letters.iter().map(|letter| letter.due.min(letter.latest)).min().unwrap_or(last);
         let written_by = until.min(self.clock.instant(ends));
+        if !matches!(timeout_at(written_by.into(), link.send(&request)).await, Ok(Ok(()))) {
             return self.tell(&letters, &Seen::only(Outcome::Unreached));
         }
         let several = letters.len() > 1;
