Once-only and zone-bound messages no longer wait for good behind an endpoint not theirs

(2) Where no endpoint is well and only such messages wait, none was ever tried again, so that one late call shut the destination for good: no call in 30 s, each new message given up untried. Lines at fault: `pick` (free, but not for whom) and `next` (`risky`). Now `pick` passes over an endpoint to which nothing that waits may go, and where none is well and nothing else waits one message is the trial. The order that goes first and the pick are otherwise as they were.

--- a/crates/courier/tests/exchange.rs
+++ b/crates/courier/tests/exchange.rs
@@ -286,3 +286,35 @@
     assert_eq!(sizes, [2, 2, 1]);
     assert!(calls.iter().all(|call| call.size <= 64 * 1024));
 }
+
+#[test]
+fn what_may_run_once_only_does_not_wait_for_good_for_an_endpoint_in_doubt() {
+    // What became of the first call, and how late; nothing but once-only mails comes.
+    for (outcome, after) in [(Outcome::Unsent, 250), (Outcome::Refused, 250), (Outcome::Broken, 10)] {
+        let mut world = world("single");
+        let start = world.exchange.clock.now();
+        world.exchange.clock = Clock::still(start);
+        serial(world.put("01", "once", 1));
+        let call = world.call();
+        assert_eq!(world.exchange.begin(&call, call.letters.clone()).len(), 1);
+        world.exchange.clock = Clock::still(start + after * 10);
+        assert!(world.calls().is_empty());
+        world.exchange.seen(call.letters[0].serial, seen(outcome));
+        let mut next = None;
+        for ms in (after + 10..30_000).step_by(10) {
+            world.exchange.clock = Clock::still(start + ms * 10);
+            if ms % 3000 < 10 {
+                serial(world.put(&ms.to_string(), "once", 1));
+            }
+            for call in world.calls() {
+                next = next.or(Some(ms));
+                assert_eq!(world.exchange.begin(&call, call.letters.clone()).len(), 1);
+                world.exchange.seen(call.letters[0].serial, seen(Outcome::Relayed));
+            }
+            while let Ok(notice) = world.notices.try_recv() {
+                world.exchange.told(notice.serial);
+            }
+        }
+        assert!(next.is_some(), "{outcome:?}: not one call in half a minute");
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -215,21 +215,19 @@
                 self.keys[key].rest_until = self.keys[key].rest_until.max(since + self.set.turn_gap);
                 self.resting.push(key);
             }
-            Input::Hangup { mail } => {
-                if self.mails.get(mail).is_some_and(|m| matches!(m.place, Place::Parked | Place::Out)) {
-                    self.end(mail, out);
-                }
-            }
-            Input::Ended(ref ended) => {
-                if self.mails.get(ended.mail).is_some_and(|m| matches!(m.place, Place::Out | Place::Over)) {
-                    self.settle(ended, out);
-                }
+            Input::Hangup { mail } if self.is_at(mail, [Place::Parked, Place::Out]) => self.end(mail, out),
+            Input::Ended(ref ended) if self.is_at(ended.mail, [Place::Out, Place::Over]) => {
+                self.settle(ended, out)
             }
             Input::Heard { endpoint, news } => self.hear(endpoint, news),
-            Input::Woken => {}
+            Input::Hangup { .. } | Input::Ended(_) | Input::Woken => {}
         }
     }
 
+    fn is_at(&self, mail: usize, places: [Place; 2]) -> bool {
+        self.mails.get(mail).is_some_and(|m| places.contains(&m.place))
+    }
+
     /// What another courier saw. Nothing of it is passed on.
     fn hear(&mut self, endpoint: usize, news: News) {
         let Some(e) = self.endpoints.get(endpoint).filter(|e| e.known) else { return };
@@ -701,9 +699,6 @@
             out.push(Action::Connect { mail, endpoint, timeout, fresh });
             sent += 1;
         }
-        if sent == 0 {
-            return false;
-        }
         self.calls[index] = Call { endpoint, started: self.now, left: sent, late: false };
         self.out += 1;
         self.dests[dest].out += 1;
@@ -719,7 +714,12 @@
     /// The most urgent mail that this endpoint may get; further connects only when no first one waits.
     fn next(&self, dest: usize, endpoint: usize) -> Option<(usize, usize)> {
         let e = &self.endpoints[endpoint];
-        let risky = matches!(e.standing, Standing::Doubt | Standing::Down) || e.errs > NEWEST;
+        // Guards against what none would try again: where only these wait and none is well, one is a trial.
+        let once = |&mail: &usize| self.set.classes[self.mails[mail].class].effect == Effect::OnceOnly;
+        let (ill, all) = self.sick(dest);
+        let alone = ill == all && e.out == 0 && self.dests[dest].lines.iter().flatten().all(once);
+        let trial = matches!(e.standing, Standing::Doubt | Standing::Down) && !alone;
+        let risky = trial || e.errs > NEWEST;
         (0..2).find_map(|line| {
             let fit = self.dests[dest].lines[line].iter().enumerate().filter(|&(_, &mail)| {
                 let m = &self.mails[mail];
@@ -751,7 +751,8 @@
         let (mut pair, mut seen) = ([None, None], 0);
         for i in 0..self.dests[dest].endpoints.len() {
             let endpoint = self.dests[dest].endpoints[i];
-            if !self.free(endpoint) {
+            // Guards against mails that wait behind an endpoint to which none may go, by a trial or zone.
+            if !self.free(endpoint) || self.next(dest, endpoint).is_none() {
                 continue;
             }
             if self.endpoints[endpoint].standing == Standing::Down {
@@ -779,7 +780,7 @@
         mean * (1 + e.out) as f64 + doubt + lack * SECOND as f64 + fee * FEE_TARGETS * self.target as f64
     }
 
-    /// Turns at a limit up to a time, by one clock. Guards against couriers that send together and are refused.
+    /// Turns at a limit up to a time, by one clock. Guards against couriers that send together, and in vain.
     fn turns(&self, pace: f64, at: Time) -> f64 {
         (pace * seconds(at) - self.set.me as f64 / self.set.couriers as f64).floor()
     }
