--- a/crates/courier/src/notices.rs
+++ b/crates/courier/src/notices.rs
@@ -11,7 +11,7 @@
 use hyper::{Request, StatusCode};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use crate::discovery::moved;
 use crate::exchange::{Notice, Shared};
@@ -22,6 +22,8 @@
 const MOST_ANSWER: usize = 64 * 1024;
 /// The platform answers at once; one that hangs is asked again while the answer still counts.
 const PATIENCE: Duration = Duration::from_millis(200);
+/// One that it cannot read is sent again, alone, so often.
+const AGAIN: Duration = Duration::from_millis(500);
 const PAUSES: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(160));
 
 fn lines(notices: &[Notice]) -> String {
@@ -83,39 +85,91 @@
 ) {
     let mut teller = Teller { address: address.clone(), kept: None };
     let mut waiting: VecDeque<Notice> = VecDeque::new();
+    // What the platform could not read, each by itself, and when one of it is sent again.
+    let (mut unread, mut again): (VecDeque<Notice>, _) = (VecDeque::new(), Instant::now());
+    // One among the first is looked for; one was heard since the last was put aside.
+    let (mut searching, mut heard) = (false, true);
     let (mut most, mut pause) = (MOST_LINES, PAUSES.0);
     loop {
-        if waiting.is_empty() {
-            match queue.recv().await {
-                Some(notice) => waiting.push_back(notice),
-                None => return,
-            }
-        }
         while let Ok(notice) = queue.try_recv() {
             waiting.push_back(notice);
         }
-        let some: Vec<Notice> = waiting.iter().take(most).cloned().collect();
+        let aside = waiting.is_empty();
+        let some: Vec<Notice> = if aside {
+            (searching, most) = (false, MOST_LINES);
+            let notice = tokio::select! {
+                biased;
+                () = sleep_until(again), if !unread.is_empty() => None,
+                notice = queue.recv() => match notice {
+                    Some(notice) => Some(notice),
+                    None => return,
+                },
+            };
+            if let Some(notice) = notice {
+                waiting.push_back(notice);
+                continue;
+            }
+            again = Instant::now() + AGAIN;
+            unread.pop_front().into_iter().collect()
+        } else {
+            waiting.drain(..most.min(waiting.len())).collect()
+        };
         match timeout(PATIENCE, teller.post(&some)).await {
             Ok(Ok(StatusCode::NO_CONTENT)) => {
-                waiting.drain(..some.len());
                 some.iter().for_each(|notice| shared.borrow_mut().told(notice.serial));
-                (most, pause) = (MOST_LINES, PAUSES.0);
+                (heard, pause) = (true, PAUSES.0);
+                most = if searching { most } else { MOST_LINES };
+                if aside {
+                    // It can read what it could not: the others too, perhaps.
+                    waiting.extend(unread.drain(..));
+                }
                 continue;
             }
+            Ok(Ok(status @ (StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE))) => {
+                // One that the platform cannot read must not hold up the others, which are owed to their clients by
+                // now: it is found by halves, without a pause, and put aside.
+                searching = some.len() > 1;
+                most = if searching { some.len() / 2 } else { MOST_LINES };
+                if searching {
+                    log::debug!("{} notices were answered {status}", some.len());
+                    put_back(&mut waiting, some);
+                } else {
+                    log::warn!("a notice was answered {status}");
+                    again = Instant::now() + AGAIN;
+                    unread.extend(some);
+                }
+                // Guards against a platform that can read nothing, and gets everything singly without a pause.
+                if searching || std::mem::take(&mut heard) {
+                    continue;
+                }
+            }
             Ok(Ok(status)) => {
-                // One that the platform cannot read must not hold up the others: singly from here, it last.
-                log::warn!("{} notices were answered {status}", some.len());
+                log::log!(failed(pause), "{} notices were answered {status}", some.len());
+                // Guards against one over which the platform fails: singly from here, it last.
                 if some.len() == 1 {
-                    waiting.rotate_left(1);
+                    waiting.extend(some);
+                } else {
+                    put_back(&mut waiting, some);
                 }
                 most = 1;
             }
-            Ok(Err(e)) => log::log!(failed(pause), "notices cannot be sent: {e}"),
-            Err(_) => log::log!(failed(pause), "notices are not answered"),
+            Ok(Err(e)) => {
+                log::log!(failed(pause), "notices cannot be sent: {e}");
+                put_back(&mut waiting, some);
+            }
+            Err(_) => {
+                log::log!(failed(pause), "notices are not answered");
+                put_back(&mut waiting, some);
+            }
         }
         tokio::select! {
             () = moved(&mut address) => pause = PAUSES.0,
-            () = tokio::time::sleep(pause) => pause = (pause * 2).min(PAUSES.1),
+            () = sleep(pause) => pause = (pause * 2).min(PAUSES.1),
         }
     }
 }
+
+/// In their order, before those that wait.
+fn put_back(waiting: &mut VecDeque<Notice>, some: Vec<Notice>) {
+    some.into_iter().rev().for_each(|notice| waiting.push_front(notice));
+}
--- a/crates/courier/src/resp.rs
+++ b/crates/courier/src/resp.rs
@@ -5,7 +5,7 @@
 use crate::http::MOST_BODY;
 
 /// A body, with room for the words before it.
-const MOST_COMMAND: usize = MOST_BODY + 4096;
+pub const MOST_COMMAND: usize = MOST_BODY + 4096;
 const MOST_WORDS: usize = 16;
 /// A line that counts or measures something is never longer.
 const MOST_LINE: usize = 1024;
--- /dev/null
+++ b/crates/courier/tests/crossing_clients.rs
@@ -0,0 +1,375 @@
+//! Ends of clients' connections that cross something that is owed: what a client can have heard to be taken on, and
+//! requests that are read late, in parts, or while others leave no room.
+
+mod common;
+
+use std::fs;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::{
+    command, own_address, put, settings, until, Client, Courier, Endpoint, Folder, Platform, Reply,
+};
+use meadowhold_courier::clients::{listen, Phase};
+use meadowhold_courier::discovery::List;
+use meadowhold_courier::exchange::{Exchange, Shared};
+use meadowhold_courier::journal::Journal;
+use meadowhold_settings::decode_json;
+use serde_json::{json, Value};
+use socket2::{Domain, Socket, Type};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::{mpsc::unbounded_channel, watch};
+use tokio::task::LocalSet;
+
+const LATE: &str = "d=8000";
+
+fn world(change: impl FnOnce(&mut Value)) -> (Platform, Endpoint, Courier) {
+    let (platform, endpoint) = (Platform::new(), Endpoint::new(&[]));
+    platform.list("e1", endpoint.address, "single", 7, "SERVING");
+    let courier = Courier::start(&platform, change);
+    (platform, endpoint, courier)
+}
+
+fn pass(since: Instant, ms: u64) {
+    thread::sleep((since + Duration::from_millis(ms)).saturating_duration_since(Instant::now()));
+}
+
+/// Clients served in this process, so that the system holds back next to nothing of what is written to them: a write
+/// is cut where its client stops reading.
+struct Served {
+    shared: Shared,
+    address: SocketAddr,
+    phase: watch::Sender<Phase>,
+    _folder: Folder,
+}
+
+impl Served {
+    /// Within a `LocalSet`. No mail is called: nobody gives the module its turns.
+    fn new() -> Served {
+        let (folder, decoded) = (Folder::new(), decode_json(1, &settings()).unwrap());
+        let (orders, notices) = (unbounded_channel().0, unbounded_channel().0);
+        let journal = Journal::open(&folder.path, 3_000_000).unwrap();
+        let mut exchange = Exchange::new(decoded, journal, orders, notices, None);
+        let entry = json!({"name": "e1", "address": "127.0.0.1:9", "zone": "a", "type": "single", "group": 7,
+            "status": "SERVING", "weight": 1000.0});
+        let list: List =
+            serde_json::from_value(json!({"index": 2, "snapshot": true, "endpoints": [entry]})).unwrap();
+        exchange.listed(&list);
+        let shared = Rc::new(std::cell::RefCell::new(exchange));
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        // Those that are accepted have it too.
+        socket.set_send_buffer_size(4096).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(64).unwrap();
+        socket.set_nonblocking(true).unwrap();
+        let listener = tokio::net::TcpListener::from_std(socket.into()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let (phase, phase_in) = watch::channel(Phase::Serving);
+        tokio::task::spawn_local(listen(shared.clone(), listener, 64, Rc::default(), phase_in));
+        Served { shared, address, phase, _folder: folder }
+    }
+
+    fn client(&self) -> tokio::net::TcpStream {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.set_recv_buffer_size(4096).unwrap();
+        socket.connect(&self.address.into()).unwrap();
+        socket.set_nonblocking(true).unwrap();
+        tokio::net::TcpStream::from_std(socket.into()).unwrap()
+    }
+
+    fn in_hand(&self) -> usize {
+        self.shared.borrow().in_hand()
+    }
+
+    /// Waits until the courier has ended its side: the client reads again only then.
+    async fn given_up(&self, client: &mut tokio::net::TcpStream) -> String {
+        // Longer than an answer is waited to be read; what the system took is still there.
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        let mut rest = Vec::new();
+        let read = tokio::time::timeout(Duration::from_secs(3), client.read_to_end(&mut rest)).await;
+        // A reset takes what was not read, and the client has not heard that.
+        let _ = read.expect("our side ends");
+        String::from_utf8(rest).unwrap()
+    }
+}
+
+/// Runs a test's tasks on this thread.
+fn on_one_thread(test: impl std::future::Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
+/// Commands of two bytes, each of which is answered with 22.
+fn short(many: usize) -> Vec<u8> {
+    b"x\n".repeat(many)
+}
+
+fn heard(answers: &str) -> usize {
+    answers.matches("+OK\r\n").count()
+}
+
+#[test]
+fn what_a_client_can_have_heard_to_be_taken_on_is_owed_its_end_and_the_rest_is_not() {
+    on_one_thread(async {
+        let served = Served::new();
+        let one = |name: &str| put("0", name, "again", LATE, b"x");
+        // Where the answers are cut depends on what the system takes: before, in, between or after those that matter.
+        let mut ways: Vec<Vec<u8>> = vec![
+            [one("first"), short(1800)].concat(),
+            [short(1800), one("last")].concat(),
+            [one("a"), short(500), one("b"), short(20)].concat(),
+        ];
+        for many in 0..12 {
+            let mails = (0..6).map(|i| [one(&format!("{many}-{i}")), short(20 * many + 7)].concat());
+            ways.push([mails.collect::<Vec<_>>().concat(), short(1000)].concat());
+        }
+        let mut clients = Vec::new();
+        for way in &ways {
+            let mut client = served.client();
+            client.write_all(way).await.unwrap();
+            clients.push(client);
+        }
+        let mut told = 0;
+        for client in &mut clients {
+            told += heard(&served.given_up(client).await);
+        }
+        let counts = served.shared.borrow().counts;
+        assert!(counts.taken as usize > told && told > 2, "some are cut off: {told} of {}", counts.taken);
+        assert_eq!(served.in_hand(), told, "{counts:?}");
+        assert_eq!(served.phase.send_replace(Phase::Closing), Phase::Serving);
+    });
+}
+
+#[test]
+fn who_reads_one_answer_and_no_further_is_owed_that_mail() {
+    on_one_thread(async {
+        let served = Served::new();
+        let mut client = served.client();
+        client.write_all(&[put("0", "01", "once", LATE, b"x"), short(1800)].concat()).await.unwrap();
+        let mut first = [0; 5];
+        client.read_exact(&mut first).await.unwrap();
+        assert_eq!(&first, b"+OK\r\n");
+        assert_eq!(heard(&served.given_up(&mut client).await), 0);
+        assert_eq!(served.in_hand(), 1, "its client has heard that it is taken");
+    });
+}
+
+#[test]
+fn what_another_client_has_heard_to_be_taken_on_is_not_taken_back() {
+    on_one_thread(async {
+        let served = Served::new();
+        let mail = put("0", "01", "once", LATE, b"x");
+        let (mut deaf, mut other) = (served.client(), served.client());
+        // The first has been taken on and cannot be told so: its answers are not read.
+        deaf.write_all(&[short(600), mail.clone()].concat()).await.unwrap();
+        while served.in_hand() == 0 {
+            tokio::task::yield_now().await;
+        }
+        other.write_all(&mail).await.unwrap();
+        let mut answer = [0; 5];
+        other.read_exact(&mut answer).await.unwrap();
+        assert_eq!(&answer, b"+OK\r\n");
+        served.given_up(&mut deaf).await;
+        assert_eq!(served.in_hand(), 1);
+    });
+}
+
+#[test]
+fn a_request_that_is_read_late_is_answered_however_long_the_connection_was_quiet() {
+    let (_platform, endpoint, courier) = world(|_| {});
+    let big = put("0", "big", "once", LATE, &[b'x'; 60_000]);
+    let half = put("0", "half", "once", LATE, &[b'x'; 60_000]);
+    let mut clients: Vec<Client> = (0..3).map(|_| courier.client()).collect();
+    let first: [&[u8]; 3] = [b"PING\r\n", b"PING\r\n", &[b"PING\r\n", &half[..100]].concat()];
+    for (client, first) in clients.iter_mut().zip(first) {
+        assert_eq!(client.say(first), "+PONG");
+    }
+    courier.signal("-STOP");
+    let stopped = Instant::now();
+    // Past the time of a quiet connection, and of a command that has begun, by more than a second.
+    pass(stopped, 3400);
+    let rest: [&[u8]; 3] = [&put("0", "small", "once", LATE, b"x"), &big, &half[100..]];
+    for (client, rest) in clients.iter_mut().zip(rest) {
+        client.stream.get_mut().write_all(rest).unwrap();
+    }
+    courier.signal("-CONT");
+    let answers: Vec<String> = clients.iter_mut().map(Client::line).collect();
+    assert_eq!(answers, ["+OK"; 3]);
+    until("their calls", || endpoint.calls().len() == 3);
+}
+
+#[test]
+fn who_asks_is_served_while_idle_clients_that_never_go_leave_no_room() {
+    let (_platform, _endpoint, courier) = world(|config| config["limits"]["sockets"] = json!(900));
+    // A third is for clients. None of these asks, or closes what the courier ends.
+    let idle: Vec<TcpStream> = (0..330).map(|_| TcpStream::connect(courier.listen).unwrap()).collect();
+    until("no room", || courier.sockets() >= 300);
+    for i in 0..10 {
+        let asked = Instant::now();
+        assert_eq!(courier.client().put(&i.to_string(), "again", LATE), "+OK");
+        // Before, 1.5 s and more: each idle client was ended before the first descriptor was free.
+        assert!(asked.elapsed() < Duration::from_millis(900), "{i}: {:?}", asked.elapsed());
+    }
+    drop(idle);
+}
+
+#[test]
+fn who_is_always_in_the_middle_of_a_command_is_told_the_end_before_the_exit() {
+    let (_platform, _endpoint, mut courier) = world(|_| {});
+    let mut steady = courier.client();
+    steady.stream.get_mut().write_all(b"PI").unwrap();
+    assert_eq!(steady.say(b"NG\r\nPI"), "+PONG");
+    let asked = Instant::now();
+    courier.signal("-TERM");
+    let mut line = String::new();
+    let end = loop {
+        line.clear();
+        let said = steady.stream.get_mut().write_all(b"NG\r\nPI");
+        let mut byte = [0];
+        match said.and_then(|()| steady.stream.read(&mut byte)) {
+            Ok(0) => break Ok(()),
+            Ok(_) => drop(std::io::BufRead::read_line(&mut steady.stream, &mut line)),
+            Err(e) => break Err(e.kind()),
+        }
+        assert!(asked.elapsed() < Duration::from_secs(5));
+        thread::sleep(Duration::from_millis(20));
+    };
+    assert!(courier.ended().is_none(), "the exit cut it off: {end:?}");
+    assert_eq!(end, Ok(()));
+    steady.stream.get_ref().shutdown(Shutdown::Both).unwrap();
+    until("the end", || courier.ended().is_some());
+    assert!(asked.elapsed() < Duration::from_millis(3700), "the platform kills then");
+}
+
+/// Memory that a process holds, in bytes.
+fn resident(id: u32) -> usize {
+    let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse::<usize>().unwrap() * 1024
+}
+
+#[test]
+fn notices_that_nobody_hears_keep_no_bodies_in_memory() {
+    let platform = Platform::new();
+    platform.told.lock().unwrap().refuse = usize::MAX;
+    platform.list("e1", own_address(), "single", 7, "DRAINING");
+    let (folder, listen) = (Folder::new(), own_address());
+    let config = common::config(&platform, listen);
+    let mut child = command(&folder, &config, "serve").spawn().unwrap();
+    common::answers(listen);
+    let mut client = Client::connect(listen).unwrap();
+    let (mut before, mut taken) = (0, 0);
+    let start = Instant::now();
+    while taken < 1200 {
+        match &client.say(&put("0", &taken.to_string(), "again", "d=1", &[b'x'; 60_000]))[..] {
+            "+OK" => taken += 1,
+            "-BUSY" => thread::sleep(Duration::from_millis(1)),
+            other => panic!("{other}"),
+        }
+        before = if taken == 100 { resident(child.id()) } else { before };
+        assert!(start.elapsed() < Duration::from_secs(60), "{taken}");
+    }
+    let grown = resident(child.id()).saturating_sub(before);
+    child.kill().unwrap();
+    child.wait().unwrap();
+    // The bodies were 66 MB.
+    assert!(grown < 16 << 20, "{} MB for {taken} notices", grown >> 20);
+}
+
+/// Posts of notices: what each was answered, 0 for nothing, and its text.
+type Posts = Arc<Mutex<Vec<(u16, String)>>>;
+
+/// An agent that knows no list. What it answers to notices is `status`'s to say, by their text; what it answered so.
+fn agent(status: impl Fn(&str) -> Option<u16> + Send + Sync + 'static) -> (SocketAddr, Posts) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let posts: Posts = Arc::default();
+    let seen = posts.clone();
+    common::serve(listener, move |request, out| {
+        if request.target != "/v1/notices" {
+            return write!(out, "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n").is_ok();
+        }
+        let text = String::from_utf8(request.body).unwrap();
+        let status = status(&text);
+        seen.lock().unwrap().push((status.unwrap_or(0), text));
+        match status {
+            Some(204) => write!(out, "HTTP/1.1 204 X\r\n\r\n").is_ok(),
+            Some(status) => write!(out, "HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n").is_ok(),
+            // It says nothing until the courier has closed the connection.
+            None => {
+                let _ = out.try_clone().unwrap().read(&mut [0]);
+                false
+            }
+        }
+    });
+    (address, posts)
+}
+
+#[test]
+fn a_notice_that_the_platform_cannot_read_holds_up_no_other() {
+    let platform = Platform::new();
+    platform.list("e1", own_address(), "single", 7, "DRAINING");
+    let (address, posts) = agent(|text| Some(if text.contains("\"odd-") { 400 } else { 204 }));
+    let courier = Courier::start(&platform, |config| {
+        config["discovery"] = json!(address.to_string());
+        config["settings"]["Limits"]["MaxOpen"] = json!(10_000);
+    });
+    let mut client = courier.client();
+    let (mut mails, count) = (Vec::new(), 600);
+    for i in 0..count {
+        // The odd ones are the first, and two among the others.
+        let name = if [0, 200, 300].contains(&i) { "odd" } else { "even" };
+        mails.extend(put("0", &format!("{name}-{i}"), "again", "d=1500", b"x"));
+    }
+    let writer = client.stream.get_ref().try_clone().unwrap();
+    let sent = thread::spawn(move || (&writer).write_all(&mails));
+    for i in 0..count {
+        assert_eq!(client.line(), "+OK", "{i}");
+    }
+    sent.join().unwrap().unwrap();
+    let heard = || {
+        let posts = posts.lock().unwrap();
+        posts.iter().filter(|post| post.0 == 204).map(|post| post.1.lines().count()).sum::<usize>()
+    };
+    until("the others' notices", || heard() == count - 3);
+    // Found by halves; before, a batch with one of them was sent again after each notice that was heard.
+    let refused = posts.lock().unwrap().iter().filter(|post| post.0 == 400).count();
+    assert!(refused < 60, "{refused}");
+    // Those that cannot be read are asked for again, and rarely.
+    let before = posts.lock().unwrap().len();
+    until("another try", || posts.lock().unwrap().len() > before);
+    pass(Instant::now(), 1000);
+    let more = posts.lock().unwrap().len() - before;
+    assert!(more < 10, "{more}");
+    assert!(courier.owed().starts_with("odd-0 ") && courier.owed().contains("3 mails owed"));
+}
+
+#[test]
+fn a_notice_on_its_way_at_the_end_of_a_process_is_told_again_by_the_next() {
+    let platform = Platform::new();
+    for name in ["-TERM", "-KILL"] {
+        let answers = Arc::new(AtomicBool::new(false));
+        let says = answers.clone();
+        let (address, posts) = agent(move |_| says.load(Ordering::SeqCst).then_some(204));
+        let endpoint = Endpoint::new(&[Reply::Status(500, "")]);
+        platform.list("e1", endpoint.address, "single", 7, "SERVING");
+        let mut courier = Courier::start(&platform, |c| c["discovery"] = json!(address.to_string()));
+        assert_eq!(courier.client().put("01", "once", LATE), "+OK");
+        until("its notice", || !posts.lock().unwrap().is_empty());
+        courier.signal(name);
+        until("the end", || courier.ended().is_some());
+        assert!(courier.owed().contains("notice not yet heard"), "{name}");
+        answers.store(true, Ordering::SeqCst);
+        let before = posts.lock().unwrap().len();
+        courier.restart();
+        until("nothing owed", || courier.owes_nothing());
+        let posts = posts.lock().unwrap();
+        assert!(posts.len() > before && posts.iter().all(|post| post.1 == posts[0].1), "{name}: {posts:?}");
+        assert_eq!(endpoint.ids(), ["01"], "{name}");
+    }
+}
--- /dev/null
+++ b/crates/courier/tests/descriptors.rs
@@ -0,0 +1,131 @@
+//! A courier with as few descriptors as its configuration allows, or as its system leaves it.
+
+mod common;
+
+use std::fs;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use common::{command, output, own_address, put, until, Client, Endpoint, Folder, Platform, Reply, OK};
+use serde_json::json;
+
+const LATE: &str = "d=8000";
+
+/// Runs a command with so many descriptors at most.
+fn short_of_descriptors(command: &Command, most: usize) -> Child {
+    let mut shell = Command::new("sh");
+    shell.arg("-c").arg(format!("ulimit -n {most}; exec \"$0\" \"$@\"")).arg(command.get_program());
+    shell.args(command.get_args()).env_clear();
+    shell.envs(command.get_envs().filter_map(|(name, value)| Some((name, value?))));
+    shell.spawn().unwrap()
+}
+
+fn signal(child: &Child, name: &str) {
+    assert!(Command::new("kill").args([name, &child.id().to_string()]).status().unwrap().success());
+}
+
+/// Discovery that is down: of its agent only the notices are answered. The bodies that came with them.
+fn silent_agent() -> (SocketAddr, Arc<Mutex<String>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let notices: Arc<Mutex<String>> = Arc::default();
+    let heard = notices.clone();
+    common::serve(listener, move |request, out| {
+        if request.target == "/v1/notices" {
+            heard.lock().unwrap().push_str(std::str::from_utf8(&request.body).unwrap());
+            return write!(out, "HTTP/1.1 204 X\r\n\r\n").is_ok();
+        }
+        // Until the courier has closed the connection.
+        let _ = out.try_clone().unwrap().read(&mut [0]);
+        false
+    });
+    (address, notices)
+}
+
+#[test]
+fn with_the_fewest_sockets_idle_clients_and_silent_discovery_everything_goes_on() {
+    let (platform, fewest) = (Platform::new(), 64);
+    let slow = Endpoint::new(&vec![Reply::After(1500, Box::new(OK)); 16]);
+    platform.list("e1", slow.address, "single", 7, "SERVING");
+    let other = Endpoint::new(&[]);
+    platform.list("e2", other.address, "single", 8, "SERVING");
+    platform.list("e3", own_address(), "single", 9, "DRAINING");
+    let (agent, notices) = silent_agent();
+    let (folder, listen) = (Folder::new(), own_address());
+    let mut config = common::config(&platform, listen);
+    config["limits"]["sockets"] = json!(fewest);
+    config["settings"]["FamilyInfo"]["Slots"] = json!(32);
+    config["discovery"] = json!(agent.to_string());
+    // The system holds it to them, too.
+    let mut child = short_of_descriptors(&command(&folder, &config, "serve"), fewest);
+    common::answers(listen);
+    let id = child.id();
+    let open = || fs::read_dir(format!("/proc/{id}/fd")).unwrap().count();
+    let mut idle: Vec<TcpStream> = Vec::new();
+    let mut more = |many: usize| {
+        idle.extend((0..many).map(|_| TcpStream::connect(listen).unwrap()));
+    };
+    more(60);
+    // All connections that calls may have are out.
+    for i in 0..16 {
+        assert_eq!(Client::connect(listen).unwrap().put(&format!("s{i}"), "once", LATE), "+OK");
+    }
+    until("calls on all connections", || slow.connections().1 >= 9);
+    more(60);
+    let mut most = 0;
+    for i in 0..5 {
+        more(20);
+        let asked = Instant::now();
+        let said =
+            Client::connect(listen).unwrap().say(&put("0", &format!("n{i}"), "once", "d=200,dest=9", b"x"));
+        assert_eq!(said, "+OK");
+        // Before, seconds: each idle client was ended before the first descriptor was free.
+        assert!(asked.elapsed() < Duration::from_secs(3), "{:?}", asked.elapsed());
+        most = most.max(open());
+        until("its notice", || notices.lock().unwrap().contains(&format!("\"n{i}\"")));
+    }
+    assert!(most <= fewest, "{most}");
+    more(60);
+    assert_eq!(Client::connect(listen).unwrap().put("c1", "once", LATE), "+OK");
+    // And the list is heard as soon as there is one.
+    config["discovery"] = json!(platform.address.to_string());
+    fs::write(folder.path.join("config.json"), config.to_string()).unwrap();
+    signal(&child, "-HUP");
+    until("a watch", || platform.told.lock().unwrap().watches > 0);
+    more(60);
+    platform.list("e9", other.address, "single", 10, "SERVING");
+    until("a destination that is new", || {
+        let said = Client::connect(listen).unwrap().say(&put("0", "new", "once", "d=4000,dest=10", b"x"));
+        said == "+OK"
+    });
+    let owed = || String::from_utf8(command(&folder, &config, "owed").output().unwrap().stdout).unwrap();
+    until("each mail's end", || owed().starts_with("0 mails owed; 0 bytes"));
+    let mut ids = slow.ids();
+    ids.sort();
+    ids.dedup();
+    assert_eq!((ids.len(), other.ids()), (17, vec!["new".to_string()]));
+    signal(&child, "-TERM");
+    drop(idle);
+    until("the end", || child.try_wait().unwrap().is_some());
+}
+
+#[test]
+fn too_few_sockets_are_one_plain_message() {
+    let platform = Platform::new();
+    for (few, words) in
+        [(json!(63), "under 64"), (json!(0), "under 64"), (json!(-1), "sockets"), (json!(1e30), "sockets")]
+    {
+        let (folder, mut config) = (Folder::new(), common::config(&platform, own_address()));
+        config["limits"]["sockets"] = few;
+        let (success, said) = output(command(&folder, &config, "serve"));
+        assert!(!success && said.contains(words) && said.trim_end().lines().count() == 1, "{said}");
+    }
+    for much in [json!(64), json!(u64::MAX)] {
+        let (folder, mut config) = (Folder::new(), common::config(&platform, own_address()));
+        config["limits"]["sockets"] = much;
+        assert_eq!(output(command(&folder, &config, "check")), (true, String::new()));
+    }
+}
--- a/crates/courier/tests/start.rs
+++ b/crates/courier/tests/start.rs
@@ -3,9 +3,14 @@
 mod common;
 
 use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use common::{put, until, Courier, Endpoint, Platform, Reply, OK};
+use meadowhold_courier::exchange::Clock;
+use meadowhold_courier::journal::{Journal, Owed, Record};
 use serde_json::{json, Value};
 
 /// Classes by importance, and that only one call is out at a time: the order of calls is the order of offering.
@@ -160,3 +165,54 @@
     });
     assert_eq!(endpoint.ids(), ["9b1f"]);
 }
+
+#[test]
+fn with_a_full_journal_and_silent_discovery_it_is_soon_ready_and_tries_what_it_found() {
+    let (platform, endpoint) = (Platform::new(), Endpoint::new(&[]));
+    platform.list("e1", endpoint.address, "single", 7, "SERVING");
+    let agent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = agent.local_addr().unwrap();
+    // It takes what is asked and says nothing; notices are heard as ever.
+    common::serve(agent, |request, out| {
+        if request.target == "/v1/notices" {
+            return write!(out, "HTTP/1.1 204 X\r\n\r\n").is_ok();
+        }
+        let _ = out.try_clone().unwrap().read(&mut [0]);
+        false
+    });
+    let mut courier = Courier::start(&platform, |_| {});
+    courier.kill();
+    courier.config["discovery"] = json!(address.to_string());
+    let (mut journal, _) = Journal::open(&courier.folder.path.join("state"), 3_000_000).unwrap();
+    let now = Clock::new().now();
+    let mut mails = 0;
+    loop {
+        let owed = Owed {
+            id: Bytes::from(format!("{mails:016}")),
+            class: 0,
+            dest: 7,
+            since: now,
+            // Of a hundred one has time left; the others pass their ends while no process runs.
+            due: now + if mails % 100 == 0 { 300_000 } else { 10 },
+            body: Bytes::from_static(&[b'x'; 100]),
+            ..Owed::default()
+        };
+        if !journal.has_room(&owed) {
+            break;
+        }
+        journal.append(&Record::Taken { serial: mails + 1, owed: &owed }).unwrap();
+        mails += 1;
+    }
+    assert!(mails > 3000, "{mails}");
+    drop(journal);
+    let start = Instant::now();
+    courier.restart();
+    let ready = start.elapsed();
+    assert!(ready < Duration::from_secs(10), "{ready:?}");
+    let tried = (mails as usize).div_ceil(100);
+    while !courier.owes_nothing() {
+        assert!(start.elapsed() < Duration::from_secs(30), "{} of {tried} calls", endpoint.calls().len());
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(endpoint.calls().len(), tried);
+}
