Restart test: a connection opened in the moment of a kill counts as killed

Cause: on a busy machine `a_fleet_restarted_in_turn_...` failed with "no answer after 0, reset: true", only at a courier that gets SIGKILL. The kill was noted before it was sent, so a client that connected in between took the note for an older one and held the reset to be the courier's fault. Ruled out: planned ends, which never came up in it (three clients, all at courier 3). Now an odd number stands from just before the kill to the start.

--- a/crates/courier/tests/restart.rs
+++ b/crates/courier/tests/restart.rs
@@ -289,7 +289,8 @@
         sent += 1;
         let heard = ask(client, &put("0", &id, class, &format!("{LATE},k={id}"), b"x"));
         // Reset by a kill, or opened while there was nobody: nothing is known of it.
-        let killed = lost[*courier].load(Ordering::SeqCst) != *kills;
+        // An odd number stands from just before a kill to the start: one opened in between says nothing either.
+        let killed = *kills % 2 == 1 || lost[*courier].load(Ordering::SeqCst) != *kills;
         let mut ledger = ledger.lock().unwrap();
         match heard {
             Heard::Answer(answer) => {
@@ -356,6 +357,7 @@
                     courier.kill();
                     thread::sleep(Duration::from_millis(600));
                     courier.restart();
+                    lost.fetch_add(usize::from(i % 2 == 1 || i == 4), Ordering::SeqCst);
                     named.store(true, Ordering::Relaxed);
                 })
             })
