--- /dev/null
+++ b/crates/rig/src/judge/tests.rs
@@ -0,0 +1,202 @@
+//! Tables of cases for each rule: what was seen, and what is broken by it.
+
+use super::*;
+
+const MS: u64 = 1000;
+
+fn day() -> Day {
+    let mut day = Day::default();
+    (day.couriers, day.rules.window_s, day.rules.late_ms) = (2, 1.0, 500);
+    (day.rules.drain_grace_ms, day.rules.wait_grace_ms) = (500, 100);
+    (day.endpoints.rate, day.endpoints.cold_s, day.endpoints.cold_from) = (10.0, 10.0, 0.1);
+    day
+}
+
+/// Mails of each queue class by number, those of `turns` about one thing; each has a second.
+fn mails() -> Vec<Mail> {
+    let mail = |class, key| Mail { at: 0, courier: 0, client: 0, class, key, destination: 0, time: 1000 };
+    let classes =
+        [(Class::Again, 0), (Class::Tagged, 0), (Class::Once, 0), (Class::Turns, 7), (Class::Turns, 7)];
+    classes.map(|(class, key)| mail(class, key)).to_vec()
+}
+
+const AGAIN: u32 = 0;
+const TAGGED: u32 = 1;
+const ONCE: u32 = 2;
+const TURN: u32 = 3;
+const NEXT: u32 = 4;
+
+fn hand(mail: u32) -> Hand {
+    Hand { mail, attempt: 0 }
+}
+
+fn taken(mail: u32) -> Seen {
+    Seen::Answered { hand: hand(mail), courier: 0, heard: Heard::Taken }
+}
+
+fn called(call: u64, mail: u32, fate: Fate) -> Seen {
+    Seen::Called { call, link: 1, courier: 0, endpoint: 0, hands: vec![hand(mail)], fate }
+}
+
+fn replied(call: u64) -> Seen {
+    Seen::Replied { call }
+}
+
+fn notice(mail: u32, dead: bool) -> Seen {
+    Seen::Notice { hand: hand(mail), dead }
+}
+
+fn process(what: Process) -> Seen {
+    Seen::Process { courier: 0, what }
+}
+
+fn told(drains: bool) -> Seen {
+    Seen::Told { courier: 0, endpoint: 0, drains }
+}
+
+/// Judges what was seen, each with its time in milliseconds; the owed are on file at the end, at 9 s.
+fn verdict(seen: Vec<(u64, Seen)>, owed: &[u32]) -> Verdict {
+    let events: Vec<Event> = seen.into_iter().map(|(at, seen)| Event { at: at * MS, seen }).collect();
+    let owed = owed.iter().map(|&mail| hand(mail)).collect();
+    judge(&day(), &mails(), 0, &events, &Left { owed, faults: Vec::new(), at: 9000 * MS })
+}
+
+/// What was seen, and the rules that it breaks.
+type Row<'a> = (&'a str, Vec<(u64, Seen)>, &'a [Rule]);
+
+fn table(rows: Vec<Row>) {
+    for (name, seen, rules) in rows {
+        let verdict = verdict(seen, &[]);
+        let broken: Vec<Rule> = verdict.broken.iter().map(|broken| broken.rule).collect();
+        assert_eq!(broken, rules, "{name}: {:?}", verdict.broken);
+    }
+}
+
+#[test]
+fn each_mail_taken_on_has_one_end_in_time() {
+    use Fate::Served;
+    let lost = process(Process::FolderLost);
+    table(vec![
+        ("none", vec![(1, taken(AGAIN))], &[Rule::NoMailLost]),
+        ("relayed", vec![(1, taken(AGAIN)), (2, called(1, AGAIN, Served)), (3, replied(1))], &[]),
+        ("out, never answered", vec![(1, taken(AGAIN)), (2, called(1, AGAIN, Served))], &[Rule::NoMailLost]),
+        ("a notice", vec![(1, taken(AGAIN)), (900, notice(AGAIN, false))], &[]),
+        ("a late one", vec![(1, taken(AGAIN)), (1501, notice(AGAIN, false))], &[Rule::NoMailLost]),
+        ("the same again", vec![(1, taken(AGAIN)), (9, notice(AGAIN, true)), (20, notice(AGAIN, true))], &[]),
+        (
+            "another",
+            vec![(1, taken(AGAIN)), (9, notice(AGAIN, true)), (20, notice(AGAIN, false))],
+            &[Rule::OneEnd],
+        ),
+        ("gone with its folder", vec![(1, taken(AGAIN)), (9, lost.clone())], &[]),
+        ("taken after that", vec![(1, lost), (9, taken(AGAIN))], &[Rule::NoMailLost]),
+        (
+            "a notice for one whose 200 had been read",
+            vec![
+                (1, taken(AGAIN)),
+                (2, called(1, AGAIN, Served)),
+                (3, replied(1)),
+                (4, called(2, TAGGED, Served)),
+                (1005, notice(AGAIN, true)),
+            ],
+            &[Rule::OneEnd],
+        ),
+    ]);
+}
+
+#[test]
+fn a_mail_on_file_is_owed_until_its_time_is_long_over() {
+    assert_eq!(verdict(vec![(1, taken(AGAIN))], &[AGAIN]).breaks(Rule::NoMailLost), 1);
+    let restart = vec![
+        (1, taken(AGAIN)),
+        (2, process(Process::Ended)),
+        (8000, process(Process::Started)),
+        (8500, process(Process::Ready)),
+    ];
+    let verdict = verdict(restart, &[AGAIN]);
+    assert_eq!((verdict.kept(), verdict.figures.owed), (true, 1), "no notice is overdue after a restart");
+}
+
+#[test]
+fn effects_come_once_where_they_must() {
+    use Fate::{Failed, Full, Served};
+    let twice = |mail, first, at| {
+        vec![(1, taken(mail)), (10, called(1, mail, first)), (at, called(2, mail, Served)), (at, replied(2))]
+    };
+    table(vec![
+        ("once, served", twice(ONCE, Served, 50), &[Rule::NoEffectTwice]),
+        ("once, 500", twice(ONCE, Failed, 50), &[Rule::NoEffectTwice]),
+        ("once, refused", twice(ONCE, Full(1), 50), &[]),
+        ("tagged within its window", twice(TAGGED, Failed, 900), &[]),
+        ("tagged after it", twice(TAGGED, Failed, 1011), &[Rule::NoEffectTwice]),
+        ("again", twice(AGAIN, Failed, 1011), &[]),
+        (
+            "refused after it ran",
+            vec![(1, taken(ONCE)), (10, called(1, ONCE, Failed)), (20, notice(ONCE, false))],
+            &[Rule::NoEffectTwice],
+        ),
+    ]);
+}
+
+#[test]
+fn drains_and_waits_bind_the_process_that_was_told() {
+    let call = |at| vec![(at, taken(AGAIN)), (at, called(1, AGAIN, Fate::Served)), (at, replied(1))];
+    let after = |mut seen: Vec<(u64, Seen)>, at| {
+        seen.extend(call(at));
+        seen
+    };
+    let restart =
+        [(10, process(Process::Ended)), (11, process(Process::Started)), (12, process(Process::Ready))];
+    let again = |seen: Vec<(u64, Seen)>| [seen, restart.to_vec()].concat();
+    let full = vec![(1, called(9, AGAIN, Fate::Full(800))), (2, replied(9))];
+    let stop = vec![(3, process(Process::Stopped)), (500, process(Process::Continued))];
+    table(vec![
+        ("in its grace", after(vec![(1, told(true))], 501), &[]),
+        ("after it", after(vec![(1, told(true))], 502), &[Rule::DrainsKept]),
+        ("taken back", after(vec![(1, told(true)), (9, told(false))], 502), &[]),
+        ("by another process", after(again(vec![(1, told(true))]), 502), &[]),
+        ("by one that was stopped", after([vec![(1, told(true))], stop].concat(), 999), &[]),
+        ("a call that was on its way", after(full.clone(), 102), &[]),
+        ("within the wait", after(full.clone(), 700), &[Rule::WaitsHeeded]),
+        ("at its end", after(full.clone(), 802), &[]),
+        ("a wait ends with the process", after(again(full), 700), &[]),
+    ]);
+}
+
+#[test]
+fn a_later_mail_of_a_key_does_not_go_before_an_earlier_one() {
+    use Fate::{Full, Served};
+    let both = |first, second| {
+        vec![
+            (1, taken(TURN)),
+            (2, taken(NEXT)),
+            (3, called(1, first, Full(0))),
+            (4, called(2, second, Served)),
+            (5, replied(2)),
+            (6, notice(first, true)),
+        ]
+    };
+    table(vec![("in turn", both(TURN, NEXT), &[]), ("out of turn", both(NEXT, TURN), &[Rule::OrderKept])]);
+}
+
+#[test]
+fn a_cold_endpoint_has_a_budget() {
+    // Twice two calls in two seconds at the start, and what chance may add.
+    let most = budget(4.0);
+    let burst = |calls: u64| {
+        let mut seen = vec![(1, Seen::Out { endpoint: 0, back: true })];
+        seen.extend((0..calls).map(|call| (2, called(call, 90, Fate::Busy))));
+        verdict(seen, &[]).breaks(Rule::NotPushedOver)
+    };
+    assert_eq!((burst(most as u64), burst(most as u64 + 1)), (0, 1));
+    assert!((12.9..13.1).contains(&most), "{most}");
+}
+
+#[test]
+fn asks_and_connections_are_counted_in_sliding_spans() {
+    let mut seen: Vec<(u64, Seen)> =
+        (0..5).map(|i| (i * 300, Seen::Asked { agent: 0, refused: false })).collect();
+    seen.extend((0..4).map(|i| (2000 + i * 60, Seen::Connected { endpoint: 1 })));
+    let g = verdict(seen, &[]).figures;
+    assert_eq!((g.asks_peak, g.asks, g.connects_peak, g.connects), (4, 5, 2, 4));
+}
