--- a/crates/rig/src/day.rs
+++ b/crates/rig/src/day.rs
@@ -169,6 +169,8 @@
     Drain,
     /// Endpoints refuse connections and reset those that are open; they come back cold.
     Crash,
+    /// The same, and the list drops them at once; what comes back at their place is cold and has a new name.
+    Replace,
     /// Endpoints answer 503, 500 (a part), or 429 with a wait.
     Busy,
     Errors,
@@ -196,7 +198,7 @@
 
     pub fn is_endpoint(self) -> bool {
         use What::*;
-        matches!(self, Drain | Crash | Busy | Errors | Limit)
+        matches!(self, Drain | Crash | Replace | Busy | Errors | Limit)
     }
 }
 
--- a/crates/rig/src/list.rs
+++ b/crates/rig/src/list.rs
@@ -44,6 +44,8 @@
     pub endpoint: usize,
     pub destination: usize,
     pub drains: bool,
+    /// Dropped: told among changes alone.
+    pub gone: bool,
     /// Calls a second.
     pub rate: f64,
     pub since_ms: u64,
@@ -88,7 +90,10 @@
     /// What a courier is told that has heard up to `after`; `None`: all of it.
     fn told(&self, addresses: &Addresses, courier: usize, after: Option<u64>) -> Answer<'_> {
         let places = lock(&addresses.endpoints);
-        let news = self.entries.iter().filter(|entry| after.is_none_or(|after| entry.changed > after));
+        let news = self.entries.iter().filter(|entry| match after {
+            Some(after) => entry.changed > after,
+            None => !entry.gone,
+        });
         let told = |entry: &'_ Entry| places[courier][entry.endpoint].to_string();
         let endpoints = news.map(|entry| Told {
             name: &entry.name,
@@ -96,7 +101,11 @@
             zone: "a",
             kind: "hook",
             group: entry.destination,
-            status: if entry.drains { "DRAINING" } else { "SERVING" },
+            status: match (entry.gone, entry.drains) {
+                (true, _) => "DELETED",
+                (false, true) => "DRAINING",
+                (false, false) => "SERVING",
+            },
             weight: entry.rate,
             since_ms: entry.since_ms,
         });
@@ -160,10 +169,29 @@
         let mut truth = lock(&self.truth);
         truth.index += 1;
         let index = truth.index;
-        if let Some(entry) = truth.entries.iter_mut().find(|entry| entry.endpoint == endpoint) {
+        // The last of those that have stood at a place is the one that stands there now.
+        if let Some(entry) = truth.entries.iter_mut().rfind(|entry| entry.endpoint == endpoint) {
             change(entry);
             entry.changed = index;
         }
+        self.tell(&truth);
+    }
+
+    /// Lists a newcomer at the place of an endpoint that was dropped, under a name that has not been used.
+    pub fn replace(&self, endpoint: usize, since_ms: u64) {
+        let mut truth = lock(&self.truth);
+        truth.index += 1;
+        let index = truth.index;
+        let before = truth.entries.iter().filter(|entry| entry.endpoint == endpoint).count();
+        if let Some(last) = truth.entries.iter().rfind(|entry| entry.endpoint == endpoint).cloned() {
+            let name = format!("e{endpoint}-{before}");
+            let new = Entry { name, drains: false, gone: false, since_ms, changed: index, ..last };
+            truth.entries.push(new);
+        }
+        self.tell(&truth);
+    }
+
+    fn tell(&self, truth: &Held) {
         for agent in &self.agents {
             if !lock(&agent.knobs).stale {
                 agent.held.send_replace(truth.clone());
@@ -298,7 +326,7 @@
     fn tells(&self, courier: usize, told: &Answer, held: &Held) {
         for entry in &held.entries {
             if told.endpoints.iter().any(|told| told.name == entry.name) {
-                let (endpoint, drains) = (entry.endpoint, entry.drains);
+                let (endpoint, drains) = (entry.endpoint, entry.drains || entry.gone);
                 self.record.add(Seen::Told { courier, endpoint, drains });
             }
         }
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -162,6 +162,7 @@
                 endpoint: number,
                 destination: number % day.endpoints.destinations,
                 drains: false,
+                gone: false,
                 rate: day.endpoints.rate,
                 since_ms: 0,
                 changed: 1,
@@ -381,6 +382,14 @@
             What::Busy => mood(Mood::Busy),
             What::Errors => mood(Mood::Errors(trouble.chance)),
             What::Limit => mood(Mood::Limit(trouble.delay_ms)),
+            What::Replace => {
+                endpoint.set_up(!on);
+                if on {
+                    self.list.change(number, |entry| entry.gone = true);
+                } else {
+                    self.list.replace(number, unix_ms());
+                }
+            }
             _ => {
                 endpoint.set_up(!on);
                 if !on {
