--- a/crates/rig/src/list.rs
+++ b/crates/rig/src/list.rs
@@ -386,3 +386,6 @@
         plain(204, Vec::new())
     }
 }
+
+#[cfg(test)]
+mod tests;
