--- a/crates/rig/src/judge/tests.rs
+++ b/crates/rig/src/judge/tests.rs
@@ -192,7 +192,8 @@
     let back = |at| (at, Seen::Out { endpoint: 0, back: true });
     let calls = |at, calls: u64| (0..calls).map(move |call| (at, called(call, 90, Fate::Busy)));
     let spread = |many: u64| (0..many).map(|call| (2 + call * 100, called(call, 90, Fate::Busy)));
-    let rows: [(&str, Vec<(u64, Seen)>, usize); 9] = [
+    type Falls<'a> = (&'a str, Vec<(u64, Seen)>, usize);
+    let rows: [Falls; 9] = [
         ("the bound at its coldest", [back(1)].into_iter().chain(calls(2, 10)).collect(), 0),
         ("one call more", [back(1)].into_iter().chain(calls(2, 11)).collect(), 1),
         ("what the earlier bound let pass", [back(1)].into_iter().chain(calls(2, 13)).collect(), 1),
