--- a/crates/courier/tests/crossing_endpoints.rs
+++ b/crates/courier/tests/crossing_endpoints.rs
@@ -16,12 +16,15 @@
 /// Longer than any test waits for.
 const LONG: &str = "d=60000";
 
+/// What a call is answered.
+type Answer = Box<dyn Fn(&Request) -> String + Send>;
+
 /// Serves calls, the first once the gate has been opened with what it is to answer.
 struct Gated {
     address: SocketAddr,
     calls: Arc<Mutex<Vec<Request>>>,
     connections: Arc<Mutex<(usize, usize)>>,
-    gate: Sender<Box<dyn Fn(&Request) -> String + Send>>,
+    gate: Sender<Answer>,
 }
 
 fn whole(status: &str, body: &str) -> String {
@@ -40,7 +43,7 @@
         let address = listener.local_addr().unwrap();
         let calls: Arc<Mutex<Vec<Request>>> = Arc::default();
         let (gate, opened) = channel();
-        let opened: Mutex<Receiver<Box<dyn Fn(&Request) -> String + Send>>> = Mutex::new(opened);
+        let opened: Mutex<Receiver<Answer>> = Mutex::new(opened);
         let seen = calls.clone();
         let connections = serve(listener, move |request, out| {
             let first = {
