--- a/crates/courier/tests/crossing_endpoints.rs
+++ b/crates/courier/tests/crossing_endpoints.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use common::{put, serve, until, Courier, Platform, Request};
+use common::{put, serve, until_for, Courier, Platform, Request};
 use serde_json::{json, Value};
 use socket2::{Domain, Socket, Type};
 
@@ -18,6 +18,11 @@
 /// Its end comes in a test, and not before its call has begun.
 const SHORT: &str = "d=2500";
 
+/// Looks again and again for as long as a loaded machine may take.
+fn until(what: &str, holds: impl FnMut() -> bool) {
+    until_for(Duration::from_secs(50), what, holds);
+}
+
 /// What a call is answered.
 type Answer = Box<dyn Fn(&Request) -> String + Send>;
 
