--- a/src/control.rs
+++ b/src/control.rs
@@ -451,14 +451,12 @@
         let (unit_index, left) = (self.endpoints[endpoint].unit, report.map_or(0.0, |told| told.left));
         let refused = outcome == Outcome::Refused && started >= self.units[unit_index].refused_at;
         let spread = if refused { self.spread(unit_index, wait, left) } else { 0.0 };
-        let e = &mut self.endpoints[endpoint];
-        let unit = &mut self.units[e.unit];
+        let (e, unit) = (&mut self.endpoints[endpoint], &mut self.units[unit_index]);
         // Guards against tables full of many couriers' idle connections; few couriers hardly fill one.
         if matches!(outcome, Outcome::Relayed | Outcome::Refused | Outcome::Error) {
             let crowded = self.crowded[e.kind] * self.set.couriers as f64 >= self.set.slots as f64;
-            let d = &self.dests[dest];
-            let calls = d.steady.rate(now, self.set.cold.max(WINDOW)) * seconds(self.set.keep_idle);
-            let calls = calls / d.endpoints.len() as f64;
+            let (d, idle) = (&self.dests[dest], seconds(self.set.keep_idle));
+            let calls = d.steady.rate(now, self.set.cold.max(WINDOW)) * idle / d.endpoints.len() as f64;
             let seldom = calls < SELDOM.0 && calls * self.set.handshake_price < SELDOM.1;
             self.unused.extend((crowded || seldom).then_some(endpoint));
         }
@@ -466,8 +464,10 @@
             Outcome::Relayed => {
                 let fading = [&mut self.stale, &mut self.crowded[e.kind]];
                 fading.into_iter().for_each(|count| *count *= KEPT);
-                let doubt = e.standing == Standing::Doubt && e.bad_since_good;
-                let back = doubt && now > e.last_good + self.set.overload_for;
+                let gap = e.bad_since_good && now > e.last_good + self.set.overload_for;
+                let sign = if gap && e.standing == Standing::Doubt { Sign::Back } else { Sign::Good };
+                // Guards against a call from before an outage that is taken for its end.
+                let old = e.standing == Standing::Down && started < e.since;
                 (e.last_good, e.bad_since_good, unit.refused) = (now, false, 0);
                 e.errs -= NEWEST * e.errs;
                 e.latency.learn(took as f64, NEWEST);
@@ -477,9 +477,9 @@
                 // More for a courier that carries more than an even share.
                 let more = unit.pace > 0.0 && d.waiting() > 0;
                 unit.pace += if more { FASTER * unit.even.max(unit.pace) } else { 0.0 };
-                let tells = std::mem::take(&mut e.told) && e.standing == Standing::Down;
+                let tells = !old && std::mem::take(&mut e.told) && e.standing == Standing::Down;
                 self.news.extend(tells.then_some((endpoint, News::Back)));
-                self.sign(endpoint, if back { Sign::Back } else { Sign::Good });
+                Some(sign).filter(|_| !old).into_iter().for_each(|sign| self.sign(endpoint, sign));
             }
             // Guards against calls refused together that would count as refused one after the other.
             Outcome::Refused if started < unit.refused_at => e.bad_since_good = true,
@@ -558,8 +558,8 @@
                 self.endpoints[endpoint].trial_at = now + pause.max(turn);
             }
             Step::Ramp => {
-                // Those who were told all begin at once, with next to nothing together.
-                let calls = if self.set.may_tell { self.chance.f64() } else { 1.0 };
+                // A trial was its courier's first call. Those told begin at once, with little together.
+                let calls = if self.set.may_tell { self.chance.f64() } else { 0.0 };
                 (e.ramp, e.trials) = (Saved { calls, at: now }, 0);
             }
         }
@@ -825,8 +825,8 @@
         let ends = self.sick(e.dest).1.max(1) as f64;
         let even = self.units[e.unit].even / if self.set.kinds[e.kind].apart { 1.0 } else { ends };
         let arriving = self.dests[e.dest].steady.rate(self.now, self.set.cold.max(WINDOW)) / ends;
-        // One call a warm-up at least: as many couriers have mails waiting as came in that time, not all.
-        let whole = if even > 0.0 { even } else { arriving }.max(1.0 / seconds(self.set.cold.max(SECOND)));
+        // No least where the whole is known: couriers' parts would add up to more than it takes.
+        let whole = if even > 0.0 { even } else { arriving.max(1.0 / seconds(self.set.cold.max(SECOND))) };
         let warmth = self.set.cold_from + (1.0 - self.set.cold_from) * warm.min(1.0);
         whole * warmth * RETURN_SHARE * self.set.tip_multiple.min(2.0) / 2.0
     }
