The list's follower knows a listener, not the exchange

Need: hollow couriers and relays are to run the same follower of the list as a courier does, without an exchange. No change of behaviour: the exchange is one listener; the clock comes from outside.

--- a/crates/courier/src/discovery.rs
+++ b/crates/courier/src/discovery.rs
@@ -1,10 +1,12 @@
 //! Follows the list of endpoints: the whole list, then a watch on its changes. When to ask, and when what was
 //! asked is broken, is the clock's to say (`told`).
 
+use std::cell::RefCell;
 use std::fmt;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -16,7 +18,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
-use crate::exchange::{Clock, Shared};
+use crate::exchange::Clock;
 use crate::platform::Connection;
 use crate::told::{Ask, Effect, Held, Input, Told, Verdict};
 
@@ -103,6 +105,17 @@
     }
 }
 
+/// Who hears of the list: a courier's exchange, or whatever else keeps a list.
+pub trait Listener {
+    /// The whole list, or changes to it, taken up as far as the version held allows.
+    fn listed(&mut self, list: &List);
+
+    /// Nothing may begin by the list until `release`: it was not asked for yet.
+    fn hold(&mut self);
+
+    fn release(&mut self);
+}
+
 /// What comes of an ask.
 enum Event {
     Head,
@@ -164,8 +177,8 @@
     }
 }
 
-struct Follower {
-    shared: Shared,
+struct Follower<L> {
+    listener: Rc<RefCell<L>>,
     address: watch::Receiver<SocketAddr>,
     clock: Clock,
     told: Told,
@@ -180,7 +193,7 @@
     events: Option<mpsc::Receiver<Event>>,
 }
 
-impl Follower {
+impl<L: Listener> Follower<L> {
     fn begin(&mut self, what: Ask) {
         self.drop_ask();
         (self.asked, self.first) = (what, true);
@@ -209,7 +222,7 @@
         let first = std::mem::take(&mut self.first);
         let verdict = self.held.judge(now, list.index, whole, list.endpoints.len(), first);
         match verdict {
-            Verdict::Take | Verdict::TakeAndAsk => self.shared.borrow_mut().listed(list),
+            Verdict::Take | Verdict::TakeAndAsk => self.listener.borrow_mut().listed(list),
             Verdict::Pass | Verdict::PassAndAsk | Verdict::Again => {
                 log::debug!("a list of version {} came while {} is held", list.index, self.held.index);
             }
@@ -310,7 +323,7 @@
                 _ => {}
             }
             if self.told.may_begin() {
-                self.shared.borrow_mut().release();
+                self.listener.borrow_mut().release();
             }
         }
     }
@@ -333,21 +346,21 @@
 
 /// Follows the list from the version that is held. `push`: lists are pushed to an agent, so calls are held until
 /// it was asked, for a quarter of a second at most. `seed` spreads the couriers' asks.
-pub fn follow(
-    shared: Shared,
+pub fn follow<L: Listener>(
+    listener: Rc<RefCell<L>>,
+    clock: Clock,
     address: watch::Receiver<SocketAddr>,
     index: u64,
     push: bool,
     seed: u64,
 ) -> impl Future<Output = ()> {
-    let clock = shared.borrow().clock;
     let told = Told::new(push, clock.now());
     // Here and not in the task, before which another might begin calls.
     if !told.may_begin() {
-        shared.borrow_mut().hold();
+        listener.borrow_mut().hold();
     }
     let follower = Follower {
-        shared,
+        listener,
         address,
         clock,
         told,
--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -19,7 +19,7 @@
 use tokio::sync::Notify;
 
 use crate::audit::{self, Books, Flight, Tally};
-use crate::discovery::List;
+use crate::discovery::{List, Listener};
 use crate::journal::{held_as, weight, Found, Journal, Owed, Record, Sent, Terms, Verdict, NO_ZONE};
 use crate::memory::{deployment, Keeper};
 use crate::{http, must};
@@ -1013,6 +1013,20 @@
     }
 }
 
+impl Listener for Exchange {
+    fn listed(&mut self, list: &List) {
+        Exchange::listed(self, list);
+    }
+
+    fn hold(&mut self) {
+        Exchange::hold(self);
+    }
+
+    fn release(&mut self) {
+        Exchange::release(self);
+    }
+}
+
 /// Gives the module its turns: when something was seen, and when it asked for one, but no more often than
 /// the settings say.
 pub async fn drive(shared: Shared) {
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -105,13 +105,14 @@
     // its lists would be held to be from before.
     let index = known.index;
     exchange.listed(&discovery::List { snapshot: true, ..memory::Memory::newer(kept, known) });
+    let clock = exchange.clock;
     let shared: Shared = Rc::new(RefCell::new(exchange));
     let (phase, phase_in) = watch::channel(Phase::Serving);
     let mut parts = JoinSet::new();
     parts.spawn_local(exchange::drive(shared.clone()));
     parts.spawn_local(endpoints::run(shared.clone(), orders_in, limits));
     parts.spawn_local(notices::tell(shared.clone(), discovery.clone(), notices_in));
-    parts.spawn_local(discovery::follow(shared.clone(), discovery, index, push, seed));
+    parts.spawn_local(discovery::follow(shared.clone(), clock, discovery, index, push, seed));
     let clients = Rc::new(Cell::new(0));
     let listening =
         parts.spawn_local(clients::listen(shared.clone(), listener, for_clients, clients.clone(), phase_in));
