--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod command;
 pub mod day;
 pub mod endpoint;
+pub mod fit;
 pub mod judge;
 pub mod list;
 pub mod process;
