A bench of one courier's slopes: what it costs as list, holds and changes grow

Need: a size of two years on is decided by slopes, and a courier's were only tried by hand. Several binaries can be measured beside each other.

--- /dev/null
+++ b/crates/rig/benches/slopes.rs
@@ -0,0 +1,535 @@
+//! The slopes of one courier: `cargo bench -p meadowhold-rig --bench slopes -- --what list,memory --out FILE.json`.
+//! Further `--binary [NAME=]PATH`s are measured beside each other, size by size; without any, today's text is built.
+#![forbid(unsafe_code)]
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use meadowhold_rig::scripted::Endpoint;
+use meadowhold_rig::slopes::{
+    ask_to_end, become_courier, config, load_average, Bound, Client, Courier, Nowhere, Registry, Row, Slope,
+    Stopped, BECOME, MOST_TIME,
+};
+use serde_json::json;
+
+/// Sizes of lists, up to the whole world's.
+const DESTINATIONS: [usize; 8] = [100, 300, 1_000, 3_000, 8_000, 30_000, 100_000, 300_000];
+const HELD: [usize; 6] = [500, 1_500, 5_000, 15_000, 50_000, 200_000];
+const REWRITTEN: [usize; 5] = [1_000, 3_000, 10_000, 30_000, 100_000];
+/// Those that cannot be reached, among which held messages are spread.
+const UNREACHABLE: usize = 100;
+/// A list is given so long to be taken up.
+const LISTED_IN: Duration = Duration::from_secs(10);
+/// Over so long a courier's processor time is taken.
+const LOOK: Duration = Duration::from_secs(10);
+/// Messages a second, over so many clients.
+const RATE: usize = 400;
+const CLIENTS: usize = 4;
+const CHANGES_A_SECOND: u32 = 20;
+/// From this part of a core on, a courier does not keep up.
+const FULL: f64 = 0.95;
+
+type Names = &'static [(&'static str, &'static str, &'static str)];
+
+/// Slopes that are measured by the same runs: names, units of size and of value.
+struct Sweep {
+    slopes: Names,
+    sizes: &'static [usize],
+    measure: fn(&Path, usize, Bound) -> Result<Vec<Seen>, Stopped>,
+}
+
+/// One figure of a run and what was seen with it; or why there is none at this size, which ends its slope.
+type Seen = Result<(f64, String), Stopped>;
+
+const SWEEPS: [Sweep; 5] = [
+    Sweep {
+        slopes: &[
+            ("list", "entries", "s of processor from the start until the last entry is known"),
+            ("list-refused", "entries", "of a core while the list is refused"),
+            ("memory", "destinations", "bytes resident, idle"),
+            ("idle", "destinations", "of a core, idle"),
+        ],
+        sizes: &DESTINATIONS,
+        measure: lists,
+    },
+    Sweep {
+        slopes: &[("message", "destinations", "us of processor a message, at 400 a second")],
+        sizes: &DESTINATIONS,
+        measure: messages,
+    },
+    Sweep {
+        slopes: &[
+            ("change", "destinations", "ms of processor a change of the list, at 20 a second, less idle"),
+            ("change-bytes", "destinations", "bytes a change on the watch"),
+        ],
+        sizes: &DESTINATIONS,
+        measure: changes,
+    },
+    Sweep {
+        slopes: &[
+            ("held", "messages held", "of a core, all destinations unreachable"),
+            ("held-memory", "messages held", "bytes resident"),
+            ("held-file", "messages held", "bytes of the journal"),
+            ("held-taking", "messages held", "s of processor to take them on"),
+            ("start", "messages held", "s from the start after SIGKILL to the first PONG"),
+        ],
+        sizes: &HELD,
+        measure: holds,
+    },
+    Sweep {
+        slopes: &[
+            ("rewriting", "messages held", "s of the longest stall while the journal is written anew"),
+            ("rewriting-bytes", "messages held", "bytes rewritten a byte taken on"),
+        ],
+        sizes: &REWRITTEN,
+        measure: rewrites,
+    },
+];
+
+fn none(words: &str) -> Seen {
+    Err(Stopped(words.to_string()))
+}
+
+/// A courier among its stand-ins, and what it used until it knew the last entry of its list.
+struct Listed {
+    registry: Registry,
+    courier: Courier,
+    /// `None`: it does not, within the time.
+    known: Option<f64>,
+}
+
+fn listed(
+    binary: &Path,
+    bound: Bound,
+    registry: Registry,
+    last: usize,
+    (room, disk_mb): (usize, f64),
+) -> Result<Listed, Stopped> {
+    let discovery = registry.address;
+    let start = Instant::now();
+    let mut courier = Courier::start(binary, |listen| config(listen, discovery, room, disk_mb))?;
+    courier.ready(bound, start, LISTED_IN)?;
+    let (mut client, mut known) = (Client::connect(courier.listen, u32::MAX)?, None);
+    while known.is_none() && start.elapsed() < LISTED_IN {
+        bound.sleep(Duration::from_millis(20))?;
+        courier.check()?;
+        if client.hand_in([last].into_iter())?.taken == 1 {
+            known = Some(courier.used()?.processor);
+        }
+    }
+    Ok(Listed { registry, courier, known })
+}
+
+impl Listed {
+    /// # Errors
+    /// Where the list is not taken up.
+    fn sure(self) -> Result<Listed, Stopped> {
+        match self.known {
+            Some(_) => Ok(self),
+            None => Err(Stopped("the list is refused whole".to_string())),
+        }
+    }
+}
+
+fn lists(binary: &Path, destinations: usize, bound: Bound) -> Result<Vec<Seen>, Stopped> {
+    let endpoint = Endpoint::new(&[]);
+    let registry = Registry::new(destinations, endpoint.address)?;
+    let Listed { registry, courier, known } = listed(binary, bound, registry, destinations, (1_000, 200.0))?;
+    // What is kept of a list is on file a second later.
+    bound.sleep(Duration::from_secs(3))?;
+    let (asked, resident, before) = (registry.asked(), courier.resident()?, courier.used()?);
+    bound.sleep(LOOK)?;
+    let (after, end) = (courier.used()?, registry.asked());
+    let share = after.share_since(before);
+    let seconds = (after.at - before.at).as_secs_f64();
+    let asks = (end.asks - asked.asks) as f64 / seconds;
+    let bytes = (end.whole_bytes + end.watch_bytes - asked.whole_bytes - asked.watch_bytes) as f64 / seconds;
+    let words = format!("{asks:.1} asks, {bytes:.0} bytes sent a second");
+    let length = format!("{} bytes sent", asked.whole_bytes / asked.asks.max(1));
+    Ok(match known {
+        Some(taken) => vec![
+            Ok((taken, String::new())),
+            none("taken whole"),
+            Ok((resident as f64, String::new())),
+            Ok((share, words)),
+        ],
+        None => {
+            let refused = "the list is refused whole";
+            vec![
+                none(refused),
+                Ok((share, format!("{words}; {length} an ask"))),
+                none(refused),
+                none(refused),
+            ]
+        }
+    })
+}
+
+fn messages(binary: &Path, destinations: usize, bound: Bound) -> Result<Vec<Seen>, Stopped> {
+    let endpoint = Endpoint::new(&[]);
+    let registry = Registry::new(destinations, endpoint.address)?;
+    let held = listed(binary, bound, registry, destinations, (10_000, 200.0))?.sure()?;
+    let listen = held.courier.listen;
+    let delivered = || endpoint.calls.lock().map_or(0, |calls| calls.len());
+    let (warm, end) = (Duration::from_secs(2), Duration::from_secs(2) + LOOK);
+    let start = Instant::now();
+    let load = |number: usize| {
+        let mut chance = fastrand::Rng::with_seed(number as u64);
+        let mut client = Client::connect(listen, number as u32)?;
+        let gap = Duration::from_secs(1) * CLIENTS as u32 / RATE as u32;
+        let (mut at, mut taken, mut others) = (gap * number as u32 / CLIENTS as u32, 0, 0);
+        while at < end {
+            bound.check()?;
+            std::thread::sleep(at.saturating_sub(start.elapsed()));
+            let heard = client.hand_in([chance.usize(1..=destinations)].into_iter())?;
+            (taken, others) = (taken + heard.taken, others + heard.busy + heard.failed);
+            at += gap;
+        }
+        Ok::<_, Stopped>((taken, others))
+    };
+    let (tally, used) = std::thread::scope(|scope| {
+        let load = &load;
+        let clients: Vec<_> = (0..CLIENTS).map(|number| scope.spawn(move || load(number))).collect();
+        let look = || {
+            bound.sleep(warm.saturating_sub(start.elapsed()))?;
+            let before = (held.courier.used()?, delivered());
+            bound.sleep(LOOK)?;
+            Ok::<_, Stopped>((before, (held.courier.used()?, delivered())))
+        };
+        let used = look();
+        let mut tally = (0, 0);
+        for client in clients {
+            let (taken, others) = client.join().map_err(|_| Stopped("a client has failed".to_string()))??;
+            tally = (tally.0 + taken, tally.1 + others);
+        }
+        Ok::<_, Stopped>((tally, used?))
+    })?;
+    let ((before, had), (after, has)) = used;
+    let count = has - had;
+    if count == 0 {
+        return Err(Stopped("nothing was delivered".to_string()));
+    }
+    let cost = (after.processor - before.processor) * 1e6 / count as f64;
+    let rate = count as f64 / (after.at - before.at).as_secs_f64();
+    let words = format!("{rate:.0} delivered a second, {} refused of {}", tally.1, tally.0 + tally.1);
+    Ok(vec![Ok((cost, words))])
+}
+
+fn changes(binary: &Path, destinations: usize, bound: Bound) -> Result<Vec<Seen>, Stopped> {
+    let endpoint = Endpoint::new(&[]);
+    let registry = Registry::new(destinations, endpoint.address)?;
+    let Listed { registry, courier, .. } =
+        listed(binary, bound, registry, destinations, (1_000, 200.0))?.sure()?;
+    bound.sleep(Duration::from_secs(3))?;
+    let before = courier.used()?;
+    bound.sleep(LOOK / 2)?;
+    let (idle, asked) = (courier.used()?, registry.asked());
+    let mut chance = fastrand::Rng::with_seed(destinations as u64);
+    let count = CHANGES_A_SECOND * LOOK.as_secs() as u32;
+    for _ in 0..count {
+        registry.change(chance.usize(1..=destinations), endpoint.address, 500.0 + 1000.0 * chance.f64());
+        bound.sleep((idle.at + LOOK / count).saturating_duration_since(Instant::now()).min(LOOK / count))?;
+    }
+    bound.sleep((idle.at + LOOK).saturating_duration_since(Instant::now()))?;
+    let (after, end) = (courier.used()?, registry.asked());
+    let share = after.share_since(idle) - idle.share_since(before);
+    let cost = share * (after.at - idle.at).as_secs_f64() * 1e3 / f64::from(count);
+    let bytes = (end.watch_bytes - asked.watch_bytes) as f64 / f64::from(count);
+    let words = format!("{:.4} of a core; idle {:.4}", after.share_since(idle), idle.share_since(before));
+    let whole = format!("{} asks meanwhile", end.asks - asked.asks);
+    Ok(vec![Ok((cost, words)), Ok((bytes, whole))])
+}
+
+/// Bytes on file of a message held, by `journal::weight`: what the courier reckons its room by.
+const WEIGHT: f64 = 340.0;
+
+/// Hands in so many messages for destinations 1 to `UNREACHABLE`, in their turn, and has all of them taken on.
+fn fill(courier: &mut Courier, count: usize, bound: Bound) -> Result<(), Stopped> {
+    let mut client = Client::connect(courier.listen, u32::MAX - 1)?;
+    let (mut taken, mut last) = (0, Instant::now());
+    while taken < count {
+        bound.check()?;
+        courier.check()?;
+        let some = (taken..count).take(64).map(|number| 1 + number % UNREACHABLE);
+        let heard = client.hand_in(some)?;
+        if heard.taken > 0 {
+            last = Instant::now();
+        }
+        taken += heard.taken;
+        if last.elapsed() > Duration::from_secs(10) {
+            return Err(Stopped(format!("after {taken} messages no more were taken on in 10 s")));
+        }
+    }
+    Ok(())
+}
+
+fn holds(binary: &Path, count: usize, bound: Bound) -> Result<Vec<Seen>, Stopped> {
+    let nowhere = Nowhere::new()?;
+    let registry = Registry::new(UNREACHABLE, nowhere.address)?;
+    let disk_mb = (count as f64 * WEIGHT / 0.3 / 1e6).max(3.0);
+    let Listed { registry: _registry, mut courier, .. } =
+        listed(binary, bound, registry, UNREACHABLE, (count * 2 + 1_000, disk_mb))?.sure()?;
+    let before = courier.used()?;
+    fill(&mut courier, count, bound)?;
+    let filled = courier.used()?;
+    let (taking, took) = (filled.processor - before.processor, filled.at - before.at);
+    let file = courier.journal()?.1;
+    bound.sleep(Duration::from_secs(2))?;
+    let begin = courier.used()?;
+    bound.sleep(LOOK / 2)?;
+    let share = courier.used()?.share_since(begin);
+    let (resident, later) = (courier.resident()?, courier.journal()?.1);
+    let at = courier.kill_and_start()?;
+    let start = courier.ready(bound, at, Duration::from_secs(60))?;
+    let used = courier.used()?.processor;
+    let share = if share < FULL { Ok((share, String::new())) } else { none("a core is full") };
+    Ok(vec![
+        share,
+        Ok((resident as f64, format!("{:.0} bytes each", resident as f64 / count as f64))),
+        Ok((file as f64, format!("{:.0} bytes each; 7 s later {later} bytes", file as f64 / count as f64))),
+        Ok((taking, format!("{:.2} s by the clock", took.as_secs_f64()))),
+        Ok((start.as_secs_f64(), format!("{used:.2} s of processor"))),
+    ])
+}
+
+/// A journal that was written anew: when it was seen, its bytes then, and messages taken on so far.
+type Rewrite = (Instant, u64, usize);
+
+fn rewrites(binary: &Path, count: usize, bound: Bound) -> Result<Vec<Seen>, Stopped> {
+    let (nowhere, endpoint) = (Nowhere::new()?, Endpoint::new(&[]));
+    let reached = UNREACHABLE + 1;
+    let registry = Registry::new(reached, nowhere.address)?;
+    registry.change(reached, endpoint.address, 1e6);
+    // Of the folder's allowance the messages held take 30 parts in a hundred; 34 may be, and at 44 it is written anew.
+    let disk_mb = count as f64 * WEIGHT / 0.3 / 1e6;
+    let Listed { registry: _registry, mut courier, .. } =
+        listed(binary, bound, registry, reached, (count * 2 + 1_000, disk_mb))?.sure()?;
+    fill(&mut courier, count, bound)?;
+    let (listen, done, taken) = (courier.listen, AtomicBool::new(false), AtomicUsize::new(0));
+    let mut seen: Vec<Rewrite> = Vec::new();
+    let pings = std::thread::scope(|scope| {
+        let stream = scope.spawn(|| {
+            let mut client = Client::connect(listen, 1)?;
+            while !done.load(Ordering::Relaxed) {
+                taken.fetch_add(client.hand_in([reached; 8].into_iter())?.taken, Ordering::Relaxed);
+            }
+            Ok::<_, Stopped>(())
+        });
+        let pinged = scope.spawn(|| {
+            let (mut client, mut pings) = (Client::connect(listen, 2)?, Vec::new());
+            while !done.load(Ordering::Relaxed) {
+                let start = Instant::now();
+                pings.push((start, client.ping()?));
+                std::thread::sleep(Duration::from_millis(1));
+            }
+            Ok::<_, Stopped>(pings)
+        });
+        let (start, mut watched) = (Instant::now(), courier.journal());
+        let mut looked = Ok(());
+        while looked.is_ok() && seen.len() < 4 && start.elapsed() < Duration::from_secs(30) {
+            std::thread::sleep(Duration::from_millis(1));
+            let now = courier.journal();
+            if let (Ok((file, bytes)), Ok((before, _))) = (&now, &watched) {
+                if file != before {
+                    seen.push((Instant::now(), *bytes, taken.load(Ordering::Relaxed)));
+                }
+            }
+            watched = now;
+            looked = bound.check();
+        }
+        done.store(true, Ordering::Relaxed);
+        let failed = |_| Stopped("a client has failed".to_string());
+        let (streamed, pinged) = (stream.join().map_err(failed), pinged.join().map_err(failed));
+        looked?;
+        streamed??;
+        pinged?
+    })?;
+    courier.check()?;
+    let ([first, .., last], true) = (&seen[..], seen.len() > 1) else {
+        let words = format!("{} rewrites in 30 s", seen.len());
+        return Ok(vec![none(&words), none(&words)]);
+    };
+    // Seen within a few milliseconds of its end.
+    let near = Duration::from_millis(10);
+    let longest = |of: bool| {
+        let beside = |ping: &&(Instant, Duration)| {
+            let hit = |rewrite: &Rewrite| ping.0 <= rewrite.0 && rewrite.0 <= ping.0 + ping.1 + near;
+            seen.iter().any(hit) == of
+        };
+        pings.iter().filter(beside).map(|ping| ping.1.as_secs_f64()).fold(0.0, f64::max)
+    };
+    let bytes: u64 = seen[1..].iter().map(|rewrite| rewrite.1).sum();
+    let taken_on = (last.2 - first.2) as f64 * WEIGHT;
+    let (begin, end) = (first.0, last.0);
+    let words = format!("{} rewrites of {:.1} MB", seen.len(), first.1 as f64 / 1e6);
+    let stall = format!("{words}; otherwise {:.4} s at the longest", longest(false));
+    let over = format!("{words}; {:.0} taken on in {:.1} s", taken_on / WEIGHT, (end - begin).as_secs_f64());
+    let ratio = if taken_on > 0.0 {
+        Ok((bytes as f64 / taken_on, over))
+    } else {
+        none("nothing was taken on between rewrites")
+    };
+    Ok(vec![Ok((longest(true), stall)), ratio])
+}
+
+/// One slope of one binary as it grows.
+#[derive(Default)]
+struct Series {
+    rows: Vec<Row>,
+    stopped: Option<String>,
+}
+
+impl Sweep {
+    /// Size by size, all binaries at each, so that they meet the same machine.
+    fn run(
+        &self,
+        binaries: &[(String, PathBuf)],
+        command: &str,
+        wanted: &dyn Fn(&str) -> bool,
+    ) -> Vec<Slope> {
+        let mut series: Vec<Vec<Series>> = binaries.iter().map(|_| Vec::new()).collect();
+        let mut ended: Vec<bool> = vec![false; binaries.len()];
+        series.iter_mut().for_each(|series| series.resize_with(self.slopes.len(), Series::default));
+        let mut bounds: Vec<Duration> = vec![MOST_TIME; binaries.len()];
+        for &size in self.sizes {
+            for (place, (name, binary)) in binaries.iter().enumerate() {
+                if ended[place] {
+                    continue;
+                }
+                let start = Instant::now();
+                let measured = (self.measure)(binary, size, Bound::new(bounds[place]));
+                bounds[place] = bounds[place].saturating_sub(start.elapsed());
+                let seen = measured.unwrap_or_else(|stopped| {
+                    ended[place] = true;
+                    vec![Err(stopped); self.slopes.len()]
+                });
+                for ((series, slope), seen) in series[place].iter_mut().zip(self.slopes).zip(seen) {
+                    match seen {
+                        Ok((value, words)) => {
+                            eprintln!("{} ({name}) at {size}: {value} {words}", slope.0);
+                            series.rows.push(Row::new(size, value, words));
+                            series.stopped = None;
+                        }
+                        Err(words) => {
+                            series.stopped.get_or_insert_with(|| format!("{words} (at {size})"));
+                        }
+                    }
+                }
+            }
+        }
+        let largest = "the bench's largest size";
+        let mut slopes = Vec::new();
+        for ((name, _), series) in binaries.iter().zip(series) {
+            for (&(slope, size_unit, unit), series) in self.slopes.iter().zip(series) {
+                if wanted(slope) {
+                    let stopped = series.stopped.as_deref().unwrap_or(largest);
+                    slopes.push(Slope::new((slope, name), (size_unit, unit), command, series.rows, stopped));
+                }
+            }
+        }
+        slopes
+    }
+}
+
+fn all_slopes() -> impl Iterator<Item = &'static str> {
+    SWEEPS.iter().flat_map(|sweep| sweep.slopes.iter().map(|slope| slope.0))
+}
+
+/// `NAME=PATH`, or a path that is its own name.
+fn named(text: &str) -> (String, PathBuf) {
+    match text.split_once('=') {
+        Some((name, path)) => (name.to_string(), path.into()),
+        None => {
+            let path = PathBuf::from(text);
+            (path.file_name().unwrap_or_default().to_string_lossy().into_owned(), path)
+        }
+    }
+}
+
+fn machine() -> serde_json::Value {
+    let cores = std::thread::available_parallelism().map_or(0, usize::from);
+    let text = std::fs::read_to_string("/proc/meminfo").unwrap_or_default();
+    let kb = text.split_whitespace().nth(1).and_then(|kb| kb.parse::<u64>().ok()).unwrap_or(0);
+    json!({"cores": cores, "memory_mb": kb / 1024, "load_at_start": load_average()})
+}
+
+/// Ends on SIGINT or SIGTERM by way of every wait, so that folders go too; couriers end with the bench in any case.
+fn heed_signals() -> std::io::Result<()> {
+    use tokio::signal::unix::{signal, SignalKind};
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
+    std::thread::spawn(move || {
+        runtime.block_on(async {
+            if let (Ok(mut int), Ok(mut term)) =
+                (signal(SignalKind::interrupt()), signal(SignalKind::terminate()))
+            {
+                tokio::select! { _ = int.recv() => {}, _ = term.recv() => {} }
+                ask_to_end();
+            }
+        });
+    });
+    Ok(())
+}
+
+fn run() -> Result<(), String> {
+    let mut arguments = pico_args::Arguments::from_env();
+    let benched = arguments.contains("--bench");
+    let what: Option<String> = arguments.opt_value_from_str("--what").map_err(|e| e.to_string())?;
+    // Guards against minutes of load where benches are only tried, as by `cargo test --all-targets`.
+    if !benched && what.is_none() {
+        println!("slopes: run by cargo bench");
+        return Ok(());
+    }
+    let out: Option<PathBuf> = arguments.opt_value_from_str("--out").map_err(|e| e.to_string())?;
+    let texts: Vec<String> = arguments.values_from_str("--binary").map_err(|e| e.to_string())?;
+    if let Some(rest) = arguments.finish().first() {
+        return Err(format!("what is {}?", rest.to_string_lossy()));
+    }
+    let what: Vec<&str> = what.iter().flat_map(|what| what.split(',')).collect();
+    if let Some(unknown) = what.iter().find(|name| all_slopes().all(|slope| slope != **name)) {
+        return Err(format!("no slope {unknown}; there are {}", all_slopes().collect::<Vec<_>>().join(",")));
+    }
+    let mut binaries: Vec<(String, PathBuf)> = texts.iter().map(|text| named(text)).collect();
+    if binaries.is_empty() {
+        let built =
+            escargot::CargoBuild::new().package("meadowhold-courier").bin("meadowhold").release().run();
+        binaries.push(("today".to_string(), built.map_err(|e| e.to_string())?.path().to_path_buf()));
+    }
+    heed_signals().map_err(|e| e.to_string())?;
+    let wanted = |name: &str| what.is_empty() || what.contains(&name);
+    let which = if what.is_empty() { String::new() } else { format!(" -- --what {}", what.join(",")) };
+    let command = format!("cargo bench -p meadowhold-rig --bench slopes{which}");
+    let (machine, mut slopes) = (machine(), Vec::new());
+    for sweep in SWEEPS.iter().filter(|sweep| sweep.slopes.iter().any(|slope| wanted(slope.0))) {
+        for slope in sweep.run(&binaries, &command, &wanted) {
+            println!("{}", slope.table());
+            slopes.push(slope);
+        }
+        // As far as it has come, so that a later fault costs none of it.
+        if let Some(out) = &out {
+            let text = serde_json::to_string_pretty(&json!({"machine": machine, "slopes": slopes}));
+            let text = text.map_err(|e| e.to_string())? + "\n";
+            std::fs::write(out, text).map_err(|e| format!("{}: {e}", out.display()))?;
+        }
+    }
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    let words: Vec<_> = std::env::args_os().collect();
+    if let [_, become_one, parent, binary] = &words[..] {
+        if become_one == BECOME {
+            let parent = parent.to_str().and_then(|parent| parent.parse().ok()).unwrap_or(0);
+            eprintln!("{}", become_courier(parent, Path::new(binary)));
+            return ExitCode::FAILURE;
+        }
+    }
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(words) => {
+            eprintln!("slopes: {words}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod run;
 pub mod schedule;
 pub mod scripted;
+pub mod slopes;
