--- a/crates/rig/benches/slopes.rs
+++ b/crates/rig/benches/slopes.rs
@@ -28,7 +28,7 @@
 const RATE: usize = 400;
 const CLIENTS: usize = 4;
 const CHANGES_A_SECOND: u32 = 20;
-/// From this part of a core on, a courier does not keep up.
+/// A courier that wants a core for more of the time than this does not keep up.
 const FULL: f64 = 0.95;
 
 type Names = &'static [(&'static str, &'static str, &'static str)];
@@ -228,9 +228,9 @@
     let (idle, asked) = (courier.used()?, registry.asked());
     let mut chance = fastrand::Rng::with_seed(destinations as u64);
     let count = CHANGES_A_SECOND * LOOK.as_secs() as u32;
-    for _ in 0..count {
+    for number in 0..count {
+        bound.sleep((idle.at + LOOK * number / count).saturating_duration_since(Instant::now()))?;
         registry.change(chance.usize(1..=destinations), endpoint.address, 500.0 + 1000.0 * chance.f64());
-        bound.sleep((idle.at + LOOK / count).saturating_duration_since(Instant::now()).min(LOOK / count))?;
     }
     bound.sleep((idle.at + LOOK).saturating_duration_since(Instant::now()))?;
     let (after, end) = (courier.used()?, registry.asked());
@@ -279,12 +279,18 @@
     bound.sleep(Duration::from_secs(2))?;
     let begin = courier.used()?;
     bound.sleep(LOOK / 2)?;
-    let share = courier.used()?.share_since(begin);
+    let used = courier.used()?;
+    let (share, wanted) = (used.share_since(begin), used.wanted_since(begin));
     let (resident, later) = (courier.resident()?, courier.journal()?.1);
     let at = courier.kill_and_start()?;
     let start = courier.ready(bound, at, Duration::from_secs(60))?;
     let used = courier.used()?.processor;
-    let share = if share < FULL { Ok((share, String::new())) } else { none("a core is full") };
+    let words = format!("ran or in line for a core {wanted:.2} of the time");
+    let share = if wanted < FULL {
+        Ok((share, words))
+    } else {
+        none(&format!("a core is full: {share:.2}, {words}"))
+    };
     Ok(vec![
         share,
         Ok((resident as f64, format!("{:.0} bytes each", resident as f64 / count as f64))),
@@ -348,7 +354,8 @@
     })?;
     courier.check()?;
     let ([first, .., last], true) = (&seen[..], seen.len() > 1) else {
-        let words = format!("{} rewrites in 30 s", seen.len());
+        let (taken, delivered) = (taken.into_inner(), endpoint.calls.lock().map_or(0, |calls| calls.len()));
+        let words = format!("{} rewrites in 30 s, {taken} taken on, {delivered} delivered", seen.len());
         return Ok(vec![none(&words), none(&words)]);
     };
     // Seen within a few milliseconds of its end.
@@ -413,6 +420,7 @@
                             series.stopped = None;
                         }
                         Err(words) => {
+                            eprintln!("{} ({name}) at {size}: none, {words}", slope.0);
                             series.stopped.get_or_insert_with(|| format!("{words} (at {size})"));
                         }
                     }
--- a/crates/rig/src/slopes.rs
+++ b/crates/rig/src/slopes.rs
@@ -119,9 +119,10 @@
     text.split_whitespace().next()?.parse().ok()
 }
 
-/// Nanoseconds on a processor, from a thread's `schedstat`: finer than the ticks of `stat`, whose sum it is.
-fn run_time(schedstat: &str) -> Option<u64> {
-    schedstat.split_whitespace().next()?.parse().ok()
+/// Nanoseconds on a processor and in line for one, from a thread's `schedstat`: finer than the ticks of `stat`.
+fn run_times(schedstat: &str) -> Option<(u64, u64)> {
+    let mut numbers = schedstat.split_whitespace().map(|number| number.parse().ok());
+    Some((numbers.next()??, numbers.next()??))
 }
 
 /// Bytes, from a line such as `VmRSS:   1234 kB`.
@@ -166,6 +167,8 @@
 pub struct Used {
     /// Seconds on a processor.
     pub processor: f64,
+    /// Seconds in line for a processor that others had.
+    pub in_line: f64,
     pub at: Instant,
 }
 
@@ -174,6 +177,12 @@
     pub fn share_since(self, before: Used) -> f64 {
         (self.processor - before.processor) / (self.at - before.at).as_secs_f64()
     }
+
+    /// Part of the time in which it ran or would have: near 1 it does not keep up, also where others take its core.
+    pub fn wanted_since(self, before: Used) -> f64 {
+        let wanted = |used: Used| used.processor + used.in_line;
+        (wanted(self) - wanted(before)) / (self.at - before.at).as_secs_f64()
+    }
 }
 
 impl Courier {
@@ -245,13 +254,15 @@
     /// # Errors
     /// Where it has ended.
     pub fn used(&self) -> Result<Used, Stopped> {
-        let mut nanoseconds = 0;
+        let (mut ran, mut waited) = (0, 0);
         for task in fs::read_dir(self.proc_file("task"))? {
             // One that ends meanwhile is passed over.
             let text = fs::read_to_string(task?.path().join("schedstat")).unwrap_or_default();
-            nanoseconds += run_time(&text).unwrap_or(0);
+            let (run, wait) = run_times(&text).unwrap_or_default();
+            (ran, waited) = (ran + run, waited + wait);
         }
-        Ok(Used { processor: nanoseconds as f64 / 1e9, at: Instant::now() })
+        let seconds = |nanoseconds: u64| nanoseconds as f64 / 1e9;
+        Ok(Used { processor: seconds(ran), in_line: seconds(waited), at: Instant::now() })
     }
 
     /// Bytes that are resident now.
@@ -542,6 +553,12 @@
     // What cannot be delivered stays held: no attempt is the last one.
     settings["Limits"]["MaxAttempts"] = json!(1_000_000_000_u64);
     settings["Profiles"][0]["HardLimitUs"] = json!(LIFETIME_MS * 1000);
+    settings["FamilyInfo"]["Slots"] = json!(64);
+    settings["Limits"]["KeepaliveUs"] = json!(5_000_000);
+    // As on the rig's days. Without a time for which endpoints stay cold there is no pause between trials.
+    settings["Limits"]["ConnectTimeoutUs"] = json!(1_000_000);
+    settings["Rules"] = json!({"TurnGapUs": 600_000, "OverloadForUs": 2_000_000, "TipMultiple": 2.0,
+        "ColdFrom": 0.25, "ColdUs": 4_000_000});
     json!({"name": "n1", "listen": listen.to_string(), "discovery": discovery.to_string(),
         "seed": "8c1f30d27a5be964", "limits": {"sockets": 1024, "disk_mb": disk_mb},
         "known": {"index": 0, "snapshot": true, "endpoints": []}, "settings": settings})
--- a/crates/rig/src/slopes/tests.rs
+++ b/crates/rig/src/slopes/tests.rs
@@ -1,7 +1,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
-use super::{bytes_of, digits, first_number, run_time, Bound, Nowhere, Registry, Row, Slope};
+use super::{bytes_of, digits, first_number, run_times, Bound, Nowhere, Registry, Row, Slope};
 use crate::fit::Fit;
 
 const ENDPOINT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 9);
@@ -9,8 +9,8 @@
 #[test]
 fn what_the_system_tells_is_read() {
     assert_eq!(first_number("0.52 0.58 0.59 2/389 1234\n"), Some(0.52));
-    assert_eq!(run_time("124316 40280 2\n"), Some(124_316));
-    assert_eq!(run_time(""), None);
+    assert_eq!(run_times("124316 40280 2\n"), Some((124_316, 40_280)));
+    assert_eq!((run_times(""), run_times("124316")), (None, None));
     let status = "Name:\tx\nVmHWM:\t    2000 kB\nVmRSS:\t    1234 kB\nRssAnon: 5 kB\n";
     assert_eq!(bytes_of(status, "VmRSS"), Some(1234 * 1024));
     assert_eq!(bytes_of(status, "Vm"), None);
