--- a/crates/rig/src/fit.rs
+++ b/crates/rig/src/fit.rs
@@ -28,7 +28,7 @@
 }
 
 /// A line through points. The residual is a ratio: the root of the mean square of each point's error, relative to
-/// what was measured there (relative to the largest where one was measured as 0).
+/// what was measured there (to the largest where that is 0).
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
 pub enum Fit {
--- a/crates/rig/src/slopes.rs
+++ b/crates/rig/src/slopes.rs
@@ -1,5 +1,6 @@
-//! What one courier costs as its load grows, measured from outside: a real process among stand-ins, its processor time
-//! and memory by /proc, its files by their size. `benches/slopes.rs` has the loads; this has what they share. Linux only.
+//! What one courier costs as its load grows, measured from outside: a real process among stand-ins, its
+//! processor time and memory by /proc, its files by their size. `benches/slopes.rs` has the loads, this what they
+//! share. Linux only.
 
 use std::fmt;
 use std::fs;
@@ -119,7 +120,7 @@
     text.split_whitespace().next()?.parse().ok()
 }
 
-/// Nanoseconds on a processor and in line for one, from a thread's `schedstat`: finer than the ticks of `stat`.
+/// Nanoseconds on a processor and in line for one, from a thread's `schedstat`: finer than `stat`'s ticks.
 fn run_times(schedstat: &str) -> Option<(u64, u64)> {
     let mut numbers = schedstat.split_whitespace().map(|number| number.parse().ok());
     Some((numbers.next()??, numbers.next()??))
@@ -178,7 +179,7 @@
         (self.processor - before.processor) / (self.at - before.at).as_secs_f64()
     }
 
-    /// Part of the time in which it ran or would have: near 1 it does not keep up, also where others take its core.
+    /// Part of the time in which it ran or would have. Near 1 it does not keep up, whoever has its core.
     pub fn wanted_since(self, before: Used) -> f64 {
         let wanted = |used: Used| used.processor + used.in_line;
         (wanted(self) - wanted(before)) / (self.at - before.at).as_secs_f64()
@@ -298,8 +299,8 @@
     }
 }
 
-/// The list's stand-in for lists of any length: what it says is written once for all asks. `list::List` keeps a record
-/// of who was told of each entry, by a look through all of them for each; the one in `scripted` tells all at each change.
+/// The list's stand-in for lists of any length: what it says is written once for all asks. `list::List` looks
+/// through all entries for each that it tells; `scripted::Platform` tells all of them at each change.
 pub struct Registry {
     pub address: SocketAddr,
     state: Arc<(Mutex<Listed>, Condvar)>,
@@ -337,8 +338,8 @@
 
 /// An entry of the list; each destination has one endpoint.
 fn entry(destination: usize, address: SocketAddr, weight: f64) -> String {
-    json!({"name": format!("e{destination:06}"), "address": address.to_string(), "zone": "a", "type": "single",
-        "group": destination, "status": "SERVING", "weight": weight, "since_ms": 0})
+    json!({"name": format!("e{destination:06}"), "address": address.to_string(), "zone": "a",
+        "type": "single", "group": destination, "status": "SERVING", "weight": weight, "since_ms": 0})
     .to_string()
 }
 
@@ -546,7 +547,7 @@
 /// A message's time, in milliseconds: far longer than any run.
 const LIFETIME_MS: u64 = 86_400_000;
 
-/// The configuration: one class that may be sent again, with room for so many messages and so many bytes on file.
+/// The configuration: one class that may be sent again, with room for so many messages and megabytes on file.
 pub fn config(listen: SocketAddr, discovery: SocketAddr, room: usize, disk_mb: f64) -> Value {
     let mut settings = scripted::settings();
     settings["Limits"]["MaxOpen"] = json!(room);
@@ -592,6 +593,8 @@
     /// The one of the two that lies nearer.
     pub fit: Option<Fit>,
     pub other_fit: Option<Fit>,
+    /// The exponent between the last two sizes. Guards against a fit over all that hides a bend.
+    pub last_exponent: Option<f64>,
     pub largest: f64,
     pub stopped_by: String,
 }
@@ -610,6 +613,10 @@
         fits.sort_by(|a, b| a.residual().total_cmp(&b.residual()));
         let mut fits = fits.into_iter();
         let largest = pairs.iter().map(|pair| pair.size).fold(0.0, f64::max);
+        let last_exponent = match Fit::power(&pairs[pairs.len().saturating_sub(2)..]) {
+            Ok(Fit::Power { exponent, .. }) => Some(exponent),
+            _ => None,
+        };
         let text = str::to_string;
         Slope {
             name: text(name),
@@ -620,6 +627,7 @@
             points,
             fit: fits.next(),
             other_fit: fits.next(),
+            last_exponent,
             largest,
             stopped_by: text(stopped_by),
         }
@@ -634,8 +642,11 @@
         }
         let fits = [self.fit, self.other_fit].into_iter().flatten().map(told).collect::<Vec<_>>().join("; ");
         let fits = if fits.is_empty() { "none".to_string() } else { fits };
+        let last = self
+            .last_exponent
+            .map_or(String::new(), |last| format!(" Between the last two: size^{last:.2}."));
         let (largest, stopped) = (self.largest, &self.stopped_by);
-        out + &format!("\nFit: {fits}. Largest: {largest}; stopped by: {stopped}.\n")
+        out + &format!("\nFit: {fits}.{last} Largest: {largest}; stopped by: {stopped}.\n")
     }
 }
 
