--- a/crates/rig/src/fit.rs
+++ b/crates/rig/src/fit.rs
@@ -27,8 +27,8 @@
     Power,
 }
 
-/// A line through points. The residual is a ratio: the root of the mean square of each point's error, relative to
-/// what was measured there (to the largest where that is 0).
+/// A line through points. The residual is a ratio: the root of the mean square of each point's error, over
+/// what was measured there (over the largest where that is 0).
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
 pub enum Fit {
--- a/crates/rig/src/slopes.rs
+++ b/crates/rig/src/slopes.rs
@@ -1,6 +1,6 @@
 //! What one courier costs as its load grows, measured from outside: a real process among stand-ins, its
-//! processor time and memory by /proc, its files by their size. `benches/slopes.rs` has the loads, this what they
-//! share. Linux only.
+//! processor time and memory by /proc, its files by their size. `benches/slopes.rs` has the loads,
+//! this what they share. Linux only.
 
 use std::fmt;
 use std::fs;
