--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -220,6 +220,8 @@
     /// What has yet to be told: of each other its last news, and of all whether this part is cut off.
     untold: Vec<News>,
     untold_part: bool,
+    /// Where the view had each member when the library's were last read, in their order there.
+    places: Vec<usize>,
     /// A datagram's content while it is written, and what is held of the members while it is audited; kept for
     /// their room.
     body: Vec<u8>,
@@ -261,6 +263,7 @@
             turns: 0,
             untold,
             untold_part: true,
+            places: Vec::new(),
             body: Vec::new(),
             held: Vec::new(),
             fault: None,
@@ -402,10 +405,15 @@
 
     fn take_up(&mut self, now: Time) {
         let cut_off = self.view.cut_off().0;
-        for member in self.foca.iter_membership_state() {
+        for (i, member) in self.foca.iter_membership_state().enumerate() {
             let seen = seen(member);
-            let Some(place) = self.view.place(seen.at) else { continue };
-            let news = self.view.see(now, &seen);
+            let near = self.places.get(i).copied().unwrap_or(usize::MAX);
+            let Some(place) = self.view.place_near(seen.at, near) else { continue };
+            if place != near {
+                self.places.resize(self.places.len().max(i + 1), usize::MAX);
+                self.places[i] = place;
+            }
+            let news = self.view.see_at(now, place, &seen);
             if news != News::Nothing {
                 let before = std::mem::replace(&mut self.untold[place], news);
                 self.desk.counts.replaced += u64::from(before != News::Nothing);
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -213,11 +213,22 @@
         self.others.binary_search_by_key(&at, |member| member.at).ok()
     }
 
+    /// Its place, looked for at `near` first: of a thousand members that are read in one order turn after turn, a
+    /// search for each was most of a courier's time.
+    pub(crate) fn place_near(&self, at: SocketAddrV4, near: usize) -> Option<usize> {
+        match self.others.get(near) {
+            Some(member) if member.at == at => Some(near),
+            _ => self.place(at),
+        }
+    }
+
     /// Takes up what the protocol holds of a member. Of whom the configuration does not name, nothing.
     pub fn see(&mut self, now: Time, seen: &Seen) -> News {
-        let Some(place) = self.place(seen.at) else {
-            return News::Nothing;
-        };
+        self.place(seen.at).map_or(News::Nothing, |place| self.see_at(now, place, seen))
+    }
+
+    /// The same, of the member at this place.
+    pub(crate) fn see_at(&mut self, now: Time, place: usize, seen: &Seen) -> News {
         let member = &mut self.others[place];
         let before = member.standing;
         let news = member.see(now, seen);
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -14,6 +14,12 @@
     SocketAddrV4::new(Ipv4Addr::new(10, 0, (i / 250) as u8, 1 + (i % 250) as u8), 7946)
 }
 
+/// Whose address it is.
+fn seat_at(address: SocketAddrV4) -> usize {
+    let [_, _, high, low] = address.ip().octets();
+    250 * usize::from(high) + usize::from(low) - 1
+}
+
 #[derive(Clone, Copy, Debug)]
 pub struct Net {
     /// Parts of one.
@@ -284,7 +290,9 @@
     fn send(&mut self, from: usize, out: Vec<(SocketAddrV4, Vec<u8>)>) {
         for (to, datagram) in out {
             assert!(datagram.len() <= meadowhold_fleet::wire::LONGEST);
-            let to = (0..self.count).find(|&i| at(i) == to).unwrap();
+            let address = to;
+            let to = seat_at(address);
+            assert!(to < self.count && at(to) == address, "a datagram to {address}, which nobody has");
             self.trace =
                 self.trace.rotate_left(5) ^ u64::from(crc32fast::hash(&datagram)) ^ self.now ^ to as u64;
             self.last.clone_from(&datagram);
