--- a/crates/courier/src/config.rs
+++ b/crates/courier/src/config.rs
@@ -13,7 +13,7 @@
 use serde_path_to_error::{Path, Segment};
 
 use crate::discovery::List;
-use crate::members::Members;
+use crate::members::{Members, MOST_MEMBERS};
 
 pub struct Config {
     pub name: String,
@@ -78,8 +78,8 @@
 /// that is found costs another look at the whole.
 const MOST_FAULTS: usize = 32;
 
-/// Guards against a note that is sent thousands of times over.
-const MOST_PEERS: usize = 1024;
+/// Guards against a note that is sent thousands of times over; as many as members, so that one list serves both.
+const MOST_PEERS: usize = MOST_MEMBERS;
 
 /// A value that must be there is optional here, and its absence found afterwards: so it hides no other fault.
 #[derive(Default, Deserialize, Validate)]
--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -30,6 +30,9 @@
 /// Whether it is offered by importance and end; else as it was taken. Off: it lost on the bench, see `docs/start.md`.
 const IN_ORDER: bool = false;
 
+/// The log's target for `list VERSION is in force`, at `trace`, so that it is on only where it is asked for.
+pub const IN_FORCE: &str = "in_force";
+
 pub type Shared = Rc<RefCell<Exchange>>;
 
 /// The module's clock: the system's at the start of the process, monotonic from then on.
@@ -241,8 +244,9 @@
     notices: UnboundedSender<Notice>,
     /// What goes to the other couriers, where there are any.
     news: Option<UnboundedSender<(Bytes, News)>>,
-    /// Version of the list that was taken up last.
+    /// Version of the list that was taken up last, and the last by which a turn was taken.
     index: u64,
+    in_force: u64,
     /// What the audit counts beside the books.
     tally: Tally,
     pub counts: Counts,
@@ -351,6 +355,7 @@
             notices,
             news,
             index: 0,
+            in_force: 0,
             tally: Tally { found: found.owed.len() as u64, ..Tally::default() },
             counts: Counts::default(),
         };
@@ -802,6 +807,9 @@
         for call in calls {
             let _ = self.orders.send(Order::Call(call));
         }
+        if self.index != std::mem::replace(&mut self.in_force, self.index) {
+            log::trace!(target: IN_FORCE, "list {} is in force", self.index);
+        }
         self.turns += 1;
         if cfg!(debug_assertions) || self.turns.is_multiple_of(audit::EVERY) {
             for fault in self.audit() {
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod discovery;
 pub mod endpoints;
 pub mod exchange;
+pub mod hollow;
 pub mod http;
 pub mod journal;
 pub mod link;
--- a/crates/courier/src/members.rs
+++ b/crates/courier/src/members.rs
@@ -17,8 +17,9 @@
 
 use crate::config::Peers;
 
-/// More than this would make each look at all of them slow.
-const MOST_MEMBERS: usize = 1024;
+/// The fleet that is planned for has 1,300; this leaves room for half as many again. Guards against a list by which what
+/// is kept of each member takes a courier's memory.
+pub const MOST_MEMBERS: usize = 2048;
 /// The farewell to the others is waited for so long.
 const FAREWELL: Duration = Duration::from_millis(100);
 const LOOK: Duration = Duration::from_millis(2);
--- a/crates/rig/src/day.rs
+++ b/crates/rig/src/day.rs
@@ -326,26 +326,7 @@
 impl Day {
     /// Reads a file's text; all faults that can be told at once.
     pub fn read(text: &str) -> Result<Day, Vec<Fault>> {
-        let table: Table = text.parse().map_err(|e: toml::de::Error| {
-            let line = e.span().map_or(0, |span| line_of(text, span.start));
-            vec![Fault { line, key: String::new(), words: e.message().to_string() }]
-        })?;
-        let (day, mut faults) = decode(table);
-        if let Some(day) = day {
-            faults.extend(day.faults());
-            if faults.is_empty() {
-                return Ok(day);
-            }
-        }
-        // A key that cannot be read has no value to be checked: its default's faults are not its own.
-        let mut seen = std::collections::HashSet::new();
-        faults.retain(|fault| seen.insert(fault.key.clone()));
-        let lines = Lines::of(text);
-        for fault in &mut faults {
-            fault.line = lines.of_key(&fault.key);
-        }
-        faults.sort_by_key(|fault| fault.line);
-        Err(faults)
+        read(text, Day::faults)
     }
 
     /// What a day cannot be run with, by key: for one that was changed since its file was read.
@@ -434,12 +415,39 @@
     }
 }
 
+/// Reads a file's text: what cannot be read in it, and what `check` finds of the rest, all at once with its lines.
+pub(crate) fn read<T: serde::de::DeserializeOwned>(
+    text: &str,
+    check: impl FnOnce(&T) -> Vec<Fault>,
+) -> Result<T, Vec<Fault>> {
+    let table: Table = text.parse().map_err(|e: toml::de::Error| {
+        let line = e.span().map_or(0, |span| line_of(text, span.start));
+        vec![Fault { line, key: String::new(), words: e.message().to_string() }]
+    })?;
+    let (day, mut faults) = decode(table);
+    if let Some(day) = day {
+        faults.extend(check(&day));
+        if faults.is_empty() {
+            return Ok(day);
+        }
+    }
+    // A key that cannot be read has no value to be checked: its default's faults are not its own.
+    let mut seen = std::collections::HashSet::new();
+    faults.retain(|fault| seen.insert(fault.key.clone()));
+    let lines = Lines::of(text);
+    for fault in &mut faults {
+        fault.line = lines.of_key(&fault.key);
+    }
+    faults.sort_by_key(|fault| fault.line);
+    Err(faults)
+}
+
 /// Reads a table over and over, without the key that could not be read last time, so that the next fault is found
 /// too. Every key has a default, so that one which is taken out hides no other.
-fn decode(mut table: Table) -> (Option<Day>, Vec<Fault>) {
+fn decode<T: serde::de::DeserializeOwned>(mut table: Table) -> (Option<T>, Vec<Fault>) {
     let mut faults: Vec<Fault> = Vec::new();
     loop {
-        let error = match serde_path_to_error::deserialize::<_, Day>(Value::Table(table.clone())) {
+        let error = match serde_path_to_error::deserialize::<_, T>(Value::Table(table.clone())) {
             Ok(day) => return (Some(day), faults),
             Err(error) => error,
         };
--- a/crates/rig/src/list.rs
+++ b/crates/rig/src/list.rs
@@ -60,23 +60,23 @@
 }
 
 #[derive(Serialize)]
-struct Told<'a> {
-    name: &'a str,
-    address: String,
-    zone: &'static str,
+pub(crate) struct Told<'a> {
+    pub name: &'a str,
+    pub address: String,
+    pub zone: &'static str,
     #[serde(rename = "type")]
-    kind: &'static str,
-    group: usize,
-    status: &'static str,
-    weight: f64,
-    since_ms: u64,
+    pub kind: &'static str,
+    pub group: usize,
+    pub status: &'static str,
+    pub weight: f64,
+    pub since_ms: u64,
 }
 
 #[derive(Serialize)]
-struct Answer<'a> {
-    index: u64,
-    snapshot: bool,
-    endpoints: Vec<Told<'a>>,
+pub(crate) struct Answer<'a> {
+    pub index: u64,
+    pub snapshot: bool,
+    pub endpoints: Vec<Told<'a>>,
 }
 
 /// The addresses at which each courier finds the endpoints, by courier and endpoint, and which courier's relay
@@ -249,9 +249,9 @@
     let _ = hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
 }
 
-type Reply = Response<BoxBody<Bytes, Infallible>>;
+pub(crate) type Reply = Response<BoxBody<Bytes, Infallible>>;
 
-fn plain(status: u16, body: Vec<u8>) -> Reply {
+pub(crate) fn plain(status: u16, body: Vec<u8>) -> Reply {
     let mut answer = Response::new(Full::new(body.into()).boxed());
     *answer.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
     answer
@@ -268,7 +268,7 @@
     async fn answer(self: Arc<Self>, courier: usize, request: Request<Incoming>) -> Reply {
         if request.method() == Method::POST && request.uri().path() == "/v1/notices" {
             return match request.into_body().collect().await {
-                Ok(body) => self.take_notices(&body.to_bytes()),
+                Ok(body) => take_notices(&self.record, &body.to_bytes()),
                 Err(_) => plain(400, Vec::new()),
             };
         }
@@ -374,17 +374,18 @@
             }
         }
     }
+}
 
-    fn take_notices(&self, body: &[u8]) -> Reply {
-        let lines = body.split(|&b| b == b'\n').filter(|line| !line.trim_ascii().is_empty());
-        let notices: Result<Vec<Notice>, _> = lines.map(serde_json::from_slice).collect();
-        let Ok(notices) = notices else { return plain(400, Vec::new()) };
-        for notice in notices {
-            let Some(hand) = Hand::read(&notice.id) else { return plain(400, Vec::new()) };
-            self.record.add(Seen::Notice { hand, dead: notice.result == "dead" });
-        }
-        plain(204, Vec::new())
+/// What couriers tell of messages that they gave up, one a line.
+pub(crate) fn take_notices(record: &Record, body: &[u8]) -> Reply {
+    let lines = body.split(|&b| b == b'\n').filter(|line| !line.trim_ascii().is_empty());
+    let notices: Result<Vec<Notice>, _> = lines.map(serde_json::from_slice).collect();
+    let Ok(notices) = notices else { return plain(400, Vec::new()) };
+    for notice in notices {
+        let Some(hand) = Hand::read(&notice.id) else { return plain(400, Vec::new()) };
+        record.add(Seen::Notice { hand, dead: notice.result == "dead" });
     }
+    plain(204, Vec::new())
 }
 
 #[cfg(test)]
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -29,19 +29,19 @@
 /// A run keeps this port of its network to itself.
 const CLAIM: u16 = 6378;
 /// SIGKILL follows so long after SIGTERM, and a start so long after the end of a planned restart.
-const TERM_LASTS: Duration = Duration::from_millis(3700);
+pub(crate) const TERM_LASTS: Duration = Duration::from_millis(3700);
 const RESTARTS_AFTER: Duration = Duration::from_millis(600);
 const POLL: Duration = Duration::from_millis(20);
 
 /// A network of a run's own on loopback: 127.x/16.
-struct Net {
+pub(crate) struct Net {
     x: u8,
     _claim: UdpSocket,
 }
 
 impl Net {
     /// Takes one that no other run has, here or in another process.
-    fn claim() -> io::Result<Net> {
+    pub(crate) fn claim() -> io::Result<Net> {
         // From 201 on: the couriers' own tests use those before.
         let (first, many) = (201u8, 54u32);
         let start = std::process::id() % many;
@@ -54,7 +54,7 @@
         Err(io::Error::other("each network on loopback is in use"))
     }
 
-    fn ip(&self, row: u8, number: usize) -> IpAddr {
+    pub(crate) fn ip(&self, row: u8, number: usize) -> IpAddr {
         Ipv4Addr::new(127, self.x, row, 1 + number as u8).into()
     }
 
@@ -473,7 +473,7 @@
 }
 
 /// The settings of a day's couriers, as the platform would hand them.
-fn settings(day: &Day) -> Value {
+pub(crate) fn settings(day: &Day) -> Value {
     let us = |seconds: f64| (seconds * 1e6) as u64;
     let window = us(day.rules.window_s);
     let lifetime = day.mails.time_ms[1] * 1000;
