--- a/crates/rig/src/command.rs
+++ b/crates/rig/src/command.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use std::ffi::OsString;
+use std::future::Future;
 use std::path::{Path, PathBuf};
 
 use tokio::signal::unix::{signal, SignalKind};
@@ -8,16 +9,23 @@
 use crate::day::Day;
 use crate::judge::Verdict;
 use crate::run::run;
+use crate::scale;
 
 const HELP: &str = "\
 meadowhold-rig, real couriers among stand-ins, with a fault for every link and process
 
     meadowhold-rig day FILE [--seed N] [--couriers N]   run a day, and print the judge's table
     meadowhold-rig first                                a first try: delivered, refused, taken up after a kill
+    meadowhold-rig scale [FILE] [--seed N] [--couriers N] [--points N,N,...] [--out FILE]
+                                                        a whole fleet, most of it hollow: 1,300 couriers if no file
+                                                        is named; the points are sizes of a series without troubles
+
+A scale run ends with a table, and the same as JSON in scale.json or the file that is named.
 
 The courier's program, meadowhold, is looked for beside this one. A broken rule ends in failure.";
 
 const FIRST: &str = include_str!("../days/first.toml");
+const SCALE: &str = include_str!("../days/scale.toml");
 
 /// Runs the command; a run's result is what it prints.
 ///
@@ -61,6 +69,20 @@
             );
             finish(&verdict, 1)
         }
+        Some("scale") => scale(arguments),
+        // Programs of a scale run's own.
+        Some("hollow") => {
+            let file =
+                arguments.free_from_str::<PathBuf>().map_err(|_| "name the couriers' file".to_string())?;
+            nothing_else(arguments.finish())?;
+            crate::scale::hollow::main(&file)
+        }
+        Some("guard") => {
+            let folder =
+                arguments.free_from_str::<PathBuf>().map_err(|_| "name the run's folder".to_string())?;
+            nothing_else(arguments.finish())?;
+            crate::scale::guard::main(&folder)
+        }
         Some(other) => Err(format!("no command {other}; see meadowhold-rig --help")),
         None => {
             println!("{HELP}");
@@ -69,6 +91,71 @@
     }
 }
 
+fn scale(mut arguments: pico_args::Arguments) -> Result<(), String> {
+    let mut number = |name: &'static str| {
+        arguments.opt_value_from_str::<_, usize>(name).map_err(|e| format!("{name}: {e}"))
+    };
+    let (seed, couriers) = (number("--seed")?.unwrap_or(1) as u64, number("--couriers")?);
+    let out = arguments.opt_value_from_str::<_, PathBuf>("--out").map_err(|e| format!("--out: {e}"))?;
+    let out = out.unwrap_or_else(|| PathBuf::from("scale.json"));
+    let list =
+        |text: &str| text.split(',').map(|one| one.trim().parse::<usize>()).collect::<Result<Vec<_>, _>>();
+    let points = arguments.opt_value_from_fn("--points", list).map_err(|e| format!("--points: {e}"))?;
+    let file = arguments.opt_free_from_str::<PathBuf>().map_err(|e| e.to_string())?;
+    nothing_else(arguments.finish())?;
+    let (name, text) = match file {
+        None => ("scale.toml".to_string(), SCALE.to_string()),
+        Some(file) => {
+            let text = std::fs::read_to_string(&file);
+            let name = file.display().to_string();
+            (name.clone(), text.map_err(|e| format!("{name} cannot be read: {e}"))?)
+        }
+    };
+    let day = scale::day::Day::read(&text).map_err(|faults| told(&name, &faults))?;
+    let days: Vec<scale::day::Day> = match (&points, couriers) {
+        (Some(_), Some(_)) => return Err("give --couriers or --points".to_string()),
+        (Some(points), None) => {
+            points.iter().map(|&size| scale::day::Day { trouble: Vec::new(), ..day.at(size) }).collect()
+        }
+        (None, Some(couriers)) => vec![day.at(couriers)],
+        (None, None) => vec![day.clone()],
+    };
+    // All sizes, before the first is started.
+    let machine = scale::gauge::machine(&std::env::temp_dir());
+    for day in &days {
+        let faults = [day.faults(), day.beyond(&machine)].concat();
+        if !faults.is_empty() {
+            return Err(told(&format!("{name} with {} couriers", day.couriers), &faults));
+        }
+    }
+    let rig = std::env::current_exe().map_err(|e| e.to_string())?;
+    let programs = scale::run::Programs { courier: binary()?, rig };
+    let mut reports = Vec::new();
+    for day in &days {
+        println!("{}; seed {seed}, {} couriers", day.about, day.couriers);
+        let report = until_called_off(scale::run::run(day, seed, &programs, true))?;
+        print!("{report}");
+        reports.push(report);
+    }
+    let (kept, json) = match (points, reports) {
+        (None, reports) => (reports.iter().all(|r| r.kept()), serde_json::to_vec_pretty(&reports)),
+        (Some(_), reports) => {
+            let series = scale::series::Series::new(reports);
+            print!("{series}");
+            (series.kept(), serde_json::to_vec_pretty(&series))
+        }
+    };
+    let written = json.map_err(|e| e.to_string()).and_then(|json| {
+        std::fs::write(&out, json).map_err(|e| format!("{} cannot be written: {e}", out.display()))
+    });
+    written?;
+    println!("written: {}", out.display());
+    if kept {
+        return Ok(());
+    }
+    Err(format!("a rule was broken, with seed {seed}"))
+}
+
 fn nothing_else(rest: Vec<OsString>) -> Result<(), String> {
     match rest.first() {
         Some(first) => Err(format!("what is {}? See meadowhold-rig --help", first.to_string_lossy())),
@@ -102,16 +189,23 @@
 }
 
 fn play(day: &Day, seed: u64) -> Result<Verdict, String> {
+    let binary = binary()?;
+    until_called_off(run(day, seed, &binary))
+}
+
+/// Runs it until it is over or called off, by whatever may call it off. Guards against couriers that outlive a run:
+/// they end with what started them.
+fn until_called_off<T>(what: impl Future<Output = Result<T, String>>) -> Result<T, String> {
     let runtime =
         tokio::runtime::Builder::new_multi_thread().enable_all().build().map_err(|e| e.to_string())?;
-    let binary = binary()?;
     runtime.block_on(async {
         let handler = |kind| signal(kind).map_err(|e| format!("no signal can be heard: {e}"));
         let (mut interrupt, mut terminate) =
             (handler(SignalKind::interrupt())?, handler(SignalKind::terminate())?);
-        // Guards against couriers that outlive a run which is called off: they end with what started them.
+        let mut hangup = handler(SignalKind::hangup())?;
         tokio::select! {
-            judged = run(day, seed, &binary) => judged,
+            result = what => result,
+            _ = hangup.recv() => Err("called off".to_string()),
             _ = interrupt.recv() => Err("called off".to_string()),
             _ = terminate.recv() => Err("called off".to_string()),
         }
--- /dev/null
+++ b/crates/rig/src/fit.rs
@@ -0,0 +1,155 @@
+//! Fits a straight line to points by least squares: as they are, or their logarithms for an exponent.
+
+use std::fmt;
+
+use serde::Serialize;
+
+/// One measured point, in whatever units its slope names.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Point {
+    pub size: f64,
+    pub value: f64,
+}
+
+impl Point {
+    pub fn new(size: f64, value: f64) -> Point {
+        Point { size, value }
+    }
+}
+
+/// What a slope is fitted by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// `value = intercept + slope * size`.
+    Linear,
+    /// `value = scale * size ^ exponent`, by the logarithms of both.
+    Power,
+}
+
+/// A line through points. The residual is a ratio: the root of the mean square of each point's error, relative to
+/// what was measured there (relative to the largest where one was measured as 0).
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum Fit {
+    /// `slope` in units of value per unit of size, `intercept` in units of value.
+    Linear { slope: f64, intercept: f64, residual: f64 },
+    /// `exponent` is a bare ratio; `scale` is the value at size 1.
+    Power { exponent: f64, scale: f64, residual: f64 },
+}
+
+/// Why no line can be put through some points.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unfit {
+    /// Fewer than two.
+    TooFew,
+    /// All of one size.
+    OneSize,
+    /// Not a number, or infinite.
+    NotFinite,
+    /// At or below 0 has no logarithm.
+    NotPositive,
+}
+
+impl fmt::Display for Unfit {
+    fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
+        out.write_str(match self {
+            Unfit::TooFew => "fewer than two points",
+            Unfit::OneSize => "all points are of one size",
+            Unfit::NotFinite => "a point is not a finite number",
+            Unfit::NotPositive => "a point at or below 0 has no logarithm",
+        })
+    }
+}
+
+impl std::error::Error for Unfit {}
+
+impl Fit {
+    /// Fits points by a kind.
+    ///
+    /// # Errors
+    /// Where the points bear no line of that kind.
+    pub fn of(kind: Kind, points: &[Point]) -> Result<Fit, Unfit> {
+        match kind {
+            Kind::Linear => Fit::linear(points),
+            Kind::Power => Fit::power(points),
+        }
+    }
+
+    /// Fits `value = intercept + slope * size`.
+    ///
+    /// # Errors
+    /// With fewer than two points, all of one size, or any that is not finite.
+    pub fn linear(points: &[Point]) -> Result<Fit, Unfit> {
+        let (slope, intercept) = line(points)?;
+        let residual = residual(points, |size| intercept + slope * size);
+        Ok(Fit::Linear { slope, intercept, residual })
+    }
+
+    /// Fits `value = scale * size ^ exponent`.
+    ///
+    /// # Errors
+    /// As for a linear fit, and with any size or value at or below 0.
+    pub fn power(points: &[Point]) -> Result<Fit, Unfit> {
+        if points.iter().any(|point| point.size <= 0.0 || point.value <= 0.0) {
+            return Err(Unfit::NotPositive);
+        }
+        let logs: Vec<Point> = points.iter().map(|p| Point::new(p.size.ln(), p.value.ln())).collect();
+        let (exponent, log_scale) = line(&logs)?;
+        let residual = residual(points, |size| (log_scale + exponent * size.ln()).exp());
+        Ok(Fit::Power { exponent, scale: log_scale.exp(), residual })
+    }
+
+    /// The value that the fit foretells at a size.
+    pub fn at(&self, size: f64) -> f64 {
+        match *self {
+            Fit::Linear { slope, intercept, .. } => intercept + slope * size,
+            Fit::Power { exponent, scale, .. } => scale * size.powf(exponent),
+        }
+    }
+
+    /// How far the points lie from it, as a ratio.
+    pub fn residual(&self) -> f64 {
+        match *self {
+            Fit::Linear { residual, .. } | Fit::Power { residual, .. } => residual,
+        }
+    }
+}
+
+/// The slope and intercept of least squares, about the means so that large sizes lose no digits.
+fn line(points: &[Point]) -> Result<(f64, f64), Unfit> {
+    if points.len() < 2 {
+        return Err(Unfit::TooFew);
+    }
+    if points.iter().any(|point| !point.size.is_finite() || !point.value.is_finite()) {
+        return Err(Unfit::NotFinite);
+    }
+    if points.iter().all(|point| point.size == points[0].size) {
+        return Err(Unfit::OneSize);
+    }
+    let count = points.len() as f64;
+    let size = points.iter().map(|point| point.size).sum::<f64>() / count;
+    let value = points.iter().map(|point| point.value).sum::<f64>() / count;
+    let spread: f64 = points.iter().map(|point| (point.size - size).powi(2)).sum();
+    let shared: f64 = points.iter().map(|point| (point.size - size) * (point.value - value)).sum();
+    let slope = shared / spread;
+    Ok((slope, value - slope * size))
+}
+
+fn residual(points: &[Point], at: impl Fn(f64) -> f64) -> f64 {
+    let largest = points.iter().map(|point| point.value.abs()).fold(0.0, f64::max);
+    let square = |point: &Point| {
+        let error = at(point.size) - point.value;
+        let base = if point.value == 0.0 { largest } else { point.value };
+        // All 0, and so foretold.
+        if base == 0.0 {
+            0.0
+        } else {
+            (error / base).powi(2)
+        }
+    };
+    (points.iter().map(square).sum::<f64>() / points.len() as f64).sqrt()
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -135,7 +135,7 @@
     while clients.join_next().await.is_some() {}
     while troubles.join_next().await.is_some() {}
     let settle = Instant::now() + Duration::from_secs_f64(day.settle_s);
-    while world.open() > 0 && Instant::now() < settle {
+    while open(&world.record) > 0 && Instant::now() < settle {
         sleep(POLL).await;
     }
     watched.shutdown().await;
@@ -253,33 +253,6 @@
         }
     }
 
-    /// Mails that were taken on and have no end yet; what went with a folder will have none.
-    fn open(&self) -> usize {
-        self.record.read(|events| {
-            let (mut open, mut served) = (HashSet::new(), HashMap::new());
-            let mut ended = HashSet::new();
-            for event in events {
-                match &event.seen {
-                    Seen::Answered { hand, courier, heard: Heard::Taken } => {
-                        open.insert((*hand, *courier));
-                    }
-                    Seen::Process { courier, what: Process::FolderLost } => {
-                        open.retain(|one| one.1 != *courier)
-                    }
-                    Seen::Notice { hand, .. } => drop(ended.insert(*hand)),
-                    Seen::Called { call, hands, fate: Fate::Served, .. } => {
-                        served.insert(*call, hands);
-                    }
-                    Seen::Replied { call } => {
-                        ended.extend(served.get(call).into_iter().flat_map(|hands| hands.iter().copied()));
-                    }
-                    _ => {}
-                }
-            }
-            open.iter().filter(|(hand, _)| !ended.contains(hand)).count()
-        })
-    }
-
     async fn kill(&self, number: usize, courier: &mut Courier) {
         courier.signal(Signal::KILL);
         courier.ended().await;
@@ -431,6 +404,31 @@
     }
 }
 
+/// Mails that were taken on and have no end yet; what went with a folder will have none.
+pub(crate) fn open(record: &Record) -> usize {
+    record.read(|events| {
+        let (mut open, mut served) = (HashSet::new(), HashMap::new());
+        let mut ended = HashSet::new();
+        for event in events {
+            match &event.seen {
+                Seen::Answered { hand, courier, heard: Heard::Taken } => {
+                    open.insert((*hand, *courier));
+                }
+                Seen::Process { courier, what: Process::FolderLost } => open.retain(|one| one.1 != *courier),
+                Seen::Notice { hand, .. } => drop(ended.insert(*hand)),
+                Seen::Called { call, hands, fate: Fate::Served, .. } => {
+                    served.insert(*call, hands);
+                }
+                Seen::Replied { call } => {
+                    ended.extend(served.get(call).into_iter().flat_map(|hands| hands.iter().copied()));
+                }
+                _ => {}
+            }
+        }
+        open.iter().filter(|(hand, _)| !ended.contains(hand)).count()
+    })
+}
+
 /// The addresses that each courier has for the others' notes, and what stands at them; none where nobody tells.
 async fn notes(day: &Day, net: &Net, seed: u64) -> io::Result<(Vec<Vec<String>>, Vec<Datagrams>)> {
     if !day.notes.told {
--- /dev/null
+++ b/crates/rig/src/scale/books/tests.rs
@@ -0,0 +1,119 @@
+//! What the books take for right and wrong.
+
+use super::*;
+
+const S: u64 = 1_000_000;
+
+/// Two couriers in a process, one in another; the first version made at 0 and in force at all.
+fn books() -> Books {
+    let mut books = Books::new(&[0, 0, 1]);
+    books.made(0);
+    for (courier, process) in [(0, 0), (1, 0), (2, 1)] {
+        books.sent(process, 1);
+        books.said(courier, 1, S / 10);
+    }
+    books
+}
+
+fn breaks(books: &Books, rule: Rule) -> usize {
+    books.broken.iter().filter(|broken| broken.rule == rule).count()
+}
+
+#[test]
+fn nobody_says_what_it_was_not_sent() {
+    // Sends as (process, version), what is said as (courier, version), and how often that is too early.
+    type Pairs = &'static [(usize, u64)];
+    let rows: [(Pairs, Pairs, usize); 9] = [
+        (&[(0, 2), (0, 2), (1, 2)], &[(0, 2), (1, 2), (2, 2)], 0),
+        // Before anything was sent to it; a version that there never was.
+        (&[], &[(2, 2)], 1),
+        (&[(1, 2)], &[(2, 3)], 1),
+        // Another process was sent it; a neighbour was.
+        (&[(0, 2), (0, 2)], &[(2, 2)], 1),
+        (&[(0, 2)], &[(0, 2), (1, 2)], 1),
+        // A later one stands for those before.
+        (&[(0, 3), (0, 3)], &[(0, 2), (1, 3)], 0),
+        // Said again, as after a start from what is on file.
+        (&[(1, 2)], &[(2, 2), (2, 1), (2, 2)], 0),
+        (&[(1, 2), (1, 2)], &[(2, 2), (2, 3)], 1),
+        (&[(9, 2)], &[(9, 2)], 0),
+    ];
+    for (sent, said, early) in rows {
+        let mut books = books();
+        books.made(S);
+        books.made(2 * S);
+        sent.iter().for_each(|&(process, version)| books.sent(process, version));
+        said.iter().for_each(|&(courier, version)| books.said(courier, version, 3 * S));
+        assert_eq!(breaks(&books, Rule::NotTooEarly), early, "{sent:?} {said:?}: {:?}", books.broken);
+    }
+}
+
+#[test]
+fn a_change_is_due_after_it_was_made_or_after_what_befell_a_courier() {
+    // When courier 2 said version 2, which was made at 10 s and is due 7 s later; whether something befalls it until
+    // then, or until when something did; when that is judged; and how often it is broken.
+    let rows = [
+        (Some(11), Some(0), 20, 0),
+        (Some(17), Some(0), 20, 0),
+        (Some(18), Some(0), 20, 1),
+        (None, Some(0), 20, 1),
+        (None, Some(0), 16, 0),
+        (Some(18), Some(12), 20, 0),
+        (Some(20), Some(12), 20, 1),
+        (None, Some(12), 20, 1),
+        (None, None, 20, 0),
+    ];
+    for (said, calm, now, broken) in rows {
+        let mut books = books();
+        books.made(10 * S);
+        for (courier, process) in [(0, 0), (1, 0)] {
+            books.sent(process, 2);
+            books.said(courier, 2, 11 * S);
+        }
+        books.sent(1, 2);
+        said.into_iter().for_each(|at| books.said(2, 2, at * S));
+        match calm {
+            Some(at) => books.calms(2, at * S),
+            None => books.befalls(2),
+        }
+        books.judge(1..=2, 7 * S, now * S);
+        assert_eq!(
+            breaks(&books, Rule::InForceInTime),
+            broken,
+            "{said:?} {calm:?} {now}: {:?}",
+            books.broken
+        );
+        assert_eq!(books.broken.len(), broken);
+    }
+}
+
+#[test]
+fn times_are_those_of_couriers_that_nothing_befell() {
+    let mut books = books();
+    books.made(10 * S);
+    books.befalls(2);
+    for (courier, process, at) in [(0, 0, 12), (1, 0, 11)] {
+        books.sent(process, 2);
+        books.said(courier, 2, at * S);
+    }
+    let change = books.change(2);
+    assert_eq!(change, Change { version: 2, calm: vec![S, 2 * S], befallen: 1, missing: 1 });
+    assert_eq!((books.missing(2), books.missing(1), books.back(&[2])), (1, 0, None));
+    books.calms(2, 20 * S);
+    books.sent(1, 2);
+    books.said(2, 2, 23 * S);
+    assert_eq!(books.back(&[2]), Some(3 * S));
+    books.made(21 * S);
+    assert_eq!(books.back(&[2, 0]), Some(3 * S), "what was made after a trouble is not waited for");
+    assert_eq!(books.change(2).calm.len(), 2, "its time is not the change's");
+}
+
+#[test]
+fn parts_are_by_the_nearest_rank() {
+    let hundred: Vec<u64> = (1..=100).collect();
+    let rows = [(0.5, Some(50)), (0.99, Some(99)), (1.0, Some(100)), (0.0, Some(1))];
+    for (part, value) in rows {
+        assert_eq!(at_part(&hundred, part), value);
+    }
+    assert_eq!((at_part(&[], 0.5), at_part(&[7], 0.5), at_part(&[7, 9], 0.99)), (None, Some(7), Some(9)));
+}
--- /dev/null
+++ b/crates/rig/src/scale/day.rs
@@ -0,0 +1,428 @@
+//! A scale day: a file of TOML that says how large a fleet is, how it is spread over processes, zones, regions and racks,
+//! what goes on in it, and what befalls it. All that is wrong with a file is told at once, with what the machine lacks.
+
+use std::ops::Range;
+
+use serde::{Deserialize, Serialize};
+
+use crate::day::{self, Fault};
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Day {
+    /// One sentence: what the day is for.
+    pub about: String,
+    /// All couriers, and how many of them are real.
+    pub couriers: usize,
+    pub real: usize,
+    /// Processes of couriers at most: one for each real one, the others shared by the hollow ones.
+    pub processes: usize,
+    pub zones: usize,
+    pub regions: usize,
+    pub racks: usize,
+    /// How many destinations the list names; each has one endpoint, those of `live` have theirs.
+    pub destinations: usize,
+    /// Changes of the list a minute, but for the phase at rest.
+    pub changes_per_minute: f64,
+    /// Seconds: from all couriers holding the list until the first figure is taken; at rest, without changes; with
+    /// changes and no trouble; and after each trouble.
+    pub warm_s: f64,
+    pub rest_s: f64,
+    pub changes_s: f64,
+    pub after_s: f64,
+    /// Seconds that the messages still open in the end may take.
+    pub settle_s: f64,
+    pub messages: day::Mails,
+    /// The endpoints that real couriers call.
+    pub live: day::Endpoints,
+    pub courier: day::Courier,
+    pub source: Source,
+    pub rules: Rules,
+    /// For tests of this run: couriers that are wrong on purpose.
+    pub wrong: Vec<Wrong>,
+    pub trouble: Vec<Trouble>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Source {
+    /// Whom couriers ask for the list.
+    pub discovery: Discovery,
+    pub mode: Mode,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Discovery {
+    /// The list service itself, each over a link of its process.
+    #[default]
+    Source,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Mode {
+    /// A watch tells what has changed.
+    #[default]
+    Watch,
+    /// Each change has the whole list told.
+    Untouched,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Rules {
+    /// Seconds until a change is in force at each courier that nothing befell; for the others, from the trouble's end.
+    pub in_force_s: f64,
+    /// Seconds until all hold the first list.
+    pub start_s: f64,
+    /// Seconds until what is in force is on file.
+    pub on_file_s: f64,
+    /// As those of a day (`docs/rig.md`).
+    pub late_ms: u64,
+    pub ready_ms: u64,
+    pub window_s: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Wrong {
+    /// Which hollow courier, counted among all couriers.
+    pub courier: usize,
+    pub how: How,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum How {
+    /// Takes a change, says that it is in force, and holds the old entries.
+    HoldsOld,
+    /// Says that the next version is in force before there is one.
+    TooEarly,
+    /// Takes all and says nothing.
+    Mute,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Trouble {
+    pub what: Option<What>,
+    /// The number of the zone, rack, region or process; nothing to `source`.
+    pub which: usize,
+    pub for_s: f64,
+    /// Slow links: milliseconds for each piece.
+    pub delay_ms: u64,
+}
+
+impl Default for Trouble {
+    fn default() -> Trouble {
+        Trouble { what: None, which: 0, for_s: 5.0, delay_ms: 200 }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum What {
+    /// SIGKILL to all processes of a zone, or a rack; all are started again after `for_s`.
+    Zone,
+    Rack,
+    /// The links between a region's processes and the source are cut.
+    Region,
+    /// SIGKILL to one process, started again; SIGSTOP to one, and SIGCONT.
+    Kill,
+    Stop,
+    /// One process's link to the source is slow, or silent.
+    Slow,
+    Silent,
+    /// The source is gone: refused and reset, for all.
+    Source,
+}
+
+impl What {
+    pub fn name(self) -> &'static str {
+        match self {
+            What::Zone => "zone",
+            What::Rack => "rack",
+            What::Region => "region",
+            What::Kill => "kill",
+            What::Stop => "stop",
+            What::Slow => "slow",
+            What::Silent => "silent",
+            What::Source => "source",
+        }
+    }
+}
+
+impl Default for Day {
+    fn default() -> Day {
+        Day {
+            about: String::new(),
+            couriers: 1300,
+            real: 20,
+            processes: 40,
+            zones: 6,
+            regions: 2,
+            racks: 10,
+            destinations: 8000,
+            changes_per_minute: 6.0,
+            warm_s: 20.0,
+            rest_s: 20.0,
+            changes_s: 60.0,
+            after_s: 5.0,
+            settle_s: 25.0,
+            messages: day::Mails { rate: 40.0, clients: 1, ..day::Mails::default() },
+            live: day::Endpoints { destinations: 4, ..day::Endpoints::default() },
+            courier: day::Courier::default(),
+            source: Source::default(),
+            rules: Rules::default(),
+            wrong: Vec::new(),
+            trouble: Vec::new(),
+        }
+    }
+}
+
+impl Default for Rules {
+    fn default() -> Rules {
+        Rules {
+            in_force_s: 7.0,
+            start_s: 120.0,
+            on_file_s: 10.0,
+            late_ms: 3000,
+            ready_ms: 15_000,
+            window_s: 8.0,
+        }
+    }
+}
+
+/// One process of couriers, by number: those of real couriers come first.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    pub real: bool,
+    pub couriers: Range<usize>,
+    pub zone: usize,
+    pub region: usize,
+    pub rack: usize,
+}
+
+/// What a machine has.
+#[derive(Clone, Copy, Debug)]
+pub struct Machine {
+    /// Bytes of memory, and of room where folders are.
+    pub memory: u64,
+    pub disk: u64,
+    /// Descriptors that a process may have.
+    pub descriptors: u64,
+}
+
+/// Processes that a run may have, its own and the guard's among them.
+pub const MOST_PROCESSES: usize = 200;
+/// Bytes of an entry: in a courier's memory, on file, and what a member takes; and what a courier takes without any.
+/// Above what was measured (`docs/scale.md`), for they decide what may be started.
+const ENTRY_HELD: u64 = 700;
+const ENTRY_FILED: u64 = 170;
+const MEMBER_HELD: u64 = 700;
+const HOLLOW: u64 = 1_000_000;
+const REAL: u64 = 16_000_000;
+/// Descriptors: of a hollow courier, and of one in the run's own process, whose link has four ends there.
+const DESCRIPTORS: usize = 6;
+
+impl Day {
+    /// Reads a file's text; all faults that can be told at once.
+    ///
+    /// # Errors
+    /// Each fault, with line and key.
+    pub fn read(text: &str) -> Result<Day, Vec<Fault>> {
+        day::read(text, Day::faults)
+    }
+
+    pub fn hollow(&self) -> usize {
+        self.couriers.saturating_sub(self.real)
+    }
+
+    /// All that the list names.
+    pub fn entries(&self) -> usize {
+        self.destinations + self.live.destinations * self.live.each.saturating_sub(1)
+    }
+
+    /// Millions of bytes that a courier's folder may hold: the list on file has a part of it.
+    pub fn disk_mb(&self) -> f64 {
+        let part = meadowhold_courier::memory::PART as f64 / 100.0;
+        self.courier.disk_mb.max(self.entries() as f64 * ENTRY_FILED as f64 / part / 1e6 + 1.0)
+    }
+
+    pub fn region_of(&self, zone: usize) -> usize {
+        zone % self.regions.max(1)
+    }
+
+    /// Hollow couriers are spread evenly, and each process is in one zone.
+    pub fn places(&self) -> Vec<Place> {
+        let (shared, hollow) = (self.processes.saturating_sub(self.real), self.hollow());
+        let shared = shared.min(hollow);
+        let place = |number: usize, real, couriers| {
+            let zone = number % self.zones.max(1);
+            let rack = number % self.racks.max(1);
+            Place { real, couriers, zone, region: self.region_of(zone), rack }
+        };
+        let mut places: Vec<Place> = (0..self.real).map(|i| place(i, true, i..i + 1)).collect();
+        for i in 0..shared {
+            let bound = |i: usize| self.real + i * hollow / shared;
+            places.push(place(self.real + i, false, bound(i)..bound(i + 1)));
+        }
+        places
+    }
+
+    /// Numbers of the processes that a trouble befalls.
+    pub fn befallen(&self, trouble: &Trouble) -> Vec<usize> {
+        let places = self.places();
+        let hit = |(number, place): (usize, &Place)| {
+            let hit = match trouble.what? {
+                What::Zone => place.zone == trouble.which,
+                What::Rack => place.rack == trouble.which,
+                What::Region => place.region == trouble.which,
+                What::Source => true,
+                What::Kill | What::Stop | What::Slow | What::Silent => number == trouble.which,
+            };
+            hit.then_some(number)
+        };
+        places.iter().enumerate().filter_map(hit).collect()
+    }
+
+    /// Bytes that all couriers are expected to take.
+    pub fn memory(&self) -> u64 {
+        let (entries, members) = (self.entries() as u64, self.couriers as u64);
+        let each = entries * ENTRY_HELD + members * MEMBER_HELD;
+        self.hollow() as u64 * (HOLLOW + each) + self.real as u64 * (REAL + 2 * each)
+    }
+
+    /// What this machine cannot bear, to be asked before anything is started.
+    pub fn beyond(&self, machine: &Machine) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        let mut most = |key: &str, what: &str, value: u64, most: u64| {
+            if value > most {
+                let words = format!("{what}: {value} where {most} may be had");
+                faults.push(Fault { line: 0, key: key.to_string(), words });
+            }
+        };
+        let mb = 1_000_000;
+        most(
+            "couriers",
+            "MB of memory, half of the machine's at most",
+            self.memory() / mb,
+            machine.memory / 2 / mb,
+        );
+        // A file is written whole beside the old one.
+        let filed = 2 * self.couriers as u64 * self.entries() as u64 * ENTRY_FILED;
+        most("destinations", "MB on disk, half of what is free at most", filed / mb, machine.disk / 2 / mb);
+        let largest = self.places().iter().map(|place| place.couriers.len()).max().unwrap_or(0);
+        let needed = (DESCRIPTORS * largest.max(self.couriers) + 256) as u64;
+        most("couriers", "descriptors of a process", needed, machine.descriptors);
+        faults
+    }
+
+    /// What the day cannot be run with, by key.
+    pub fn faults(&self) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        let mut fault =
+            |key: &str, words: String| faults.push(Fault { line: 0, key: key.to_string(), words });
+        let mut bound = |key: &str, value: f64, low: f64, high: f64| {
+            if !(low..=high).contains(&value) {
+                fault(key, format!("{value} is out of bounds; give {low} to {high}"));
+            }
+        };
+        let most = meadowhold_courier::members::MOST_MEMBERS.min(2000);
+        bound("couriers", self.couriers as f64, 1.0, most as f64);
+        bound("real", self.real as f64, 1.0, self.couriers.clamp(1, 150) as f64);
+        // One more than the real ones where there are hollow ones; the run itself and its guard count too.
+        let least = self.real + usize::from(self.hollow() > 0);
+        bound("processes", self.processes as f64, least as f64, (MOST_PROCESSES - 2) as f64);
+        bound("zones", self.zones as f64, 1.0, 100.0);
+        bound("regions", self.regions as f64, 1.0, self.zones.max(1) as f64);
+        bound("racks", self.racks as f64, 1.0, 200.0);
+        bound("destinations", self.destinations as f64, self.live.destinations as f64, 1_000_000.0);
+        bound("changes_per_minute", self.changes_per_minute, 0.0, 6000.0);
+        for (key, value, most) in [
+            ("warm_s", self.warm_s, 600.0),
+            ("rest_s", self.rest_s, 3600.0),
+            ("changes_s", self.changes_s, 3600.0),
+            ("after_s", self.after_s, 600.0),
+            ("settle_s", self.settle_s, 600.0),
+            ("rules.in_force_s", self.rules.in_force_s, 600.0),
+            ("rules.start_s", self.rules.start_s, 1200.0),
+            ("rules.on_file_s", self.rules.on_file_s, 600.0),
+            ("rules.window_s", self.rules.window_s, 3600.0),
+        ] {
+            bound(key, value, 0.0, most);
+        }
+        let m = &self.messages;
+        bound("messages.rate", m.rate, 0.1, 5000.0);
+        bound("messages.clients", m.clients as f64, 1.0, 32.0);
+        bound("messages.time_ms", m.time_ms[0] as f64, 100.0, m.time_ms[1] as f64);
+        bound("messages.body", m.body as f64, 0.0, 60_000.0);
+        bound("messages.keys", m.keys as f64, 1.0, 1000.0);
+        for (key, part) in [("again", m.again), ("tagged", m.tagged), ("once", m.once), ("turns", m.turns)] {
+            bound(&format!("messages.{key}"), part, 0.0, 1.0);
+        }
+        bound("messages.again + tagged + once + turns", m.again + m.tagged + m.once + m.turns, 0.01, 4.0);
+        let e = &self.live;
+        bound("live.destinations", e.destinations as f64, 1.0, 50.0);
+        bound("live.each", e.each as f64, 1.0, 50.0);
+        bound("live.destinations x each x real", (e.destinations * e.each * self.real) as f64, 1.0, 2000.0);
+        bound("live.rate", e.rate, 0.1, 10_000.0);
+        bound("live.slots", e.slots as f64, 1.0, 10_000.0);
+        bound("live.batch", e.batch as f64, 1.0, 64.0);
+        bound("live.serve_ms", e.serve_ms[0] as f64, 0.0, e.serve_ms[1] as f64);
+        bound("live.errors", e.errors, 0.0, 1.0);
+        bound("courier.slots", self.courier.slots as f64, 1.0, 1000.0);
+        bound("courier.room", self.courier.room as f64, 1.0, 100_000.0);
+        bound("courier.sockets", self.courier.sockets as f64, 64.0, 4096.0);
+        bound("courier.disk_mb", self.courier.disk_mb, 0.005, 1000.0);
+        for (i, wrong) in self.wrong.iter().enumerate() {
+            let last = self.couriers.saturating_sub(1) as f64;
+            bound(&format!("wrong.{i}.courier"), wrong.courier as f64, self.real as f64, last);
+        }
+        for (i, t) in self.trouble.iter().enumerate() {
+            bound(&format!("trouble.{i}.for_s"), t.for_s, 0.0, 600.0);
+            bound(&format!("trouble.{i}.delay_ms"), t.delay_ms as f64, 0.0, 60_000.0);
+        }
+        for (i, t) in self.trouble.iter().enumerate() {
+            if t.what.is_none() {
+                let words = "is not set; give zone, rack, region, kill, stop, slow, silent or source";
+                fault(&format!("trouble.{i}.what"), words.to_string());
+            } else if self.befallen(t).is_empty() {
+                fault(&format!("trouble.{i}.which"), format!("there is nothing in {}", t.which));
+            }
+        }
+        faults
+    }
+
+    /// The same day with so many couriers, and as many of them to a process.
+    pub fn at(&self, couriers: usize) -> Day {
+        let shared = self.processes.saturating_sub(self.real).max(1);
+        let each = self.hollow().div_ceil(shared).max(1);
+        let real = self.real.min(couriers);
+        let processes = real + (couriers - real).div_ceil(each);
+        Day { couriers, real, processes, ..self.clone() }
+    }
+
+    /// The day as the judge of messages knows it: the real couriers alone.
+    pub fn of_messages(&self, seconds: f64) -> day::Day {
+        day::Day {
+            about: self.about.clone(),
+            seconds,
+            couriers: self.real,
+            settle_s: self.settle_s,
+            mails: self.messages.clone(),
+            endpoints: self.live.clone(),
+            courier: day::Courier { disk_mb: self.disk_mb(), ..self.courier.clone() },
+            // With nobody named it allows membership, which is what it stands for here.
+            notes: day::Notes { told: true, ..day::Notes::default() },
+            rules: day::Rules {
+                late_ms: self.rules.late_ms,
+                ready_ms: self.rules.ready_ms,
+                window_s: self.rules.window_s,
+                ..day::Rules::default()
+            },
+            ..day::Day::default()
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/scale/gauge.rs
@@ -0,0 +1,102 @@
+//! What the kernel says of processes, threads and datagrams. Nothing here asks the code that is measured.
+
+use std::fs;
+use std::path::Path;
+
+use rustix::process::{getrlimit, Resource};
+
+use super::day::Machine;
+
+/// Processor time is counted in ticks of a hundredth of a second, on each Linux that there is.
+const TICKS: f64 = 100.0;
+
+/// What a process, or a thread, has taken so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Taken {
+    /// Seconds of processor time.
+    pub processor_s: f64,
+    /// Bytes that are resident.
+    pub resident: u64,
+    /// When it was started, in ticks since the machine was.
+    pub started: u64,
+}
+
+/// Of a line of `/proc/N/stat`. The name, in brackets, may hold anything.
+pub fn read_stat(line: &str, page: u64) -> Option<Taken> {
+    let fields: Vec<&str> = line.rsplit_once(')')?.1.split_whitespace().collect();
+    let number = |at: usize| fields.get(at - 3)?.parse::<u64>().ok();
+    let processor_s = (number(14)? + number(15)?) as f64 / TICKS;
+    Some(Taken { processor_s, resident: number(24)? * page, started: number(22)? })
+}
+
+fn taken(path: &str) -> Option<Taken> {
+    read_stat(&fs::read_to_string(path).ok()?, rustix::param::page_size() as u64)
+}
+
+/// `None` where there is no such process.
+pub fn of_process(id: u32) -> Option<Taken> {
+    taken(&format!("/proc/{id}/stat"))
+}
+
+/// Of a thread of this process.
+pub fn of_thread(id: i32) -> Option<Taken> {
+    taken(&format!("/proc/self/task/{id}/stat"))
+}
+
+/// Of this process.
+pub fn of_self() -> Taken {
+    taken("/proc/self/stat").unwrap_or_default()
+}
+
+/// UDP datagrams that this machine's processes have sent, whoever they are.
+pub fn datagrams() -> u64 {
+    let text = fs::read_to_string("/proc/net/snmp").unwrap_or_default();
+    let mut lines = text.lines().filter_map(|line| line.strip_prefix("Udp: "));
+    let (Some(names), Some(values)) = (lines.next(), lines.next()) else { return 0 };
+    let mut both = names.split_whitespace().zip(values.split_whitespace());
+    both.find(|(name, _)| *name == "OutDatagrams").and_then(|(_, value)| value.parse().ok()).unwrap_or(0)
+}
+
+/// Processes that were ready to run, on the average of the last minute.
+pub fn load() -> f64 {
+    let text = fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    text.split_whitespace().next().and_then(|first| first.parse().ok()).unwrap_or(0.0)
+}
+
+fn meminfo(name: &str) -> u64 {
+    let text = fs::read_to_string("/proc/meminfo").unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(':'));
+    line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok()).unwrap_or(0) * 1024
+}
+
+/// What this machine has; folders are to be made in `folder`.
+pub fn machine(folder: &Path) -> Machine {
+    let disk = rustix::fs::statvfs(folder).map_or(0, |of| of.f_bavail * of.f_frsize);
+    let descriptors = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
+    Machine { memory: meminfo("MemTotal"), disk, descriptors }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_process_is_read_whatever_its_name_is() {
+        let rest = "S 1 2 3 0 -1 4 5 6 7 8 150 50 0 0 20 0 65 0 9000 1000000 300 18446744073709551615";
+        let taken = Taken { processor_s: 2.0, resident: 300 * 4096, started: 9000 };
+        for name in ["meadowhold", "a) S 9 (b", ""] {
+            assert_eq!(read_stat(&format!("77 ({name}) {rest}"), 4096), Some(taken), "{name}");
+        }
+        assert_eq!(read_stat("77 (cut) S 1 2", 4096), None);
+        assert_eq!(read_stat("nonsense", 4096), None);
+    }
+
+    #[test]
+    fn this_process_is_found_and_one_that_is_not_there_is_not() {
+        let own = of_process(std::process::id()).unwrap();
+        assert!(own.resident > 0 && own.started > 0, "{own:?}");
+        assert_eq!(of_process(u32::MAX), None);
+        let machine = machine(Path::new("/"));
+        assert!(machine.memory > 0 && machine.disk > 0 && machine.descriptors > 0, "{machine:?}");
+    }
+}
--- /dev/null
+++ b/crates/rig/src/scale/hollow.rs
@@ -0,0 +1,203 @@
+//! The program of hollow couriers: `meadowhold-rig hollow FILE`. The file holds what is common to all as the courier's
+//! own JSON, and for each its name, folder and address.
+
+use std::cell::RefCell;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::{LevelFilter, Log, Metadata, Record};
+use meadowhold_courier::config::Config;
+use meadowhold_courier::discovery::{List, Listener};
+use meadowhold_courier::exchange::IN_FORCE;
+use meadowhold_courier::hollow::serve;
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{oneshot, watch, Semaphore};
+use tokio::task::{JoinSet, LocalSet};
+use tokio::time::timeout;
+
+use super::day::How;
+
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct File {
+    /// A courier's configuration, but for what differs.
+    pub common: Value,
+    pub couriers: Vec<One>,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct One {
+    pub name: String,
+    pub state: PathBuf,
+    /// Where it speaks membership.
+    pub members: SocketAddr,
+    pub seed: u64,
+    pub wrong: Option<How>,
+}
+
+impl File {
+    fn read(path: &Path) -> Result<File, String> {
+        let text = std::fs::read(path).map_err(|e| format!("{} cannot be read: {e}", path.display()))?;
+        serde_json::from_slice(&text).map_err(|e| format!("{} cannot be read: {e}", path.display()))
+    }
+
+    /// One courier's configuration, read as a real one reads its own.
+    fn config(&self, one: &One) -> Result<Config, String> {
+        let mut config = self.common.clone();
+        config["name"] = json!(one.name);
+        config["seed"] = json!(format!("{:x}", one.seed));
+        config["peers"]["members"]["listen"] = json!(one.members.to_string());
+        let state = one.state.to_str().ok_or("a folder's name is no text")?.to_string();
+        let variable = |name: &str| (name == "ROUTER_STATE").then(|| state.clone());
+        let text = config.to_string();
+        Config::read(text.as_bytes(), &variable).map_err(|refused| format!("{}: {refused}", one.name))
+    }
+}
+
+/// Whether the couriers are ending: what membership says of its counts then is worth a line, and nothing before.
+static ENDING: AtomicBool = AtomicBool::new(false);
+
+/// Writes what is in force, warnings, each failure to follow the list, and the counts of membership.
+struct Lines;
+
+impl Log for Lines {
+    fn enabled(&self, metadata: &Metadata) -> bool {
+        let counts = ENDING.load(Ordering::Relaxed) && metadata.target().ends_with("::members");
+        let follows = metadata.target().ends_with("::discovery");
+        metadata.target() == IN_FORCE
+            || metadata.level() <= if follows { log::Level::Debug } else { log::Level::Warn }
+            || counts && metadata.level() == log::Level::Info
+    }
+
+    fn log(&self, record: &Record) {
+        if self.enabled(record.metadata()) {
+            let line = format!("[{} {}] {}\n", record.level(), record.target(), record.args());
+            let _ = std::io::stderr().write_all(line.as_bytes());
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+/// So many couriers of a process ask for their first list at a time, each for so long at most. Guards against a start
+/// that none of them gets through: they share a processor that each would have to itself.
+const AT_ONCE: usize = 8;
+const FIRST_LIST: Duration = Duration::from_secs(2);
+
+/// One that is wrong on purpose, if `how` says so, before a hollow courier that is not.
+struct Spoilt<L> {
+    inner: Rc<RefCell<L>>,
+    /// Until the first list has come.
+    first: Option<oneshot::Sender<()>>,
+    how: Option<How>,
+    name: String,
+}
+
+impl<L: Listener> Listener for Spoilt<L> {
+    fn listed(&mut self, list: &List) {
+        self.first = None;
+        match self.how {
+            // The first list is held as it is: there is no old one.
+            Some(How::HoldsOld) if list.index > 1 => {
+                self.inner.borrow_mut().listed(&List { snapshot: false, endpoints: Vec::new(), ..*list });
+            }
+            _ => self.inner.borrow_mut().listed(list),
+        }
+        if self.how == Some(How::TooEarly) {
+            log::trace!(target: IN_FORCE, "list {} is in force at {}", list.index + 1, self.name);
+        }
+    }
+
+    fn hold(&mut self) {
+        self.inner.borrow_mut().hold();
+    }
+
+    fn release(&mut self) {
+        // One that is held for good never has a turn.
+        if self.how != Some(How::Mute) {
+            self.inner.borrow_mut().release();
+        }
+    }
+}
+
+/// Runs all couriers of a file until SIGTERM.
+///
+/// # Errors
+/// What is wrong with the file, or why a courier of it has failed.
+pub fn main(path: &Path) -> Result<(), String> {
+    log::set_boxed_logger(Box::new(Lines)).map_err(|e| e.to_string())?;
+    log::set_max_level(LevelFilter::Trace);
+    let file = File::read(path)?;
+    let mut configs = Vec::new();
+    for one in &file.couriers {
+        configs.push(file.config(one)?);
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| e.to_string())?;
+    let ended = LocalSet::new().block_on(&runtime, async {
+        let handler = |kind| signal(kind).map_err(|e| format!("no signal can be heard: {e}"));
+        let (mut terminate, mut hangup) = (handler(SignalKind::terminate())?, handler(SignalKind::hangup())?);
+        let mut running = JoinSet::new();
+        let (stop, _) = watch::channel(false);
+        let (mut places, turns) = (Vec::new(), Arc::new(Semaphore::new(AT_ONCE)));
+        for (config, one) in configs.into_iter().zip(file.couriers) {
+            let (discovery, discovery_in) = watch::channel(config.discovery);
+            places.push(discovery);
+            let mut stop = stop.subscribe();
+            let stopped = async move { drop(stop.wait_for(|stop| *stop).await) };
+            let (first, listed) = oneshot::channel();
+            let before = move |inner| {
+                let first = Some(first);
+                Rc::new(RefCell::new(Spoilt { inner, first, how: one.wrong, name: one.name }))
+            };
+            let turn = turns.clone();
+            running.spawn_local(async move {
+                let turn = turn.acquire_owned().await;
+                tokio::task::spawn_local(async move {
+                    let _ = timeout(FIRST_LIST, listed).await;
+                    drop(turn);
+                });
+                serve(config, discovery_in, stopped, before).await
+            });
+        }
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => {
+                    ENDING.store(true, Ordering::Relaxed);
+                    stop.send_replace(true);
+                }
+                _ = hangup.recv() => read_again(path, &places),
+                ended = running.join_next() => match ended {
+                    None => return Ok(()),
+                    Some(Ok(Ok(()))) => {}
+                    Some(Ok(Err(e))) => return Err(e.to_string()),
+                    Some(Err(e)) => return Err(e.to_string()),
+                },
+            }
+        }
+    });
+    runtime.shutdown_background();
+    ended
+}
+
+/// As a real courier's: where discovery is may change while it runs.
+fn read_again(path: &Path, places: &[watch::Sender<SocketAddr>]) {
+    let text = |file: &File| file.common["discovery"].as_str().and_then(|text| text.parse().ok());
+    match File::read(path).map(|file| text(&file)) {
+        Ok(Some(now)) => {
+            for place in places {
+                place.send_if_modified(|known| std::mem::replace(known, now) != now);
+            }
+        }
+        Ok(None) => log::error!("the configuration names no discovery"),
+        Err(words) => log::error!("the configuration cannot be read anew: {words}"),
+    }
+}
--- /dev/null
+++ b/crates/rig/src/scale/process.rs
@@ -0,0 +1,257 @@
+//! A process of couriers, real or hollow: its start, its signals, and what it says on standard error, which is read as it
+//! comes and timed by the run's own clock.
+
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{ExitStatus, Stdio};
+use std::sync::{Arc, Mutex};
+
+use rustix::process::{kill_process, Pid, Signal};
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, ChildStderr, Command};
+use tokio::task::JoinHandle;
+
+use super::books::Books;
+use super::day::Place;
+use super::guard::Guard;
+use crate::process::faults_in;
+use crate::record::{lock, Record};
+
+/// Lines of one process that are kept; what says that a version is in force is none of them.
+const MOST_LINES: usize = 20_000;
+
+/// What a line says is in force, and at which courier where it names one.
+pub fn statement(line: &str) -> Option<(u64, Option<&str>)> {
+    let (_, rest) = line.split_once("in_force] list ")?;
+    let (version, rest) = rest.split_once(" is in force")?;
+    Some((version.parse().ok()?, rest.strip_prefix(" at ")))
+}
+
+/// What a hollow courier is called, and the number of one so called.
+pub fn name(courier: usize) -> String {
+    format!("h{courier}")
+}
+
+fn number(name: &str) -> Option<usize> {
+    name.strip_prefix('h')?.parse().ok()
+}
+
+pub struct Process {
+    pub place: Place,
+    command: Box<dyn Fn() -> Command + Send + Sync>,
+    child: Option<Child>,
+    reader: Option<JoinHandle<()>>,
+    log: Arc<Mutex<Vec<String>>>,
+    books: Arc<Mutex<Books>>,
+    record: Arc<Record>,
+    guard: Arc<tokio::sync::Mutex<Guard>>,
+}
+
+/// A real courier's process, with its folder.
+pub fn real(program: &Path, subcommand: &str, config: &Path, state: &Path) -> Command {
+    let mut command = Command::new(program);
+    command
+        .arg(subcommand)
+        .env_clear()
+        .env("RUST_LOG", "info,in_force=trace,meadowhold_courier::discovery=debug");
+    command.env("ROUTER_CONFIG", config).env("ROUTER_STATE", state);
+    command
+}
+
+impl Process {
+    pub fn new(
+        place: Place,
+        command: impl Fn() -> Command + Send + Sync + 'static,
+        books: Arc<Mutex<Books>>,
+        record: Arc<Record>,
+        guard: Arc<tokio::sync::Mutex<Guard>>,
+    ) -> Process {
+        let command = Box::new(command);
+        Process { place, command, child: None, reader: None, log: Arc::default(), books, record, guard }
+    }
+
+    /// Its id, while it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().and_then(Child::id)
+    }
+
+    /// # Errors
+    /// Where the program cannot be started, or nobody would end it if the run were killed.
+    pub async fn start(&mut self) -> io::Result<()> {
+        let mut command = (self.command)();
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        // In a group of its own: what ends the run at a terminal ends it in the run's order.
+        let mut child = command.kill_on_drop(true).process_group(0).spawn()?;
+        let id = child.id().ok_or(io::ErrorKind::NotFound)?;
+        let said = child.stderr.take().ok_or(io::ErrorKind::BrokenPipe)?;
+        self.child = Some(child);
+        self.guard.lock().await.started(id).await?;
+        let (books, record, log) = (self.books.clone(), self.record.clone(), self.log.clone());
+        self.reader = Some(tokio::spawn(read(said, self.place.clone(), books, record, log)));
+        Ok(())
+    }
+
+    /// Only ever a child that has not been waited for: its id is nobody else's.
+    pub fn signal(&self, signal: Signal) {
+        if let Some(id) = self.id().and_then(|id| Pid::from_raw(id as i32)) {
+            let _ = kill_process(id, signal);
+        }
+    }
+
+    /// Waits for its end, and until all that it said is read.
+    pub async fn ended(&mut self) -> Option<ExitStatus> {
+        let id = self.id();
+        let status = self.child.as_mut()?.wait().await.ok();
+        self.child = None;
+        if let Some(id) = id {
+            self.guard.lock().await.ended(id).await;
+        }
+        if let Some(reader) = self.reader.take() {
+            let _ = reader.await;
+        }
+        status
+    }
+
+    /// Whether a process that should be running has ended by itself.
+    pub fn has_crashed(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
+    }
+
+    pub fn log(&self) -> String {
+        lock(&self.log).join("\n")
+    }
+
+    /// Why the list is not followed.
+    pub fn refuses(&self) -> Refuses {
+        refuses(lock(&self.log).iter().map(String::as_str))
+    }
+}
+
+/// What a log says of a list that is not followed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Refuses {
+    /// What no time mends.
+    pub for_good: Option<String>,
+    pub last: Option<String>,
+}
+
+fn refuses<'a>(log: impl Iterator<Item = &'a str>) -> Refuses {
+    let mut refuses = Refuses::default();
+    for line in log {
+        let Some((_, words)) = line.split_once(" cannot be followed: ") else { continue };
+        let for_good = ["the list has too many entries", "a list is too long"];
+        if for_good.iter().any(|known| words.contains(known)) {
+            refuses.for_good = Some(words.to_string());
+        }
+        refuses.last = Some(words.to_string());
+    }
+    refuses
+}
+
+async fn read(
+    said: ChildStderr,
+    place: Place,
+    books: Arc<Mutex<Books>>,
+    record: Arc<Record>,
+    log: Arc<Mutex<Vec<String>>>,
+) {
+    let mut lines = BufReader::new(said).lines();
+    // What is no text is no word of a courier's: the rest of its log is left, and it ends when its pipe does.
+    while let Ok(Some(line)) = lines.next_line().await {
+        let at = record.now();
+        match statement(&line) {
+            Some((version, name)) => {
+                let courier = match name {
+                    Some(name) => number(name).filter(|courier| place.couriers.contains(courier)),
+                    None => place.real.then_some(place.couriers.start),
+                };
+                if let Some(courier) = courier {
+                    lock(&books).said(courier, version, at);
+                }
+            }
+            None => {
+                let mut log = lock(&log);
+                if log.len() < MOST_LINES {
+                    log.push(line);
+                }
+            }
+        }
+    }
+}
+
+/// What a log says that must not be there. How membership ended is held to what its own audit found: its count of
+/// broken datagrams is of what came, and no fault of the courier's.
+pub fn faults(log: &str) -> Vec<String> {
+    let of_members = |line: &&str| line.contains("membership has ended: ");
+    let (ends, rest): (Vec<&str>, Vec<&str>) = log.lines().partition(of_members);
+    let sound = |line: &str| line.contains(" faults: 0 }");
+    let mut faults = faults_in(&rest.join("\n"));
+    faults.extend(ends.iter().filter(|line| !sound(line)).map(|line| line.to_string()));
+    faults
+}
+
+/// A run's file of a process.
+pub fn file(folder: &Path, process: usize) -> PathBuf {
+    folder.join(format!("p{process}.json"))
+}
+
+/// The folder that lasts of a courier.
+pub fn state(folder: &Path, courier: usize) -> PathBuf {
+    folder.join(format!("c{courier}"))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn why_a_list_is_not_followed_is_read_whichever_try_it_was() {
+        let line = |words: &str| format!("[WARN meadowhold_courier::discovery] the list {words}");
+        let long = "the list has too many entries at line 1 column 9";
+        let rows = [
+            (vec![], None, None),
+            (vec![line("cannot be followed: discovery is silent")], None, Some("discovery is silent")),
+            (vec![line(&format!("cannot be followed: {long}"))], Some(long), Some(long)),
+            (
+                vec![
+                    line("cannot be followed: discovery is silent"),
+                    line("still cannot be followed: a list is too long"),
+                    line("still cannot be followed: discovery is silent"),
+                ],
+                Some("a list is too long"),
+                Some("discovery is silent"),
+            ),
+        ];
+        for (log, for_good, last) in rows {
+            let found = refuses(log.iter().map(String::as_str));
+            let expected = Refuses { for_good: for_good.map(str::to_string), last: last.map(str::to_string) };
+            assert_eq!(found, expected, "{log:?}");
+        }
+    }
+
+    #[test]
+    fn the_end_of_membership_is_a_fault_where_its_audit_found_one() {
+        let end = |broken, faults| {
+            format!("[INFO x::members] membership has ended: Counts {{ sent: 1, broken: {broken}, faults: {faults} }}, 0 wishes lost")
+        };
+        let rows =
+            [(end(0, 0), 0), (end(3, 0), 0), (end(0, 1), 1), ("thread 'main' panicked at x".to_string(), 2)];
+        for (log, many) in rows {
+            assert_eq!(faults(&log).len(), many, "{log}");
+        }
+    }
+
+    #[test]
+    fn what_is_in_force_is_read_from_real_and_hollow_couriers_lines() {
+        let rows = [
+            ("[2026-12-02T00:22:46.012345Z TRACE in_force] list 12 is in force", Some((12, None))),
+            ("[TRACE in_force] list 3 is in force at h57", Some((3, Some("h57")))),
+            ("[TRACE in_force] list x is in force at h57", None),
+            ("[WARN meadowhold_courier::discovery] a list of version 3 came", None),
+        ];
+        for (line, said) in rows {
+            assert_eq!(statement(line), said, "{line}");
+        }
+        assert_eq!((number(&name(57)), number("57"), number("hx")), (Some(57), None, None));
+    }
+}
--- /dev/null
+++ b/crates/rig/src/scale/report.rs
@@ -0,0 +1,278 @@
+//! What a run says in the end: a table, and the same as JSON.
+
+use std::fmt;
+
+use serde::Serialize;
+
+use super::books::{Broken, Change, Rule};
+use super::day::Day;
+use super::sums::Each;
+use crate::judge::Verdict;
+
+/// Broken rules that are shown in full, of each rule.
+const SHOWN: usize = 4;
+
+/// Seconds until a change was in force at the 50th and 99th of a hundred couriers, and at the last, of those that nothing
+/// befell meanwhile; medians over the changes, and the largest.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct InForce {
+    pub half_s: Option<f64>,
+    pub of_99_s: Option<f64>,
+    pub last_s: Option<f64>,
+    pub worst_s: Option<f64>,
+}
+
+impl InForce {
+    pub fn of(changes: &[Change], at_part: impl Fn(&[u64], f64) -> Option<u64>) -> InForce {
+        let median = |part: f64| {
+            let mut times: Vec<u64> =
+                changes.iter().filter_map(|change| at_part(&change.calm, part)).collect();
+            times.sort_unstable();
+            at_part(&times, 0.5).map(|us| us as f64 / 1e6)
+        };
+        let worst = changes.iter().filter_map(|change| change.calm.last()).max();
+        InForce {
+            half_s: median(0.5),
+            of_99_s: median(0.99),
+            last_s: median(1.0),
+            worst_s: worst.map(|&us| us as f64 / 1e6),
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Phase {
+    pub name: String,
+    /// What is measured lasts from the phase's begin for so long.
+    pub seconds: f64,
+    /// Couriers that the trouble befell.
+    pub befallen: usize,
+    pub changes: usize,
+    pub in_force: InForce,
+    /// From the trouble's end until the last of those it befell had what was made before it was over.
+    pub back_s: Option<f64>,
+    pub hollow: Each,
+    pub real: Each,
+    /// Parts of a core: the source's thread, and the run's whole process with source, relays and stand-ins.
+    pub source_core: f64,
+    pub run_core: f64,
+    /// UDP datagrams a second for each courier: all that the machine sent.
+    pub datagrams: f64,
+}
+
+/// Bytes of membership, as the nodes themselves say at their planned end.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Membership {
+    pub nodes: u64,
+    pub sent: u64,
+    pub sent_bytes: u64,
+}
+
+impl Membership {
+    /// From a log's lines `membership has ended: Counts { sent: 1, sent_bytes: 2, ... }`.
+    pub fn add(&mut self, log: &str) {
+        for line in log.lines().filter(|line| line.contains("membership has ended: ")) {
+            let number = |name: &str| {
+                let (_, rest) = line.split_once(name)?;
+                let end = rest.find(|c: char| !c.is_ascii_digit()).unwrap_or(rest.len());
+                rest[..end].parse::<u64>().ok()
+            };
+            if let (Some(sent), Some(bytes)) = (number("{ sent: "), number(" sent_bytes: ")) {
+                self.nodes += 1;
+                self.sent += sent;
+                self.sent_bytes += bytes;
+            }
+        }
+    }
+
+    /// Bytes of a datagram, on the average.
+    pub fn each(&self) -> Option<f64> {
+        (self.sent > 0).then(|| self.sent_bytes as f64 / self.sent as f64)
+    }
+}
+
+/// What the judge of messages found at the real couriers.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Messages {
+    pub handed_in: u64,
+    pub taken: u64,
+    pub delivered: u64,
+    pub rejected: u64,
+    pub failed: u64,
+    /// Milliseconds from when it was taken to its delivery.
+    pub half_ms: u64,
+    pub of_99_ms: u64,
+    pub starts: u64,
+    pub broken: Vec<String>,
+}
+
+impl Messages {
+    pub fn new(verdict: &Verdict) -> Messages {
+        let g = &verdict.figures;
+        Messages {
+            handed_in: g.handed,
+            taken: g.taken,
+            delivered: g.relayed,
+            rejected: g.bounced,
+            failed: g.dead,
+            half_ms: g.relay_p50,
+            of_99_ms: g.relay_p99,
+            starts: g.starts,
+            broken: verdict
+                .broken
+                .iter()
+                .map(|broken| format!("{:?}: {}", broken.rule, broken.words))
+                .collect(),
+        }
+    }
+}
+
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Report {
+    pub about: String,
+    pub seed: u64,
+    pub couriers: usize,
+    pub real: usize,
+    pub processes: usize,
+    pub entries: usize,
+    /// The machine's load on the average of a minute, before and at the end.
+    pub load: [f64; 2],
+    /// Until the first list was in force at all.
+    pub start_s: f64,
+    /// The list was taken by nobody, and why.
+    pub refused: Option<String>,
+    pub phases: Vec<Phase>,
+    pub membership: Membership,
+    pub messages: Messages,
+    pub broken: Vec<Broken>,
+}
+
+impl Report {
+    pub fn new(day: &Day, seed: u64) -> Report {
+        Report {
+            about: day.about.clone(),
+            seed,
+            couriers: day.couriers,
+            real: day.real,
+            processes: day.places().len(),
+            entries: day.entries(),
+            load: [super::gauge::load(); 2],
+            ..Report::default()
+        }
+    }
+
+    pub fn kept(&self) -> bool {
+        self.broken.is_empty() && self.messages.broken.is_empty()
+    }
+
+    pub fn breaks(&self, rule: Rule) -> usize {
+        self.broken.iter().filter(|broken| broken.rule == rule).count()
+    }
+
+    pub fn phase(&self, name: &str) -> Option<&Phase> {
+        self.phases.iter().find(|phase| phase.name == name)
+    }
+}
+
+fn seconds(value: Option<f64>) -> String {
+    value.map_or("-".to_string(), |value| format!("{value:.3}"))
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        writeln!(
+            f,
+            "{} couriers, {} of them real, in {} processes; {} entries; load {:.1}, {:.1} at the end; the first list \
+             in force at all after {:.1} s",
+            self.couriers, self.real, self.processes, self.entries, self.load[0], self.load[1], self.start_s
+        )?;
+        if let Some(words) = &self.refused {
+            writeln!(f, "{words}")?;
+        }
+        writeln!(
+            f,
+            "\nuntil a change is in force, s; of couriers that nothing befell, medians over the changes"
+        )?;
+        writeln!(
+            f,
+            "{:<10} {:>7} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8}",
+            "phase", "lasts s", "befallen", "changes", "half", "99 in 100", "last", "worst", "back"
+        )?;
+        for phase in &self.phases {
+            let in_force = &phase.in_force;
+            writeln!(
+                f,
+                "{:<10} {:>7.1} {:>8} {:>8} {:>8} {:>9} {:>8} {:>8} {:>8}",
+                phase.name,
+                phase.seconds,
+                phase.befallen,
+                phase.changes,
+                seconds(in_force.half_s),
+                seconds(in_force.of_99_s),
+                seconds(in_force.last_s),
+                seconds(in_force.worst_s),
+                seconds(phase.back_s)
+            )?;
+        }
+        writeln!(
+            f,
+            "\nfor each courier: core in hundredths, resident MB, bytes a second to and from the source"
+        )?;
+        writeln!(
+            f,
+            "{:<10} {:>8} {:>8} {:>8} {:>8}   {:>8} {:>8} {:>8} {:>8}   {:>8} {:>8} {:>8}",
+            "phase", "hollow", "MB", "to", "from", "real", "MB", "to", "from", "source", "run", "UDP /s"
+        )?;
+        for phase in &self.phases {
+            write!(f, "{:<10}", phase.name)?;
+            for (each, gap) in [(&phase.hollow, ""), (&phase.real, "  ")] {
+                write!(
+                    f,
+                    "{gap} {:>8.3} {:>8.2} {:>8.1} {:>8.1}",
+                    each.core * 100.0,
+                    each.resident / 1e6,
+                    each.to_source,
+                    each.from_source
+                )?;
+            }
+            writeln!(
+                f,
+                "   {:>8.2} {:>8.1} {:>8.2}",
+                phase.source_core * 100.0,
+                phase.run_core * 100.0,
+                phase.datagrams
+            )?;
+        }
+        let m = &self.messages;
+        writeln!(f)?;
+        if let Some(each) = self.membership.each() {
+            writeln!(
+                f,
+                "a datagram of membership has {each:.0} bytes on the average, as {} nodes say in the end",
+                self.membership.nodes
+            )?;
+        }
+        writeln!(
+            f,
+            "messages: {} handed in, {} taken, {} delivered ({} ms half, {} ms 99 in 100), {} rejected, {} failed; \
+             {} starts of real couriers",
+            m.handed_in, m.taken, m.delivered, m.half_ms, m.of_99_ms, m.rejected, m.failed, m.starts
+        )?;
+        for (rule, name) in Rule::ALL {
+            let broken: Vec<&Broken> = self.broken.iter().filter(|broken| broken.rule == rule).collect();
+            tell(f, name, &broken.iter().map(|broken| broken.words.as_str()).collect::<Vec<_>>())?;
+        }
+        tell(f, "the rules of messages", &m.broken.iter().map(String::as_str).collect::<Vec<_>>())
+    }
+}
+
+fn tell(f: &mut fmt::Formatter, name: &str, broken: &[&str]) -> fmt::Result {
+    if broken.is_empty() {
+        return writeln!(f, "{name:<40} kept");
+    }
+    writeln!(f, "{name:<40} broken {} times", broken.len())?;
+    for words in broken.iter().take(SHOWN) {
+        writeln!(f, "    {words}")?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/rig/src/scale/run.rs
@@ -0,0 +1,669 @@
+//! Runs a scale day: starts the fleet, lets its phases pass with what befalls it in each, and holds what couriers say and
+//! keep against what the source made.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use fastrand::Rng;
+use rustix::process::Signal;
+use serde_json::json;
+use tokio::process::Command;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, sleep_until, timeout, Instant};
+
+use super::books::{at_part, Books, Rule};
+use super::day::{Day, Discovery, Machine, Mode, Trouble, What};
+use super::guard::{self, Guard};
+use super::hollow;
+use super::on_file::{Check, Fault};
+use super::process::{self, name, Process};
+use super::report::{InForce, Messages, Phase, Report};
+use super::source::{Follower, Setup, Source};
+use super::sums::{each, Gauge, Sums};
+use crate::client;
+use crate::endpoint::{Endpoint, Numbers};
+use crate::judge::{judge, Left};
+use crate::record::{lock, Hand, Process as Happened, Record, Seen};
+use crate::relay::{Knob, Relay};
+use crate::run::{open, settings, Net, TERM_LASTS};
+use crate::schedule::Schedule;
+
+/// Where real couriers listen for clients and, with nobody to tell, for notes; and all for membership.
+const CLIENTS: u16 = 6379;
+const NOTES: u16 = 6380;
+const MEMBERS: u16 = 7946;
+/// Rows of the run's network; those of real couriers, their relays and endpoints are as a day's.
+const ROW_REAL: u8 = 1;
+const ROW_RELAYS: u8 = 2;
+const ROW_ENDPOINTS: u8 = 3;
+const ROW_SOURCE: u8 = 4;
+const ROW_LINKS: u8 = 5;
+const ROW_HOLLOW: u8 = 16;
+const A_ROW: usize = 250;
+const POLL: Duration = Duration::from_millis(20);
+/// Hollow couriers take leave of each other one after the other.
+const HOLLOW_ENDS: Duration = Duration::from_secs(30);
+/// Messages are drawn for so long, and handed in until the phases are over.
+const LONGEST_S: f64 = 7200.0;
+
+/// Where the programs are.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    pub courier: PathBuf,
+    pub rig: PathBuf,
+}
+
+struct World {
+    day: Day,
+    seed: u64,
+    machine: Machine,
+    record: Arc<Record>,
+    books: Arc<Mutex<Books>>,
+    source: Source,
+    _endpoints: Vec<Endpoint>,
+    /// To the source, by process.
+    links: Vec<Relay>,
+    _to_endpoints: Vec<Relay>,
+    processes: Vec<Arc<tokio::sync::Mutex<Process>>>,
+    ids: Mutex<Vec<Option<u32>>>,
+    gauge: Mutex<Gauge>,
+    clients: Vec<SocketAddr>,
+    programs: Programs,
+    folder: tempfile::TempDir,
+    _net: Net,
+}
+
+/// Runs a day with a seed.
+///
+/// # Errors
+/// Where it could not be run at all, or passed a bound while it ran.
+pub async fn run(day: &Day, seed: u64, programs: &Programs, progress: bool) -> Result<Report, String> {
+    let folder = tempfile::Builder::new().prefix(guard::FOLDER).tempdir().map_err(|e| e.to_string())?;
+    let machine = super::gauge::machine(folder.path());
+    let faults = day.beyond(&machine);
+    if !faults.is_empty() {
+        let lines: Vec<String> = faults.iter().map(|fault| format!("\n  {fault}")).collect();
+        return Err(format!("the day is beyond this machine:{}", lines.concat()));
+    }
+    let world = World::build(day, seed, programs, folder, machine).await;
+    let world = Arc::new(world.map_err(|e| format!("the day cannot be set up: {e}"))?);
+    let stage = Arc::new(Mutex::new("start".to_string()));
+    let passed = tokio::select! {
+        report = world.clone().play(stage.clone()) => report,
+        words = world.watch(stage, progress) => Err(words),
+    };
+    // Guards against a report that is told while what was started still runs.
+    for process in &world.processes {
+        let mut process = process.lock().await;
+        process.signal(Signal::KILL);
+        process.ended().await;
+    }
+    passed
+}
+
+impl World {
+    async fn build(
+        day: &Day,
+        seed: u64,
+        programs: &Programs,
+        folder: tempfile::TempDir,
+        machine: Machine,
+    ) -> io::Result<World> {
+        let net = Net::claim()?;
+        let record = Arc::new(Record::new(std::time::Instant::now()));
+        let places = day.places();
+        let mut of = vec![0; day.couriers];
+        for (number, place) in places.iter().enumerate() {
+            place.couriers.clone().for_each(|courier| of[courier] = number);
+        }
+        let books = Arc::new(Mutex::new(Books::new(&of)));
+        let address = |courier: usize| match courier.checked_sub(day.real) {
+            None => net.ip(ROW_REAL, courier),
+            Some(hollow) => net.ip(ROW_HOLLOW + (hollow / A_ROW) as u8, hollow % A_ROW),
+        };
+        // Each link connects to the source from an address of its own, by which the source knows it.
+        let link = |number: usize| match places[number].real {
+            true => net.ip(ROW_REAL, number),
+            false => net.ip(ROW_LINKS, number),
+        };
+        let follower = |number| Follower { process: number, real: places[number].real.then_some(number) };
+        let source = Source::start(Setup {
+            at: net.ip(ROW_SOURCE, 0),
+            destinations: day.destinations,
+            live: (day.live.destinations, day.live.each),
+            rate: day.live.rate,
+            untouched: day.source.mode == Mode::Untouched,
+            followers: (0..places.len()).map(|number| (link(number), follower(number))).collect(),
+            books: books.clone(),
+            record: record.clone(),
+        })?;
+
+        let by_address: HashMap<IpAddr, usize> = (0..day.real).map(|real| (address(real), real)).collect();
+        let (by_address, numbers) = (Arc::new(by_address), Arc::new(Numbers::default()));
+        let mut endpoints = Vec::new();
+        for number in 0..day.live.destinations * day.live.each {
+            let (at, record, numbers) = (net.ip(ROW_ENDPOINTS, number), record.clone(), numbers.clone());
+            let seed = seed ^ number as u64;
+            let endpoint = Endpoint::start(number, at, &day.live, record, numbers, by_address.clone(), seed);
+            endpoints.push(endpoint.await?);
+        }
+        let (mut links, mut to_endpoints) = (Vec::new(), Vec::new());
+        for (number, place) in places.iter().enumerate() {
+            let (near, seed) = (net.ip(ROW_RELAYS, number), seed ^ (number as u64) << 16);
+            let next = match day.source.discovery {
+                Discovery::Source => source.at,
+            };
+            links.push(Relay::start(near, link(number), next, seed).await?);
+            if place.real {
+                let mut finds = Vec::new();
+                for endpoint in &endpoints {
+                    let relay = Relay::start(near, link(number), endpoint.address, seed ^ 1).await?;
+                    finds.push(relay.address);
+                    to_endpoints.push(relay);
+                }
+                source.finds(finds);
+            }
+        }
+
+        let guard = Guard::start(&programs.rig, folder.path().to_path_buf())?;
+        let guard = Arc::new(tokio::sync::Mutex::new(guard));
+        let members: Vec<String> = (0..day.couriers)
+            .map(|courier| SocketAddr::from((address(courier), MEMBERS)).to_string())
+            .collect();
+        let settings = settings(&day.of_messages(LONGEST_S));
+        let mut processes = Vec::new();
+        for (number, place) in places.iter().enumerate() {
+            let own = address(place.couriers.start);
+            let listen = |port| SocketAddr::from((own, port)).to_string();
+            let config = json!({"name": format!("n{number}"), "listen": listen(CLIENTS),
+                "discovery": links[number].address.to_string(), "seed": format!("{:x}", seed ^ number as u64),
+                "limits": {"sockets": day.courier.sockets, "disk_mb": day.disk_mb()}, "settings": settings,
+                "peers": {"listen": listen(NOTES), "others": [],
+                    "members": {"listen": listen(MEMBERS), "others": members}}});
+            let (path, folder) = (process::file(folder.path(), number), folder.path().to_path_buf());
+            let (record, books, guard) = (record.clone(), books.clone(), guard.clone());
+            if place.real {
+                std::fs::write(&path, config.to_string())?;
+                let (program, state) = (programs.courier.clone(), process::state(&folder, number));
+                let command = move || process::real(&program, "serve", &path, &state);
+                processes.push(Process::new(place.clone(), command, books, record, guard));
+                continue;
+            }
+            let one = |courier: usize| hollow::One {
+                name: name(courier),
+                state: process::state(&folder, courier),
+                members: (address(courier), MEMBERS).into(),
+                seed: seed ^ (courier as u64) << 20,
+                wrong: day.wrong.iter().find(|wrong| wrong.courier == courier).map(|wrong| wrong.how),
+            };
+            let file = hollow::File { common: config, couriers: place.couriers.clone().map(one).collect() };
+            std::fs::write(&path, serde_json::to_vec(&file)?)?;
+            let program = programs.rig.clone();
+            let command = move || {
+                let mut command = Command::new(&program);
+                command.arg("hollow").arg(&path).env_clear();
+                command
+            };
+            processes.push(Process::new(place.clone(), command, books, record, guard));
+        }
+        let gauge = Gauge::new(links.iter().map(|link| link.passed.clone()).collect(), source.thread);
+        let clients = (0..day.real).map(|real| SocketAddr::from((address(real), CLIENTS))).collect();
+        let ids = Mutex::new(vec![None; processes.len()]);
+        let processes = processes.into_iter().map(|one| Arc::new(tokio::sync::Mutex::new(one))).collect();
+        Ok(World {
+            day: day.clone(),
+            seed,
+            machine,
+            record,
+            books,
+            source,
+            _endpoints: endpoints,
+            links,
+            _to_endpoints: to_endpoints,
+            processes,
+            ids,
+            gauge: Mutex::new(gauge),
+            clients,
+            programs: programs.clone(),
+            folder,
+            _net: net,
+        })
+    }
+
+    fn saw(&self, courier: usize, what: Happened) {
+        self.record.add(Seen::Process { courier, what });
+    }
+
+    fn breaks(&self, rule: Rule, words: String) {
+        lock(&self.books).breaks(rule, words);
+    }
+
+    fn look(&self) -> Sums {
+        let ids = lock(&self.ids).clone();
+        lock(&self.gauge).look(self.record.now(), &ids).clone()
+    }
+
+    /// A line a second, and the bound on memory while the run lasts. Ends with what is wrong.
+    async fn watch(&self, stage: Arc<Mutex<String>>, progress: bool) -> String {
+        let most = self.machine.memory / 2;
+        loop {
+            sleep(Duration::from_secs(1)).await;
+            let at = self.look().at as f64 / 1e6;
+            let resident = lock(&self.gauge).resident();
+            if resident > most {
+                return format!("called off: {} MB are held where {} may be", resident >> 20, most >> 20);
+            }
+            if progress {
+                let (version, missing) = {
+                    let books = lock(&self.books);
+                    (books.last(), books.missing(books.last()))
+                };
+                eprintln!(
+                    "{at:7.1} s  {:<10} version {version} in force at {} of {}, {} MB held, load {:.1}",
+                    lock(&stage),
+                    self.day.couriers - missing,
+                    self.day.couriers,
+                    resident >> 20,
+                    super::gauge::load()
+                );
+            }
+        }
+    }
+
+    /// Starts a process; a real one is waited for until it serves.
+    async fn start(&self, number: usize, one: &mut Process) -> Result<(), String> {
+        one.start().await.map_err(|e| format!("a courier's program cannot be started: {e}"))?;
+        lock(&self.ids)[number] = one.id();
+        if !one.place.real {
+            return Ok(());
+        }
+        self.saw(number, Happened::Started);
+        let end = Instant::now() + Duration::from_millis(self.day.rules.ready_ms * 2);
+        while !client::is_ready(self.clients[number]).await {
+            if one.has_crashed() || Instant::now() > end {
+                self.saw(number, Happened::Crashed);
+                return Err(format!("courier {number} does not serve:\n{}", one.log()));
+            }
+            sleep(POLL).await;
+        }
+        self.saw(number, Happened::Ready);
+        Ok(())
+    }
+
+    async fn kill(&self, number: usize, one: &mut Process) {
+        lock(&self.ids)[number] = None;
+        one.signal(Signal::KILL);
+        one.ended().await;
+        if one.place.real {
+            self.saw(number, Happened::Ended);
+        }
+    }
+
+    /// Why the list is refused by somebody, if it is; `late`: whatever it is.
+    async fn refused(&self, late: bool) -> Option<String> {
+        for process in &self.processes {
+            let refuses = process.lock().await.refuses();
+            if let Some(words) = refuses.for_good.or(refuses.last.filter(|_| late)) {
+                return Some(words);
+            }
+        }
+        None
+    }
+
+    /// Waits until a version is in force at all, for so long at most.
+    async fn in_force(&self, version: u64, most: Duration) -> bool {
+        let end = Instant::now() + most;
+        while lock(&self.books).missing(version) > 0 {
+            if Instant::now() > end {
+                return false;
+            }
+            sleep(POLL).await;
+        }
+        true
+    }
+
+    async fn play(self: Arc<Self>, stage: Arc<Mutex<String>>) -> Result<Report, String> {
+        let day = &self.day;
+        let mut report = Report::new(day, self.seed);
+        let mut starts = JoinSet::new();
+        for number in 0..self.processes.len() {
+            let world = self.clone();
+            starts.spawn(async move {
+                let mut one = world.processes[number].lock().await;
+                world.start(number, &mut one).await
+            });
+        }
+        while let Some(started) = starts.join_next().await {
+            started.map_err(|e| e.to_string())??;
+        }
+        let end = Instant::now() + seconds(day.rules.start_s);
+        while !self.in_force(1, Duration::from_millis(500)).await && Instant::now() < end {
+            report.refused = self.refused(false).await;
+            if report.refused.is_some() {
+                break;
+            }
+        }
+        // Where nobody has it there is nothing to measure.
+        if report.refused.is_none() && lock(&self.books).missing(1) == day.couriers {
+            report.refused = Some(self.refused(true).await.unwrap_or("nobody says why".to_string()));
+        }
+        if let Some(words) = &mut report.refused {
+            *words = format!("the list is refused at {} entries: {words}", day.entries());
+            self.breaks(Rule::InForceInTime, words.clone());
+        }
+        report.start_s = self.record.now() as f64 / 1e6;
+        if report.refused.is_none() {
+            self.phases(&mut report, &stage).await;
+        }
+        *lock(&stage) = "end".to_string();
+        report.broken = std::mem::take(&mut lock(&self.books).broken);
+        report.load[1] = super::gauge::load();
+        Ok(report)
+    }
+
+    async fn phases(self: &Arc<Self>, report: &mut Report, stage: &Arc<Mutex<String>>) {
+        let day = &self.day;
+        let most = (day.rules.start_s * 1e6) as u64;
+        lock(&self.books).judge(1..=1, most, self.record.now());
+        let schedule = Schedule::draw(&day.of_messages(LONGEST_S), self.seed);
+        let (start, base) = (Instant::now(), self.record.now());
+        let (mut clients, cut) = (JoinSet::new(), Arc::new(AtomicU64::new(u64::MAX)));
+        for courier in 0..day.real {
+            for client in 0..day.messages.clients {
+                let numbered = schedule.mails.iter().enumerate();
+                let own = numbered.filter(|(_, mail)| (mail.courier, mail.client) == (courier, client));
+                let own: Vec<_> = own.map(|(number, mail)| (number as u32, mail.clone())).collect();
+                let (to, body, record) =
+                    (self.clients[courier], vec![b'x'; day.messages.body], self.record.clone());
+                let cut = cut.clone();
+                clients.spawn(async move {
+                    // A second's messages at a time, so that the end can be moved to when the phases are over.
+                    for second in own.chunk_by(|a, b| a.1.at / 1_000_000 == b.1.at / 1_000_000) {
+                        let begin = second[0].1.at / 1_000_000;
+                        sleep_until(start + Duration::from_secs(begin)).await;
+                        if begin >= cut.load(Ordering::SeqCst) {
+                            return;
+                        }
+                        client::hand_in(to, second.to_vec(), body.clone(), start, record.clone()).await;
+                    }
+                });
+            }
+        }
+        *lock(stage) = "warm".to_string();
+        sleep(seconds(day.warm_s)).await;
+        *lock(stage) = "rest".to_string();
+        report.phases.push(self.phase("rest", None, day.rest_s, false).await);
+        if day.changes_s > 0.0 {
+            *lock(stage) = "changes".to_string();
+            report.phases.push(self.phase("changes", None, day.changes_s, true).await);
+        }
+        for trouble in &day.trouble {
+            let Some(what) = trouble.what else { continue };
+            *lock(stage) = what.name().to_string();
+            report.phases.push(self.phase(what.name(), Some(trouble), day.after_s, true).await);
+        }
+        *lock(stage) = "settle".to_string();
+        // The second that has begun, and one for clients that look at the cut now, are handed in whole.
+        let last = start.elapsed().as_secs() + 2;
+        cut.store(last, Ordering::SeqCst);
+        while clients.join_next().await.is_some() {}
+        let settle = Instant::now() + seconds(day.settle_s);
+        while open(&self.record) > 0 && Instant::now() < settle {
+            sleep(POLL).await;
+        }
+        let left = self.end(report).await;
+        let handed = schedule.mails.partition_point(|mail| mail.at < last * 1_000_000);
+        let of_messages = day.of_messages(last as f64);
+        let verdict =
+            self.record.read(|events| judge(&of_messages, &schedule.mails[..handed], base, events, &left));
+        report.messages = Messages::new(&verdict);
+    }
+
+    /// A phase: what befalls, for its time, and `after_s` more; then a change that must come to all, and what all have
+    /// on file. What is measured ends before that.
+    async fn phase(
+        self: &Arc<Self>,
+        name: &str,
+        trouble: Option<&Trouble>,
+        after_s: f64,
+        changes: bool,
+    ) -> Phase {
+        let day = &self.day;
+        let (from, first) = (self.look(), lock(&self.books).last() + 1);
+        let changing = changes.then(|| tokio::spawn(self.clone().change(first, trouble.map(|t| t.for_s))));
+        let befallen = trouble.map(|trouble| day.befallen(trouble)).unwrap_or_default();
+        let couriers: Vec<usize> = {
+            let places = day.places();
+            befallen.iter().flat_map(|&number| places[number].couriers.clone()).collect()
+        };
+        if let Some(trouble) = trouble {
+            self.befall(trouble, &befallen, &couriers).await;
+        }
+        sleep(seconds(after_s)).await;
+        let to = self.look();
+        if let Some(changing) = changing {
+            changing.abort();
+            let _ = changing.await;
+        }
+        let measured = lock(&self.books).last();
+        let last = self.source.change(&mut Rng::with_seed(self.seed ^ first)).unwrap_or(measured);
+        let most = seconds(day.rules.in_force_s);
+        // Who was back just now has as long as any other.
+        self.in_force(last, most + POLL).await;
+        let now = self.record.now();
+        {
+            let mut books = lock(&self.books);
+            books.judge(first.max(2)..=last, most.as_micros() as u64, now);
+            let never = books.missing(last);
+            if never > 0 {
+                let words = format!("{name}: the last change is not in force at {never} couriers");
+                books.breaks(Rule::InForceInTime, words);
+            }
+        }
+        self.on_file(name).await;
+        self.still_there(name).await;
+        let books = lock(&self.books);
+        // Without a change of its own, a phase has the one at its end.
+        let versions = if measured >= first { first..=measured } else { last..=last };
+        let changes: Vec<_> = versions.map(|version| books.change(version)).collect();
+        let back_s = (!couriers.is_empty()).then(|| books.back(&couriers)).flatten();
+        drop(books);
+        let (mut real, mut hollow) = (Vec::new(), Vec::new());
+        for (number, place) in day.places().iter().enumerate() {
+            if place.real { &mut real } else { &mut hollow }.push(number);
+        }
+        let span = (to.at - from.at) as f64 / 1e6;
+        Phase {
+            name: name.to_string(),
+            seconds: span,
+            befallen: couriers.len(),
+            changes: changes.len(),
+            in_force: InForce::of(&changes, at_part),
+            back_s: back_s.map(|us| us as f64 / 1e6),
+            hollow: each(&from, &to, &hollow, day.hollow()),
+            real: each(&from, &to, &real, day.real),
+            source_core: (to.source_s - from.source_s) / span,
+            run_core: (to.own_s - from.own_s) / span,
+            datagrams: (to.datagrams - from.datagrams) as f64 / span / day.couriers as f64,
+        }
+    }
+
+    /// Changes the list at the day's pace; the first comes while a trouble lasts.
+    async fn change(self: Arc<Self>, first: u64, lasts: Option<f64>) {
+        if self.day.changes_per_minute <= 0.0 {
+            return;
+        }
+        let gap = 60.0 / self.day.changes_per_minute;
+        let mut chance = Rng::with_seed(self.seed ^ first << 32);
+        sleep(seconds((gap / 2.0).min(lasts.unwrap_or(f64::MAX) / 2.0))).await;
+        loop {
+            self.source.change(&mut chance);
+            sleep(seconds(gap)).await;
+        }
+    }
+
+    async fn befall(self: &Arc<Self>, trouble: &Trouble, processes: &[usize], couriers: &[usize]) {
+        {
+            let mut books = lock(&self.books);
+            couriers.iter().for_each(|&courier| books.befalls(courier));
+        }
+        let (what, lasts) = (trouble.what, seconds(trouble.for_s));
+        let knob = match what {
+            Some(What::Region | What::Source) => Some(Knob::Cut),
+            Some(What::Slow) => Some(Knob::Slow(Duration::from_millis(trouble.delay_ms))),
+            Some(What::Silent) => Some(Knob::Silent),
+            _ => None,
+        };
+        if let Some(knob) = knob {
+            processes.iter().for_each(|&number| self.links[number].set(knob));
+            sleep(lasts).await;
+            processes.iter().for_each(|&number| self.links[number].set(Knob::Well));
+            return self.calm(couriers);
+        }
+        let mut each = JoinSet::new();
+        for &number in processes {
+            let (world, stops) = (self.clone(), what == Some(What::Stop));
+            each.spawn(async move {
+                let mut one = world.processes[number].lock().await;
+                let (real, couriers) = (one.place.real, one.place.couriers.clone().collect::<Vec<_>>());
+                if stops {
+                    one.signal(Signal::STOP);
+                    if real {
+                        world.saw(number, Happened::Stopped);
+                    }
+                    sleep(lasts).await;
+                    one.signal(Signal::CONT);
+                    if real {
+                        world.saw(number, Happened::Continued);
+                    }
+                } else {
+                    world.kill(number, &mut one).await;
+                    sleep(lasts).await;
+                    if let Err(words) = world.start(number, &mut one).await {
+                        world.breaks(Rule::Sound, words);
+                    }
+                }
+                world.calm(&couriers);
+            });
+        }
+        while each.join_next().await.is_some() {}
+    }
+
+    fn calm(&self, couriers: &[usize]) {
+        let now = self.record.now();
+        let mut books = lock(&self.books);
+        couriers.iter().for_each(|&courier| books.calms(courier, now));
+    }
+
+    /// Holds what each courier has on file against the source's last version.
+    async fn on_file(&self, phase: &str) {
+        let (version, expected) = self.source.expected();
+        let folder = self.folder.path().to_path_buf();
+        let mut check = Check::new(version, expected);
+        let mut left: Vec<(usize, Option<Fault>)> =
+            (0..self.day.couriers).map(|courier| (courier, None)).collect();
+        let end = Instant::now() + seconds(self.day.rules.on_file_s);
+        loop {
+            let folder = folder.clone();
+            let looked = tokio::task::spawn_blocking(move || {
+                left.retain_mut(|(courier, fault)| {
+                    *fault = check.folder(&process::state(&folder, *courier)).err();
+                    fault.is_some()
+                });
+                (check, left)
+            });
+            let Ok((again, still)) = looked.await else { return };
+            (check, left) = (again, still);
+            if left.is_empty() || Instant::now() > end {
+                break;
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+        let many = left.len();
+        if let Some((courier, Some(fault))) = left.into_iter().next() {
+            let words = format!("{phase}: {many} couriers, such as {courier}, have on file: {fault:?}");
+            self.breaks(Rule::HoldsWhatItSays, words);
+        }
+    }
+
+    /// Who ended by itself is told of once.
+    async fn still_there(&self, phase: &str) {
+        for (number, process) in self.processes.iter().enumerate() {
+            let mut one = process.lock().await;
+            if one.has_crashed() && lock(&self.ids)[number].take().is_some() {
+                if one.place.real {
+                    self.saw(number, Happened::Crashed);
+                }
+                self.breaks(Rule::Sound, format!("{phase}: process {number} has ended by itself"));
+            }
+        }
+    }
+
+    /// Asks all processes to end, and reads what they leave.
+    async fn end(self: &Arc<Self>, report: &mut Report) -> Left {
+        let mut left = Left { at: self.record.now(), ..Left::default() };
+        let mut ends = JoinSet::new();
+        for (number, process) in self.processes.iter().enumerate() {
+            let (world, process) = (self.clone(), process.clone());
+            ends.spawn(async move {
+                let mut one = process.lock().await;
+                let (mut faults, real) = (Vec::new(), one.place.real);
+                lock(&world.ids)[number] = None;
+                one.signal(Signal::TERM);
+                let lasts = if real { TERM_LASTS * 2 } else { HOLLOW_ENDS };
+                match timeout(lasts, one.ended()).await {
+                    Ok(Some(status)) if !status.success() => faults.push(format!("ended with {status}")),
+                    Ok(_) => {}
+                    Err(_) => {
+                        faults.push("does not end when it is asked to".to_string());
+                        world.kill(number, &mut one).await;
+                    }
+                }
+                let log = one.log();
+                faults.extend(process::faults(&log));
+                let owed = if real { world.owed(number).await } else { Ok(Vec::new()) };
+                let owed = owed.unwrap_or_else(|words| {
+                    faults.push(words);
+                    Vec::new()
+                });
+                (number, real, owed, faults, log)
+            });
+        }
+        while let Some(ended) = ends.join_next().await {
+            let Ok((number, real, owed, faults, log)) = ended else { continue };
+            left.owed.extend(owed.iter().filter_map(|id| Hand::read(id)));
+            report.membership.add(&log);
+            for fault in faults {
+                if real {
+                    left.faults.push((number, fault));
+                } else {
+                    self.breaks(Rule::Sound, format!("process {number} of hollow couriers: {fault}"));
+                }
+            }
+        }
+        left
+    }
+
+    /// The ids that a real courier's journal still owes.
+    async fn owed(&self, courier: usize) -> Result<Vec<String>, String> {
+        let folder = self.folder.path();
+        let (config, state) = (process::file(folder, courier), process::state(folder, courier));
+        let output = process::real(&self.programs.courier, "owed", &config, &state).output().await;
+        let output = output.map_err(|e| e.to_string())?;
+        if !output.status.success() {
+            return Err(String::from_utf8_lossy(&output.stderr).trim().to_string());
+        }
+        let text = String::from_utf8_lossy(&output.stdout);
+        let ids = text.lines().filter_map(|line| line.split_once(" destination "));
+        Ok(ids.map(|(id, _)| id.to_string()).collect())
+    }
+}
+
+fn seconds(value: f64) -> Duration {
+    Duration::from_secs_f64(value)
+}
--- /dev/null
+++ b/crates/rig/src/scale/source.rs
@@ -0,0 +1,332 @@
+//! The list service's stand-in for thousands of followers: one truth, told as text that is made once for all hollow
+//! couriers. It runs on a thread of its own, so that the kernel's figures of that thread are its own.
+
+use std::collections::{BTreeMap, HashMap};
+use std::convert::Infallible;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{mpsc, Arc, Mutex};
+use std::thread::{Builder, JoinHandle};
+use std::time::Duration;
+
+use fastrand::Rng;
+use http_body_util::channel::{Channel, Sender};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Bytes, Incoming};
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+use super::books::Books;
+use crate::list::{plain, take_notices, Answer, Reply, Told};
+use crate::record::{lock, Record, Seen};
+
+/// An empty line comes so often where nothing changes.
+const TURN: Duration = Duration::from_secs(2);
+
+/// An entry as the source has it.
+#[derive(Clone, Debug, PartialEq)]
+struct Entry {
+    name: String,
+    destination: usize,
+    /// The endpoint that stands there; the others are only listed.
+    live: Option<usize>,
+    drains: bool,
+    gone: bool,
+    rate: f64,
+    since_ms: u64,
+    /// The version at which it last changed.
+    changed: u64,
+}
+
+/// What a courier that holds a version must have on file of an entry, by its name.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Expected {
+    pub group: u64,
+    pub status: &'static str,
+    pub weight: f64,
+    pub since_ms: u64,
+}
+
+impl Entry {
+    fn status(&self) -> &'static str {
+        match (self.gone, self.drains) {
+            (true, _) => "DELETED",
+            (false, true) => "DRAINING",
+            (false, false) => "SERVING",
+        }
+    }
+}
+
+/// Who a follower is, by the address from which its link connects.
+#[derive(Clone, Copy, Debug)]
+pub struct Follower {
+    pub process: usize,
+    /// A real courier's number.
+    pub real: Option<usize>,
+}
+
+/// What the source is made of.
+pub struct Setup {
+    pub at: IpAddr,
+    /// Destinations, those with endpoints that stand there first, and how many endpoints each of these has.
+    pub destinations: usize,
+    pub live: (usize, usize),
+    pub rate: f64,
+    /// Each change has the whole list told.
+    pub untouched: bool,
+    pub followers: HashMap<IpAddr, Follower>,
+    pub books: Arc<Mutex<Books>>,
+    pub record: Arc<Record>,
+}
+
+#[derive(Default)]
+struct Truth {
+    version: u64,
+    entries: Vec<Entry>,
+    /// Told of this version to hollow couriers, by what they had heard up to.
+    texts: HashMap<Option<u64>, Bytes>,
+}
+
+struct Inner {
+    setup: Setup,
+    truth: Mutex<Truth>,
+    version: watch::Sender<u64>,
+    /// Where each real courier finds the endpoints.
+    places: Mutex<Vec<Vec<SocketAddr>>>,
+    /// What is listed where nobody stands.
+    nowhere: SocketAddr,
+}
+
+pub struct Source {
+    pub at: SocketAddr,
+    /// The kernel's number of its thread.
+    pub thread: i32,
+    inner: Arc<Inner>,
+    end: watch::Sender<bool>,
+    handle: Option<JoinHandle<()>>,
+}
+
+impl Source {
+    /// Starts it; the first version of the list is 1, made now.
+    ///
+    /// # Errors
+    /// Where no thread or port can be had.
+    pub fn start(setup: Setup) -> io::Result<Source> {
+        let (live, each) = setup.live;
+        let entry = |name, destination, live| {
+            let (drains, gone, rate) = (false, false, setup.rate);
+            Entry { name, destination, live, drains, gone, rate, since_ms: 0, changed: 1 }
+        };
+        let standing = (0..live * each).map(|n| entry(format!("e{n}"), n % live, Some(n)));
+        let listed = (live..setup.destinations).map(|n| entry(format!("d{n}"), n, None));
+        let entries = standing.chain(listed).collect();
+        let version = lock(&setup.books).made(setup.record.now());
+        let truth = Mutex::new(Truth { version, entries, texts: HashMap::new() });
+        let (version, nowhere) = (watch::Sender::new(version), SocketAddr::from((setup.at, 9)));
+        let inner = Arc::new(Inner { setup, truth, version, places: Mutex::default(), nowhere });
+        let (end, mut end_in) = watch::channel(false);
+        let (ready, ready_in) = mpsc::channel();
+        let of_thread = inner.clone();
+        let handle = Builder::new().name("scale-source".to_string()).spawn(move || {
+            let run = || -> io::Result<()> {
+                let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+                runtime.block_on(async {
+                    let listener = TcpListener::bind((of_thread.setup.at, 0)).await?;
+                    let thread = rustix::thread::gettid().as_raw_nonzero().get();
+                    let _ = ready.send(Ok((listener.local_addr()?, thread)));
+                    tokio::select! {
+                        () = listen(of_thread, listener) => {}
+                        _ = end_in.wait_for(|end| *end) => {}
+                    }
+                    Ok(())
+                })
+            };
+            if let Err(e) = run() {
+                let _ = ready.send(Err(e));
+            }
+        })?;
+        let (at, thread) = ready_in.recv().map_err(io::Error::other)??;
+        Ok(Source { at, thread, inner, end, handle: Some(handle) })
+    }
+
+    /// Where the next real courier finds the endpoints.
+    pub fn finds(&self, places: Vec<SocketAddr>) {
+        lock(&self.inner.places).push(places);
+    }
+
+    /// Changes one entry, drawn among those at which nobody stands: its rate, whether it drains, or whether it is
+    /// listed at all. The new version, if there is anything to change.
+    pub fn change(&self, chance: &mut Rng) -> Option<u64> {
+        let live = self.inner.setup.live.0 * self.inner.setup.live.1;
+        let mut truth = lock(&self.inner.truth);
+        let many = truth.entries.len().checked_sub(live).filter(|&many| many > 0)?;
+        let version = lock(&self.inner.setup.books).made(self.inner.setup.record.now());
+        let entry = &mut truth.entries[live + chance.usize(..many)];
+        match chance.u8(..4) {
+            0 => entry.drains = !entry.drains,
+            1 => {
+                entry.gone = !entry.gone;
+                entry.since_ms = version;
+            }
+            _ => entry.rate = f64::from(1 + chance.u32(..10_000)) / 8.0,
+        }
+        entry.changed = version;
+        truth.version = version;
+        truth.texts.clear();
+        drop(truth);
+        self.inner.version.send_replace(version);
+        Some(version)
+    }
+
+    /// The last version, and what is listed in it.
+    pub fn expected(&self) -> (u64, BTreeMap<String, Expected>) {
+        let truth = lock(&self.inner.truth);
+        let expected = |entry: &Entry| Expected {
+            group: entry.destination as u64,
+            status: entry.status(),
+            weight: entry.rate,
+            since_ms: entry.since_ms,
+        };
+        let listed = truth.entries.iter().filter(|entry| !entry.gone);
+        (truth.version, listed.map(|entry| (entry.name.clone(), expected(entry))).collect())
+    }
+}
+
+impl Drop for Source {
+    fn drop(&mut self) {
+        self.end.send_replace(true);
+        if let Some(handle) = self.handle.take() {
+            let _ = handle.join();
+        }
+    }
+}
+
+async fn listen(inner: Arc<Inner>, listener: TcpListener) {
+    let mut open = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, from)) => {
+                    if let Some(&follower) = inner.setup.followers.get(&from.ip()) {
+                        open.spawn(serve(inner.clone(), stream, follower));
+                    }
+                }
+                Err(_) => sleep(Duration::from_millis(10)).await,
+            },
+            Some(_) = open.join_next() => {}
+        }
+    }
+}
+
+async fn serve(inner: Arc<Inner>, stream: TcpStream, follower: Follower) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(|request| {
+        let inner = inner.clone();
+        async move { Ok::<_, Infallible>(inner.answer(follower, request).await) }
+    });
+    let _ = hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
+
+impl Inner {
+    async fn answer(self: Arc<Self>, follower: Follower, request: Request<Incoming>) -> Reply {
+        if request.method() == Method::POST && request.uri().path() == "/v1/notices" {
+            return match request.into_body().collect().await {
+                Ok(body) => take_notices(&self.setup.record, &body.to_bytes()),
+                Err(_) => plain(400, Vec::new()),
+            };
+        }
+        if request.uri().path() != "/catalog/members" {
+            return plain(404, Vec::new());
+        }
+        let after = request.uri().query().filter(|query| query.contains("watch=1")).map(|query| {
+            let after = query.split('&').find_map(|pair| pair.strip_prefix("after="));
+            after.and_then(|after| after.parse().ok()).unwrap_or(0)
+        });
+        let Some(after) = after else {
+            let (version, text) = self.told(follower, None);
+            lock(&self.setup.books).sent(follower.process, version);
+            return Response::new(Full::new(text).boxed());
+        };
+        let (lines, body) = Channel::new(4);
+        tokio::spawn(self.watch(follower, after, lines));
+        Response::new(body.boxed())
+    }
+
+    /// The present version and its text, for who has heard up to `after`; `None`: all of it.
+    fn told(&self, follower: Follower, after: Option<u64>) -> (u64, Bytes) {
+        let mut truth = lock(&self.truth);
+        let version = truth.version;
+        if let Some(real) = follower.real {
+            if after.is_none() {
+                for endpoint in 0..self.setup.live.0 * self.setup.live.1 {
+                    self.setup.record.add(Seen::Told { courier: real, endpoint, drains: false });
+                }
+            }
+            let places = lock(&self.places).get(real).cloned().unwrap_or_default();
+            return (version, self.text(&truth, &places, after));
+        }
+        if let Some(text) = truth.texts.get(&after) {
+            return (version, text.clone());
+        }
+        let text = self.text(&truth, &[], after);
+        truth.texts.insert(after, text.clone());
+        (version, text)
+    }
+
+    fn text(&self, truth: &Truth, places: &[SocketAddr], after: Option<u64>) -> Bytes {
+        let news = truth.entries.iter().filter(|entry| match after {
+            Some(after) => entry.changed > after,
+            None => !entry.gone,
+        });
+        let nowhere = self.nowhere.to_string();
+        let told = news.map(|entry| {
+            let place = entry.live.and_then(|endpoint| places.get(endpoint));
+            Told {
+                name: &entry.name,
+                address: place.map_or_else(|| nowhere.clone(), SocketAddr::to_string),
+                zone: "a",
+                kind: "hook",
+                group: entry.destination,
+                status: entry.status(),
+                weight: entry.rate,
+                since_ms: entry.since_ms,
+            }
+        });
+        let answer = Answer { index: truth.version, snapshot: after.is_none(), endpoints: told.collect() };
+        let mut text = serde_json::to_vec(&answer).unwrap_or_default();
+        text.push(b'\n');
+        text.into()
+    }
+
+    async fn watch(self: Arc<Self>, follower: Follower, mut after: u64, mut lines: Sender<Bytes>) {
+        let mut version = self.version.subscribe();
+        loop {
+            let now = *version.borrow_and_update();
+            if now != after {
+                // One that knows another truth, or none, is told all of it.
+                let known = Some(after).filter(|&after| after > 0 && after < now && !self.setup.untouched);
+                let (told, text) = self.told(follower, known);
+                lock(&self.setup.books).sent(follower.process, told);
+                if lines.send_data(text).await.is_err() {
+                    return;
+                }
+                after = told;
+            }
+            tokio::select! {
+                changed = version.changed() => if changed.is_err() { return },
+                () = sleep(TURN) => {
+                    // Guards against a watch whose far side is gone and that would be kept for good.
+                    let sent = timeout(TURN * 5, lines.send_data(Bytes::from_static(b"\n"))).await;
+                    if !matches!(sent, Ok(Ok(()))) {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/scale/sums.rs
@@ -0,0 +1,136 @@
+//! What has been taken so far by process, and from two such sums what a courier of each role takes.
+
+use std::sync::Arc;
+
+use serde::Serialize;
+
+use super::gauge::{self, Taken};
+use crate::relay::Passed;
+
+/// Sums at one moment, by process of couriers.
+#[derive(Clone, Debug, Default)]
+pub struct Sums {
+    /// Microseconds of the run.
+    pub at: u64,
+    /// Seconds of processor time, of all that a place's processes have taken one after the other.
+    pub processor_s: Vec<f64>,
+    pub resident: Vec<u64>,
+    /// Bytes to and from the source.
+    pub passed: Vec<[u64; 2]>,
+    pub source_s: f64,
+    pub own_s: f64,
+    pub own_resident: u64,
+    /// UDP datagrams of the whole machine.
+    pub datagrams: u64,
+}
+
+/// Keeps the sums over processes that are ended and started anew.
+pub struct Gauge {
+    last: Vec<Option<(u32, Taken)>>,
+    links: Vec<Arc<Passed>>,
+    source: i32,
+    pub sums: Sums,
+}
+
+impl Gauge {
+    pub fn new(links: Vec<Arc<Passed>>, source: i32) -> Gauge {
+        let many = links.len();
+        let sums = Sums {
+            processor_s: vec![0.0; many],
+            resident: vec![0; many],
+            passed: vec![[0; 2]; many],
+            ..Sums::default()
+        };
+        Gauge { last: vec![None; many], links, source, sums }
+    }
+
+    /// Looks at each process anew; `ids` are those that run now. What one took between the last look and its end is
+    /// not seen.
+    pub fn look(&mut self, at: u64, ids: &[Option<u32>]) -> &Sums {
+        self.sums.at = at;
+        for (number, &id) in ids.iter().enumerate() {
+            let now = id.and_then(|id| Some((id, gauge::of_process(id)?)));
+            self.put(number, now);
+        }
+        for (passed, link) in self.sums.passed.iter_mut().zip(&self.links) {
+            *passed = link.both();
+        }
+        self.sums.source_s =
+            gauge::of_thread(self.source).map_or(self.sums.source_s, |taken| taken.processor_s);
+        let own = gauge::of_self();
+        (self.sums.own_s, self.sums.own_resident) = (own.processor_s, own.resident);
+        self.sums.datagrams = gauge::datagrams();
+        &self.sums
+    }
+
+    fn put(&mut self, number: usize, now: Option<(u32, Taken)>) {
+        let before = match (self.last[number], now) {
+            (Some((was, taken)), Some((is, _))) if was == is => taken.processor_s,
+            _ => 0.0,
+        };
+        if let Some((_, taken)) = now {
+            self.sums.processor_s[number] += (taken.processor_s - before).max(0.0);
+        }
+        self.sums.resident[number] = now.map_or(0, |(_, taken)| taken.resident);
+        self.last[number] = now;
+    }
+
+    /// Bytes that couriers, and this process, hold.
+    pub fn resident(&self) -> u64 {
+        self.sums.resident.iter().sum::<u64>() + self.sums.own_resident
+    }
+}
+
+/// What one courier of a role takes.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Each {
+    pub couriers: usize,
+    /// Part of a core.
+    pub core: f64,
+    /// Bytes, at the end.
+    pub resident: f64,
+    /// Bytes a second, to the source and from it.
+    pub to_source: f64,
+    pub from_source: f64,
+}
+
+/// `processes`: the role's, by number; `couriers`: how many run in them.
+pub fn each(from: &Sums, to: &Sums, processes: &[usize], couriers: usize) -> Each {
+    let seconds = (to.at.saturating_sub(from.at)) as f64 / 1e6;
+    let sum = |of: &dyn Fn(usize) -> f64| processes.iter().map(|&number| of(number)).sum::<f64>();
+    let part = |value: f64, by: f64| if by > 0.0 { value / by } else { 0.0 };
+    let many = couriers as f64;
+    let bytes = |way: usize| sum(&|i| (to.passed[i][way] - from.passed[i][way]) as f64);
+    Each {
+        couriers,
+        core: part(sum(&|i| to.processor_s[i] - from.processor_s[i]), seconds * many),
+        resident: part(sum(&|i| to.resident[i] as f64), many),
+        to_source: part(bytes(0), seconds * many),
+        from_source: part(bytes(1), seconds * many),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_a_courier_takes_is_counted_over_an_end_and_a_new_start() {
+        let mut gauge = Gauge::new(vec![Arc::default(), Arc::default()], 0);
+        let taken = |processor_s, resident| Taken { processor_s, resident, started: 0 };
+        gauge.put(0, Some((5, taken(1.0, 100))));
+        gauge.put(1, Some((6, taken(2.0, 300))));
+        let from = gauge.sums.clone();
+        gauge.put(0, Some((5, taken(1.5, 100))));
+        gauge.put(0, None);
+        gauge.put(0, Some((7, taken(0.25, 200))));
+        gauge.put(1, Some((6, taken(2.25, 300))));
+        let mut to = gauge.sums.clone();
+        to.at = 10_000_000;
+        to.passed = vec![[100, 4000], [300, 0]];
+        let each = each(&from, &to, &[0, 1], 4);
+        let expected =
+            Each { couriers: 4, core: 1.0 / 40.0, resident: 125.0, to_source: 10.0, from_source: 100.0 };
+        assert_eq!(each, expected);
+    }
+}
--- /dev/null
+++ b/crates/rig/tests/scale.rs
@@ -0,0 +1,247 @@
+//! The scale run: a small day with each trouble, couriers that are wrong on purpose, and that it leaves nothing behind.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::OnceLock;
+use std::time::{Duration, Instant};
+
+use meadowhold_rig::scale::books::Rule;
+use meadowhold_rig::scale::day::{Day, How, Machine, Wrong};
+use meadowhold_rig::scale::report::Report;
+use meadowhold_rig::scale::run::{run, Programs};
+
+const RIG: &str = env!("CARGO_BIN_EXE_meadowhold-rig");
+
+fn programs() -> &'static Programs {
+    static PROGRAMS: OnceLock<Programs> = OnceLock::new();
+    PROGRAMS.get_or_init(|| {
+        let build = escargot::CargoBuild::new().package("meadowhold-courier").bin("meadowhold");
+        let courier = build.run().expect("the courier builds").path().to_path_buf();
+        Programs { courier, rig: RIG.into() }
+    })
+}
+
+fn small() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("days/scale-small.toml")
+}
+
+fn day() -> Day {
+    Day::read(&fs::read_to_string(small()).unwrap()).unwrap()
+}
+
+/// The small day without troubles, and with couriers that are wrong.
+fn calm(wrong: &[(usize, How)]) -> Day {
+    let wrong = wrong.iter().map(|&(courier, how)| Wrong { courier, how }).collect();
+    let mut day = Day { trouble: Vec::new(), wrong, ..day() };
+    // What never comes is waited for to the end.
+    (day.rules.in_force_s, day.rules.on_file_s) = (4.0, 4.0);
+    day
+}
+
+fn report(day: &Day) -> Report {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+    let report = runtime.block_on(run(day, 1, programs(), false)).unwrap();
+    println!("{report}");
+    report
+}
+
+#[test]
+fn each_trouble_once_and_every_change_is_in_force_and_on_file_at_all() {
+    let day = day();
+    let report = report(&day);
+    assert!(report.kept(), "{report}");
+    let names: Vec<&str> = report.phases.iter().map(|phase| phase.name.as_str()).collect();
+    assert_eq!(names[..2], ["rest", "changes"]);
+    assert_eq!(names[2..], ["zone", "rack", "region", "kill", "stop", "slow", "silent", "source"]);
+    // Each befell whom it should, and was got over.
+    let befallen: Vec<usize> = report.phases.iter().map(|phase| phase.befallen).collect();
+    assert_eq!(befallen, [0, 0, 21, 21, 21, 20, 20, 20, 20, 43]);
+    assert!(report.phases[2..].iter().all(|phase| phase.back_s.is_some() && phase.changes > 0));
+    for phase in &report.phases {
+        assert!(phase.hollow.resident > 1e4 && phase.real.resident > 1e6, "{phase:?}");
+        let times = &phase.in_force;
+        assert!(
+            phase.befallen == 43 || times.last_s.is_some_and(|last| times.half_s <= Some(last)),
+            "{phase:?}"
+        );
+    }
+    // Bytes were counted where changes went out, and the real couriers were at work and killed.
+    let changes = report.phase("changes").unwrap();
+    assert!(changes.hollow.from_source > 0.0 && changes.real.from_source > 0.0, "{changes:?}");
+    assert_eq!((report.messages.starts, report.membership.nodes), (5, 43));
+    assert!(report.messages.taken > 100 && report.messages.delivered > 100, "{report}");
+}
+
+#[test]
+fn a_courier_that_says_so_and_holds_the_old_fails_the_run() {
+    let report = report(&calm(&[(17, How::HoldsOld)]));
+    assert!(!report.kept() && report.breaks(Rule::HoldsWhatItSays) > 0, "{report}");
+    assert_eq!((report.breaks(Rule::NotTooEarly), report.breaks(Rule::InForceInTime)), (0, 0), "{report}");
+    assert!(report.broken.iter().all(|broken| broken.words.contains("1 couriers, such as 17")), "{report}");
+}
+
+#[test]
+fn a_courier_that_speaks_too_early_fails_the_run() {
+    let report = report(&calm(&[(17, How::TooEarly)]));
+    assert!(!report.kept() && report.breaks(Rule::NotTooEarly) > 0, "{report}");
+    assert_eq!(
+        (report.breaks(Rule::HoldsWhatItSays), report.breaks(Rule::InForceInTime)),
+        (0, 0),
+        "{report}"
+    );
+    assert!(report.broken.iter().all(|broken| broken.words.contains("courier 17 says")), "{report}");
+}
+
+#[test]
+fn a_courier_that_never_says_so_fails_the_run() {
+    let mut day = calm(&[(17, How::Mute)]);
+    day.rules.start_s = 6.0;
+    let report = report(&day);
+    assert!(!report.kept() && report.breaks(Rule::InForceInTime) > 0, "{report}");
+    assert_eq!((report.breaks(Rule::HoldsWhatItSays), report.breaks(Rule::NotTooEarly)), (0, 0), "{report}");
+}
+
+#[test]
+fn a_list_that_couriers_refuse_is_told_with_its_size() {
+    let mut day = calm(&[]);
+    // The reader takes 8,192 entries.
+    day.destinations = 9000;
+    let report = report(&day);
+    let words = report.refused.as_deref().unwrap_or_default();
+    assert!(
+        words.starts_with("the list is refused at 9002 entries: the list has too many entries"),
+        "{report}"
+    );
+    assert!(!report.kept() && report.phases.is_empty(), "{report}");
+}
+
+fn fails(arguments: &[&str]) -> String {
+    let output = Command::new(RIG).args(arguments).output().unwrap();
+    assert!(!output.status.success(), "{arguments:?}");
+    String::from_utf8(output.stderr).unwrap()
+}
+
+#[test]
+fn all_that_is_wrong_with_a_day_is_told_before_anything_is_started() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("day.toml");
+    let text = "couriers = 5000\nprocesses = 400\n[messages]\nrate = -1.0\n[[trouble]]\nwhat = \"flood\"\n\
+        [[trouble]]\nwhat = \"zone\"\nwhich = 6\n[[wrong]]\ncourier = 3\nhow = \"mute\"\n";
+    fs::write(&file, text).unwrap();
+    let words = fails(&["scale", file.to_str().unwrap()]);
+    for fault in [
+        "line 1, couriers: 5000 is out of bounds; give 1 to 2000",
+        "line 2, processes: 400 is out of bounds; give 21 to 198",
+        "line 4, messages.rate: -1 is out of bounds",
+        "line 6, trouble.0.what: unknown variant `flood`",
+        "line 9, trouble.1.which: there is nothing in 6",
+        "line 11, wrong.0.courier: 3 is out of bounds; give 20 to 4999",
+    ] {
+        assert!(words.contains(fault), "{fault} in {words}");
+    }
+    assert_eq!(words.matches("meadowhold-rig: ").count(), 1, "{words}");
+    let rows: [(&[&str], &str); 5] = [
+        (&["scale", "nowhere.toml"], "nowhere.toml cannot be read"),
+        (&["scale", "--points", "100,many"], "--points"),
+        (&["scale", "--points", "100", "--couriers", "3"], "give --couriers or --points"),
+        (&["scale", "--points", "100,9999"], "9999 is out of bounds"),
+        (&["hollow"], "name the couriers' file"),
+    ];
+    for (arguments, words) in rows {
+        let said = fails(arguments);
+        assert!(said.contains(words), "{arguments:?}: {said}");
+    }
+}
+
+#[test]
+fn what_a_machine_cannot_bear_is_told_all_at_once() {
+    let day = Day { destinations: 300_000, ..Day::default() };
+    let small = Machine { memory: 1 << 30, disk: 1 << 30, descriptors: 256 };
+    let faults = day.beyond(&small);
+    let keys: Vec<&str> = faults.iter().map(|fault| fault.key.as_str()).collect();
+    assert_eq!(keys, ["couriers", "destinations", "couriers"], "{faults:?}");
+    let large = Machine { memory: 1 << 42, disk: 1 << 42, descriptors: 1 << 20 };
+    assert_eq!(day.beyond(&large), []);
+}
+
+#[test]
+fn couriers_are_spread_over_processes_zones_and_regions() {
+    let day = Day::default();
+    let places = day.places();
+    assert_eq!(places.len(), 40);
+    let all: Vec<usize> = places.iter().flat_map(|place| place.couriers.clone()).collect();
+    assert_eq!(all, (0..1300).collect::<Vec<_>>());
+    let sizes: Vec<usize> = places.iter().map(|place| place.couriers.len()).collect();
+    assert_eq!((&sizes[..20], &sizes[20..]), (&[1; 20][..], &[64; 20][..]));
+    assert!((0..6).all(|zone| places.iter().any(|place| !place.real && place.zone == zone)));
+    assert!(places.iter().all(|place| place.region == place.zone % 2));
+    for couriers in [1, 21, 100, 650] {
+        let day = day.at(couriers);
+        assert_eq!(day.faults(), [], "{couriers}");
+        assert_eq!(day.places().iter().map(|place| place.couriers.len()).sum::<usize>(), couriers);
+        assert!(day.places().iter().all(|place| place.couriers.len() <= 64));
+    }
+}
+
+/// Processes that another has started, with when each was: ids are given anew.
+fn children(of: u32) -> Vec<(u32, String)> {
+    let stat = |id: u32| {
+        let line = fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+        let rest: Vec<String> = line.rsplit_once(')')?.1.split_whitespace().map(str::to_string).collect();
+        Some((rest[0].clone(), rest[1].parse::<u32>().ok()?, rest[19].clone()))
+    };
+    let all =
+        fs::read_dir("/proc").unwrap().filter_map(|entry| entry.ok()?.file_name().to_str()?.parse().ok());
+    let own = all.filter_map(|id: u32| {
+        let (state, parent, start) = stat(id)?;
+        (parent == of && state != "Z").then_some((id, start))
+    });
+    own.collect()
+}
+
+fn runs((id, start): &(u32, String)) -> bool {
+    let line = fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    let rest: Vec<&str> =
+        line.rsplit_once(')').map(|(_, rest)| rest.split_whitespace().collect()).unwrap_or_default();
+    rest.first().is_some_and(|state| *state != "Z") && rest.get(19).is_some_and(|other| other == start)
+}
+
+fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + Duration::from_secs(30);
+    while !holds() {
+        assert!(Instant::now() < end, "{what} in time");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+#[test]
+fn nothing_outlives_a_run_that_is_called_off_or_killed() {
+    programs();
+    for signal in ["-TERM", "-INT", "-KILL"] {
+        let folders = tempfile::tempdir().unwrap();
+        let mut command = Command::new(RIG);
+        // It asks for the courier's program beside its own, where the other build has put it.
+        command.arg("scale").arg(small()).arg("--out").arg(folders.path().join("out.json"));
+        command.env("TMPDIR", folders.path()).stdout(Stdio::null()).stderr(Stdio::null());
+        let mut running = Running(command.spawn().unwrap());
+        let id = running.0.id();
+        // Two processes of hollow couriers, three real ones, and the guard.
+        until("all processes", || children(id).len() == 6 || running.0.try_wait().unwrap().is_some());
+        let started = children(id);
+        assert_eq!(started.len(), 6, "{signal}");
+        assert!(Command::new("kill").args([signal, &id.to_string()]).status().unwrap().success());
+        until("the run's end", || running.0.try_wait().unwrap().is_some());
+        until("the end of what it had started", || !started.iter().any(runs));
+        until("no folder", || fs::read_dir(folders.path()).unwrap().next().is_none());
+    }
+}
