--- a/crates/rig/src/scale/report.rs
+++ b/crates/rig/src/scale/report.rs
@@ -40,7 +40,7 @@
     }
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Phase {
     pub name: String,
     /// What is measured lasts from the phase's begin for so long.
--- a/crates/rig/src/scale/series.rs
+++ b/crates/rig/src/scale/series.rs
@@ -71,3 +71,39 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::scale::report::Phase;
+
+    fn report(couriers: usize, phases: &[(&str, f64)]) -> Report {
+        let phase = |&(name, core): &(&str, f64)| {
+            let mut phase = Phase { name: name.to_string(), ..Phase::default() };
+            phase.hollow.core = core;
+            phase
+        };
+        Report { couriers, phases: phases.iter().map(phase).collect(), ..Report::default() }
+    }
+
+    #[test]
+    fn figures_are_fitted_over_the_sizes_that_have_them() {
+        let sizes = [100, 300, 650];
+        let reports = sizes.map(|n| report(n, &[("rest", 1e-4 * n as f64), ("changes", 5e-4)]));
+        let refused = report(1300, &[]);
+        let series = Series::new([reports.to_vec(), vec![refused]].concat());
+        let exponent = |name: &str| {
+            let slope = series.slopes.iter().find(|slope| slope.name == name).unwrap();
+            assert_eq!(slope.points.len(), 3, "{name}");
+            match slope.fit {
+                Ok(Fit::Power { exponent, .. }) => Some((exponent * 1e6).round() / 1e6),
+                _ => None,
+            }
+        };
+        assert_eq!(exponent("core of a hollow courier at rest"), Some(1.0));
+        assert_eq!(exponent("core of a hollow courier with changes"), Some(0.0));
+        // What was 0 throughout has no exponent, and is said so.
+        assert_eq!(exponent("core of the source with changes"), None);
+        assert!(series.to_string().contains("no fit: a point at or below 0 has no logarithm"), "{series}");
+    }
+}
--- a/crates/rig/tests/scale.rs
+++ b/crates/rig/tests/scale.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use meadowhold_rig::scale::books::Rule;
-use meadowhold_rig::scale::day::{Day, How, Machine, Wrong};
+use meadowhold_rig::scale::day::{Day, How, Machine, Mode, Wrong};
 use meadowhold_rig::scale::gauge;
 use meadowhold_rig::scale::report::Report;
 use meadowhold_rig::scale::run::{run, Programs};
@@ -74,6 +74,18 @@
     assert!(report.messages.taken > 100 && report.messages.delivered > 100, "{report}");
 }
 
+#[test]
+fn untouched_the_whole_list_is_told_at_each_change() {
+    let mut day = calm(&[]);
+    day.source.mode = Mode::Untouched;
+    day.rules.in_force_s = 20.0;
+    let report = report(&day);
+    assert!(report.kept(), "{report}");
+    // Two changes in a second, and 62 entries of more than a hundred bytes each time.
+    let changes = report.phase("changes").unwrap();
+    assert!(changes.hollow.from_source * changes.seconds > 2.0 * 6200.0, "{changes:?}");
+}
+
 #[test]
 fn a_courier_that_says_so_and_holds_the_old_fails_the_run() {
     let report = report(&calm(&[(17, How::HoldsOld)]));
