--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod record;
 pub mod relay;
 pub mod run;
+pub mod scale;
 pub mod schedule;
 pub mod scripted;
 pub mod slopes;
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -29,19 +29,19 @@
 /// A run keeps this port of its network to itself.
 const CLAIM: u16 = 6378;
 /// SIGKILL follows so long after SIGTERM, and a start so long after the end of a planned restart.
-const TERM_LASTS: Duration = Duration::from_millis(3700);
+pub(crate) const TERM_LASTS: Duration = Duration::from_millis(3700);
 const RESTARTS_AFTER: Duration = Duration::from_millis(600);
 const POLL: Duration = Duration::from_millis(20);
 
 /// A network of a run's own on loopback: 127.x/16.
-struct Net {
+pub(crate) struct Net {
     x: u8,
     _claim: UdpSocket,
 }
 
 impl Net {
     /// Takes one that no other run has, here or in another process.
-    fn claim() -> io::Result<Net> {
+    pub(crate) fn claim() -> io::Result<Net> {
         // From 201 on: the couriers' own tests use those before.
         let (first, many) = (201u8, 54u32);
         let start = std::process::id() % many;
@@ -54,7 +54,7 @@
         Err(io::Error::other("each network on loopback is in use"))
     }
 
-    fn ip(&self, row: u8, number: usize) -> IpAddr {
+    pub(crate) fn ip(&self, row: u8, number: usize) -> IpAddr {
         Ipv4Addr::new(127, self.x, row, 1 + number as u8).into()
     }
 
@@ -135,7 +135,7 @@
     while clients.join_next().await.is_some() {}
     while troubles.join_next().await.is_some() {}
     let settle = Instant::now() + Duration::from_secs_f64(day.settle_s);
-    while world.open() > 0 && Instant::now() < settle {
+    while open(&world.record) > 0 && Instant::now() < settle {
         sleep(POLL).await;
     }
     watched.shutdown().await;
@@ -253,33 +253,6 @@
         }
     }
 
-    /// Mails that were taken on and have no end yet; what went with a folder will have none.
-    fn open(&self) -> usize {
-        self.record.read(|events| {
-            let (mut open, mut served) = (HashSet::new(), HashMap::new());
-            let mut ended = HashSet::new();
-            for event in events {
-                match &event.seen {
-                    Seen::Answered { hand, courier, heard: Heard::Taken } => {
-                        open.insert((*hand, *courier));
-                    }
-                    Seen::Process { courier, what: Process::FolderLost } => {
-                        open.retain(|one| one.1 != *courier)
-                    }
-                    Seen::Notice { hand, .. } => drop(ended.insert(*hand)),
-                    Seen::Called { call, hands, fate: Fate::Served, .. } => {
-                        served.insert(*call, hands);
-                    }
-                    Seen::Replied { call } => {
-                        ended.extend(served.get(call).into_iter().flat_map(|hands| hands.iter().copied()));
-                    }
-                    _ => {}
-                }
-            }
-            open.iter().filter(|(hand, _)| !ended.contains(hand)).count()
-        })
-    }
-
     async fn kill(&self, number: usize, courier: &mut Courier) {
         courier.signal(Signal::KILL);
         courier.ended().await;
@@ -431,6 +404,31 @@
     }
 }
 
+/// Mails that were taken on and have no end yet; what went with a folder will have none.
+pub(crate) fn open(record: &Record) -> usize {
+    record.read(|events| {
+        let (mut open, mut served) = (HashSet::new(), HashMap::new());
+        let mut ended = HashSet::new();
+        for event in events {
+            match &event.seen {
+                Seen::Answered { hand, courier, heard: Heard::Taken } => {
+                    open.insert((*hand, *courier));
+                }
+                Seen::Process { courier, what: Process::FolderLost } => open.retain(|one| one.1 != *courier),
+                Seen::Notice { hand, .. } => drop(ended.insert(*hand)),
+                Seen::Called { call, hands, fate: Fate::Served, .. } => {
+                    served.insert(*call, hands);
+                }
+                Seen::Replied { call } => {
+                    ended.extend(served.get(call).into_iter().flat_map(|hands| hands.iter().copied()));
+                }
+                _ => {}
+            }
+        }
+        open.iter().filter(|(hand, _)| !ended.contains(hand)).count()
+    })
+}
+
 /// The addresses that each courier has for the others' notes, and what stands at them; none where nobody tells.
 async fn notes(day: &Day, net: &Net, seed: u64) -> io::Result<(Vec<Vec<String>>, Vec<Datagrams>)> {
     if !day.notes.told {
@@ -473,7 +471,7 @@
 }
 
 /// The settings of a day's couriers, as the platform would hand them.
-fn settings(day: &Day) -> Value {
+pub(crate) fn settings(day: &Day) -> Value {
     let us = |seconds: f64| (seconds * 1e6) as u64;
     let window = us(day.rules.window_s);
     let lifetime = day.mails.time_ms[1] * 1000;
