A 503 that ends a new connection tells of a full table, not of a limit

Lines at fault: read_status in endpoints.rs told every 503 as Refused. What closes idle connections while tables are full (crowded in Control::judge) counts Unreached alone, so that it never fired on this wire.

Change: a 503 that ends a connection which has served nothing is Unreached. Test: a_full_table_of_connections_is_told_from_a_limit_...; without the change two connections are made where five are due.

--- a/crates/courier/src/endpoints.rs
+++ b/crates/courier/src/endpoints.rs
@@ -94,12 +94,15 @@
     }
 }
 
-/// The table of answers: what a status says of every mail of the call.
-pub fn read_status(head: &Head, several: bool) -> Seen {
+/// The table of answers: what a status says of every mail of the call. `kept`: its connection served before.
+pub fn read_status(head: &Head, several: bool, kept: bool) -> Seen {
     let (outcome, over) = match head.status {
         200 => (Outcome::Relayed, true),
         429 => (Outcome::Refused, false),
         503 if head.over_slots => (Outcome::Unsent, false),
+        // Guards against a full table of connections that is taken for a limit, so that all keep theirs: who is
+        // turned away with a new connection got none.
+        503 if !head.keep && !kept => (Outcome::Unreached, false),
         503 => (Outcome::Refused, false),
         504 => (Outcome::Unsent, false),
         410 => (Outcome::Unsent, true),
@@ -254,7 +257,7 @@
             }
             Answer::Ended(Outcome::Relayed) if crossed => self.tell(&letters, &Seen::only(Outcome::Spoilt)),
             Answer::Good(head, body) => {
-                self.report(&letters, &head, body.as_deref());
+                self.report(&letters, &head, body.as_deref(), counted.kept);
                 let whole = body.is_some() || link.rest(head.body, MOST_ANSWER).await.is_ok();
                 if head.keep && whole {
                     self.keep(&call, counted);
@@ -315,7 +318,7 @@
         }
     }
 
-    fn report(&self, letters: &[Letter], head: &Head, body: Option<&[u8]>) {
+    fn report(&self, letters: &[Letter], head: &Head, body: Option<&[u8]>, kept: bool) {
         let several = letters.len() > 1;
         let items =
             body.filter(|_| several && head.status == 200).map(|body| http::items(body).unwrap_or_default());
@@ -325,7 +328,7 @@
                     let item = items.iter().find(|item| item.id.as_bytes() == letter.id);
                     read_item(item.map(|item| item.state.as_str()), head)
                 }
-                None => read_status(head, several),
+                None => read_status(head, several, kept),
             };
             self.tell(std::slice::from_ref(letter), &seen);
         }
--- a/crates/courier/tests/courier.rs
+++ b/crates/courier/tests/courier.rs
@@ -38,13 +38,14 @@
 fn each_outcome_of_a_single_call_has_its_end() {
     use Reply::{Break, Silence, Status};
     // (class, the endpoint's first reply, calls in all, notice, least time before the second call in ms)
-    let rows: [(&str, Reply, usize, &str, u64); 14] = [
+    let rows: [(&str, Reply, usize, &str, u64); 15] = [
         ("once", OK, 1, "", 0),
         ("once", Status(500, ""), 1, "dead", 0),
         ("again", Status(500, ""), 2, "", 0),
         ("once", Status(429, "Retry-After: 0.400\r\n"), 2, "", 400),
         ("once", Status(503, ""), 2, "", 0),
         ("once", Status(503, "X-Over-Slots: 1\r\n"), 2, "", 0),
+        ("once", Status(503, "Connection: close\r\n"), 2, "", 0),
         ("once", Status(504, ""), 2, "", 0),
         ("once", Status(410, ""), 1, "", 0),
         ("again", Status(410, ""), 1, "", 0),
@@ -520,6 +521,26 @@
     assert!(idle > Duration::from_millis(1500) && idle < Duration::from_millis(2500), "{idle:?}");
 }
 
+/// An endpoint that holds no more connections answers a new one with 503 and ends it. Guards against couriers that
+/// take it for a limit, and keep connections that others find no room for; a refusal that leaves its connection
+/// open is one.
+#[test]
+fn a_full_table_of_connections_is_told_from_a_limit_and_no_connection_is_kept() {
+    for (fields, connections) in [("Connection: close\r\n", 5), ("", 1)] {
+        let (_platform, endpoint, courier) = world_with("single", &[Reply::Status(503, fields)], |config| {
+            // Hundreds that share a table, and nothing that ends within the test.
+            config["settings"]["NInstances"] = json!(300);
+            config["settings"]["Limits"]["KeepaliveUs"] = json!(600_000_000);
+        });
+        let mut client = courier.client();
+        for i in 0..4 {
+            assert_eq!(client.put(&i.to_string(), "again", LATE), "+OK");
+            until("its end", || courier.owes_nothing());
+        }
+        assert_eq!((endpoint.calls().len(), endpoint.connections().0), (5, connections), "{fields}");
+    }
+}
+
 #[test]
 fn with_no_descriptor_left_for_a_call_no_endpoint_is_blamed() {
     let platform = Platform::new();
