Decisions' time by the turn and by the thread's clock; the capacity program's own tests

A cost by the message, taken at ten messages a second with eleven turns each, overstates the target's 415: turns are 5 ms apart at the least. And the time on the wall moved from 77 to 209 us a message with what else ran.

The program is held to writing the page, and to telling all faults and changing nothing.

--- /dev/null
+++ b/crates/capacity/tests/command.rs
@@ -0,0 +1,60 @@
+//! The program: writes the page, and refuses bad figures with one message and without a change.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::{fs, str};
+
+const FIGURES: &str = "target.couriers = { value = 3 }\n";
+const PAGE: &str = "# Page\n\n<!-- table: roles -->\n<!-- end -->\n<!-- table: failures -->\n<!-- end -->\n\
+    <!-- table: next -->\n<!-- end -->\n<!-- table: slopes -->\n<!-- end -->\nthe author's\n";
+
+/// A folder of the test's own with a file of figures and a page.
+fn folder(name: &str, figures: &str) -> PathBuf {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::create_dir_all(folder.join("docs/capacity")).unwrap();
+    fs::write(folder.join("docs/capacity/capacity.toml"), figures).unwrap();
+    fs::write(folder.join("docs/CAPACITY.md"), PAGE).unwrap();
+    folder
+}
+
+fn run(folder: &Path) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_meadowhold-capacity")).arg(folder).output().unwrap()
+}
+
+fn page(folder: &Path) -> String {
+    fs::read_to_string(folder.join("docs/CAPACITY.md")).unwrap()
+}
+
+#[test]
+fn the_page_is_written_once_and_then_as_it_should_be() {
+    let folder = folder("sound", FIGURES);
+    let first = run(&folder);
+    assert!(first.status.success(), "{first:?}");
+    let written = page(&folder);
+    assert!(written.contains("| role | what |") && written.ends_with("the author's\n"), "{written}");
+    let second = run(&folder);
+    assert!(str::from_utf8(&second.stdout).unwrap().contains("is as the figures have it"), "{second:?}");
+    assert_eq!(page(&folder), written);
+}
+
+#[test]
+fn bad_figures_are_told_whole_and_change_nothing() {
+    let figures = "target.couriers = { value = -3 }\n[slope.list]\nwhat = \"list\"\nof = \"entries\"\n\
+        standing = \"measured\"\ntext = \"before\"\nfrom = \"gone.json#list\"\n[slope.bad]\nfitt = 1\n";
+    let folder = folder("faults", figures);
+    let output = run(&folder);
+    let words = str::from_utf8(&output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(1), "{words}");
+    let places = ["line 1, target.couriers.value", "line 7, slope.list.from", "line 9, slope.bad.fitt"];
+    assert!(places.iter().all(|place| words.contains(place)), "{words}");
+    assert!(!words.contains("panicked"), "{words}");
+    assert_eq!(page(&folder), PAGE);
+}
+
+#[test]
+fn a_folder_without_figures_is_one_message() {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("nowhere");
+    let output = run(&folder);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(str::from_utf8(&output.stderr).unwrap().contains("docs/capacity/capacity.toml"));
+}
--- a/crates/emulator/tests/thin.rs
+++ b/crates/emulator/tests/thin.rs
@@ -6,7 +6,6 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
 
 use meadowhold::control::Standing;
 use meadowhold::interface::{Action, Input, Outcome, Settings, Time, SECOND};
@@ -30,6 +29,12 @@
 /// Seconds between two calls at a destination, and seeds: with few destinations there are few outages in a day.
 const SIZES: [(f64, u64); 4] = [(1.0, 20), (10.0, 6), (100.0, 2), (720.0, 1)];
 
+/// Seconds that this thread has had a processor: on a shared machine the time on the wall says little.
+fn busy() -> f64 {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::ThreadCPUTime);
+    time.tv_sec as f64 + time.tv_nsec as f64 / 1e9
+}
+
 /// A day with no trouble but the outages, which a generator of its own draws.
 fn thin(rate: f64, between_s: f64, what: Option<What>, long: bool, seed: u64) -> Scenario {
     let one = Figure::One;
@@ -191,9 +196,9 @@
             }
         }
         let before = out.len();
-        let began = Instant::now();
+        let began = busy();
         let next = self.inner.round(now, inputs, out, sight);
-        seen.deciding_s += began.elapsed().as_secs_f64();
+        seen.deciding_s += busy() - began;
         for action in &out[before..] {
             if let Action::Connect { mail, endpoint, .. } = *action {
                 // A call that is over for the courier though nothing came of it.
