--- a/crates/rig/src/scale/day.rs
+++ b/crates/rig/src/scale/day.rs
@@ -20,6 +20,11 @@
     pub zones: usize,
     pub regions: usize,
     pub racks: usize,
+    /// How many couriers speak membership, the real ones first; none: all.
+    pub members: Option<usize>,
+    /// Seconds from one process's first start to the next one's. Guards against a machine on which all join at once:
+    /// none gets its turn in the time in which the others hold it to be down.
+    pub start_gap_s: f64,
     /// How many destinations the list names; each has one endpoint, those of `live` have theirs.
     pub destinations: usize,
     /// Changes of the list a minute, but for the phase at rest.
@@ -163,6 +168,8 @@
             zones: 6,
             regions: 2,
             racks: 10,
+            members: None,
+            start_gap_s: 1.5,
             destinations: 8000,
             changes_per_minute: 6.0,
             warm_s: 20.0,
@@ -216,6 +223,11 @@
     pub descriptors: u64,
 }
 
+/// Threads that want a processor, for each one that there is, and seconds in a row for which there are more, after which
+/// a run is called off. Guards against others on the machine that get none any more.
+pub const MOST_RUNNABLE: u64 = 12;
+pub const OVERRUN_S: u32 = 6;
+
 /// Processes that a run may have, its own and the guard's among them.
 pub const MOST_PROCESSES: usize = 200;
 /// Bytes of an entry: in a courier's memory, on file, and what a member takes; and what a courier takes without any.
@@ -241,6 +253,10 @@
         self.couriers.saturating_sub(self.real)
     }
 
+    pub fn members(&self) -> usize {
+        self.members.unwrap_or(self.couriers)
+    }
+
     /// All that the list names.
     pub fn entries(&self) -> usize {
         self.destinations + self.live.destinations * self.live.each.saturating_sub(1)
@@ -291,7 +307,7 @@
 
     /// Bytes that all couriers are expected to take.
     pub fn memory(&self) -> u64 {
-        let (entries, members) = (self.entries() as u64, self.couriers as u64);
+        let (entries, members) = (self.entries() as u64, self.members() as u64);
         let each = entries * ENTRY_HELD + members * MEMBER_HELD;
         self.hollow() as u64 * (HOLLOW + each) + self.real as u64 * (REAL + 2 * each)
     }
@@ -334,6 +350,8 @@
         // One more than the real ones where there are hollow ones; the run itself and its guard count too.
         let least = self.real + usize::from(self.hollow() > 0);
         bound("processes", self.processes as f64, least as f64, (MOST_PROCESSES - 2) as f64);
+        bound("members", self.members() as f64, 0.0, self.couriers as f64);
+        bound("start_gap_s", self.start_gap_s, 0.0, 60.0);
         bound("zones", self.zones as f64, 1.0, 100.0);
         bound("regions", self.regions as f64, 1.0, self.zones.max(1) as f64);
         bound("racks", self.racks as f64, 1.0, 200.0);
@@ -400,7 +418,7 @@
         let each = self.hollow().div_ceil(shared).max(1);
         let real = self.real.min(couriers);
         let processes = real + (couriers - real).div_ceil(each);
-        Day { couriers, real, processes, ..self.clone() }
+        Day { couriers, real, processes, members: self.members.map(|m| m.min(couriers)), ..self.clone() }
     }
 
     /// The day as the judge of messages knows it: the real couriers alone.
--- a/crates/rig/src/scale/gauge.rs
+++ b/crates/rig/src/scale/gauge.rs
@@ -63,6 +63,13 @@
     text.split_whitespace().next().and_then(|first| first.parse().ok()).unwrap_or(0.0)
 }
 
+/// Threads that run or want to at this moment.
+pub fn runnable() -> u64 {
+    let text = fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    let field = text.split_whitespace().nth(3).and_then(|field| field.split_once('/'));
+    field.and_then(|(running, _)| running.parse().ok()).unwrap_or(0)
+}
+
 fn meminfo(name: &str) -> u64 {
     let text = fs::read_to_string("/proc/meminfo").unwrap_or_default();
     let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(':'));
