Changes are taken from the very version that is held, and a relay without news is left

A trial with two relays that disagree showed it: a relay that jumps from 5 to 9 tells nothing of what had changed and is as it was; who held 7 from elsewhere took that for all. Changes from an earlier version now bring an ask for the whole, and a difference is given only to who names an index that was held here.

--- a/crates/catalog/src/choice.rs
+++ b/crates/catalog/src/choice.rs
@@ -46,7 +46,8 @@
     Following(usize),
     /// It is followed, and has been asked.
     Checked(usize),
-    /// The first is followed, the second has been asked: it would be better.
+    /// The first is followed, the second has been asked: it would be better, or holds what the first does
+    /// not.
     Trying(usize, usize),
 }
 
@@ -84,6 +85,9 @@
     back: Time,
     better: usize,
     behind_since: Option<Time>,
+    /// The newest version that another relay said it holds, and since when. Guards against one that answers
+    /// on and has no news any more.
+    elsewhere: Option<(Version, Time)>,
 }
 
 impl Choice {
@@ -102,6 +106,7 @@
             back: now,
             better: 0,
             behind_since: None,
+            elsewhere: None,
         }
     }
 
@@ -151,9 +156,10 @@
                 self.next(now, chance);
                 Effect::Nothing
             }
-            (Following(r), Due) if r > 0 && now >= self.back => {
-                let better = self.better % r;
-                self.better = better + 1;
+            (Following(r), Due) if self.order.len() > 1 && now >= self.back => {
+                // One that would be better; where none is, any other.
+                let better = if r > 0 { self.better % r } else { 1 + self.better % (self.order.len() - 1) };
+                self.better = self.better.wrapping_add(1);
                 (self.state, self.at) = (Trying(r, better), now + PATIENCE);
                 Effect::Ask(self.order[better])
             }
@@ -162,8 +168,10 @@
                 Effect::Ask(self.order[r])
             }
             (Checked(r), Said(version)) => {
+                self.elsewhere = self.elsewhere.filter(|&(newest, _)| version < newest);
                 let since = is_behind(version).then(|| self.behind_since.unwrap_or(now));
                 self.behind_since = since;
+                let since = since.or(self.elsewhere.map(|(_, since)| since));
                 if since.is_some_and(|since| now >= since + BEHIND) && self.order.len() > 1 {
                     self.lose(r, now, chance);
                 } else {
@@ -175,11 +183,15 @@
                 self.lose(r, now, chance);
                 Effect::Nothing
             }
-            (Trying(_, better), Said(version)) if !is_behind(version) => {
+            (Trying(r, better), Said(version)) if better < r && !is_behind(version) => {
                 self.follow(better, now, chance);
                 Effect::Follow(self.order[better])
             }
             (Trying(r, _), Said(_) | Failed | Due) => {
+                if let Said(version) = input {
+                    let newer = held.is_none_or(|held| version > held);
+                    self.elsewhere = self.elsewhere.or(newer.then_some((version, now)));
+                }
                 (self.state, self.at, self.back) = (Following(r), now, later(now, chance));
                 Effect::Nothing
             }
@@ -191,7 +203,7 @@
     fn follow(&mut self, rank: usize, now: Time, chance: f64) {
         (self.state, self.at, self.back) = (State::Following(rank), now + every(chance), later(now, chance));
         (self.rounds, self.better, self.best, self.lenient) = (0, 0, None, false);
-        self.behind_since = None;
+        (self.behind_since, self.elsewhere) = (None, None);
     }
 
     /// The others come first, and then this one.
--- a/crates/catalog/src/store.rs
+++ b/crates/catalog/src/store.rs
@@ -309,9 +309,9 @@
         if index > held.index || index <= self.doubtful {
             return None;
         }
-        // The last that is no later, or the same: also for one that comes from a relay that held versions
-        // between.
-        self.steps.iter().rev().find(|(_, at)| *at <= index).map(|&(step, _)| step)
+        // This very one: guards against a difference from another version, in which what had changed and is
+        // as it was would be missing.
+        self.steps.iter().rev().find(|(_, at)| *at == index).map(|&(step, _)| step)
     }
 
     /// What changed after a step, each entry once as it is now, of these partitions (`None`: all).
--- a/crates/catalog/src/versions.rs
+++ b/crates/catalog/src/versions.rs
@@ -15,7 +15,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Offer {
     pub version: Version,
-    /// `None`: it is whole. Else the index of the same epoch after which all changes are told.
+    /// `None`: it is whole. Else the index of the same epoch from which on it brings who holds that to
+    /// `version`.
     pub after: Option<u64>,
 }
 
@@ -126,11 +127,15 @@
             // whole.
             (Some(_), None) => Verdict::Take,
             (Some(held), Some(_)) if epoch > held.epoch => Verdict::AskWhole,
-            (Some(held), Some(after)) if after > held.index => Verdict::AskWhole,
-            (Some(held), Some(_)) => {
+            (Some(held), Some(after)) if after == held.index => {
                 debug_assert!(epoch == held.epoch && index >= held.index);
                 Verdict::Take
             }
+            // Who tells has come to what is held.
+            (Some(held), Some(_)) if index == held.index => Verdict::Pass,
+            // Guards against changes from an earlier version on, of one that never saw what is held: what had
+            // changed between and is as it was is not among them.
+            (Some(_), Some(_)) => Verdict::AskWhole,
         }
     }
 
--- a/crates/catalog/tests/choice.rs
+++ b/crates/catalog/tests/choice.rs
@@ -163,6 +163,53 @@
     assert!((2 * delay..2 * delay + 4 * EVERY).contains(&(one.now - since)), "{}", one.now - since);
 }
 
+#[test]
+fn a_relay_without_news_that_answers_on_is_left_for_one_that_has_them() {
+    let mut one = Driven::new(3);
+    assert_eq!(one.due(), Effect::Ask(0));
+    assert_eq!(one.put(Input::Said(at(10))), Effect::Follow(0));
+    one.held = Some(at(10));
+    let (mut looked, mut left) = (Vec::new(), None);
+    while left.is_none() && one.now < 120 * SECOND {
+        match one.due() {
+            Effect::Ask(0) => {
+                one.put(Input::Said(at(10)));
+            }
+            // The others have news from half a minute on.
+            Effect::Ask(relay) => {
+                looked.push((one.now, relay));
+                one.put(Input::Said(at(if one.now > 30 * SECOND { 11 } else { 10 })));
+            }
+            _ => {}
+        }
+        left = (one.choice.followed() != Some(0)).then_some(one.now);
+    }
+    let left = left.expect("it is left");
+    assert!(looked.iter().any(|(_, relay)| *relay == 1) && looked.iter().any(|(_, relay)| *relay == 2));
+    assert!(left < 30 * SECOND + BACK.0 + BACK.1 + 5 * SECOND, "{left}");
+    assert_eq!(one.due(), Effect::Ask(1));
+    assert_eq!(one.put(Input::Said(Version { index: 11, ..AT })), Effect::Follow(1));
+    // A relay that is only a moment later than the others is kept.
+    let mut other = Driven::new(2);
+    assert_eq!(other.due(), Effect::Ask(0));
+    assert_eq!(other.put(Input::Said(at(10))), Effect::Follow(0));
+    let mut index = 10;
+    while other.now < 120 * SECOND {
+        other.held = Some(at(index));
+        match other.due() {
+            Effect::Ask(0) => {
+                index += 1;
+                other.put(Input::Said(at(index)));
+            }
+            Effect::Ask(_) => {
+                other.put(Input::Said(at(index + 1)));
+            }
+            _ => {}
+        }
+        assert_eq!(other.choice.followed(), Some(0));
+    }
+}
+
 /// Its choice, what it holds, and the relay that it has asked, with when that answers.
 type Follower = (Choice, Option<Version>, Option<(Time, usize)>);
 
--- a/crates/catalog/tests/versions.rs
+++ b/crates/catalog/tests/versions.rs
@@ -71,11 +71,17 @@
 struct Word {
     place: usize,
     back: Option<usize>,
+    /// Changes are what differs between the two: it never saw what was between.
+    ends_alone: bool,
 }
 
 fn word() -> impl Strategy<Value = Word> {
-    (any::<prop::sample::Index>(), prop_oneof![1 => Just(None), 2 => (1_usize..4).prop_map(Some)])
-        .prop_map(|(place, back)| Word { place: place.index(1000), back })
+    let back = prop_oneof![1 => Just(None), 2 => (1_usize..4).prop_map(Some)];
+    (any::<prop::sample::Index>(), back, any::<bool>()).prop_map(|(place, back, ends_alone)| Word {
+        place: place.index(1000),
+        back,
+        ends_alone,
+    })
 }
 
 /// An offer as a sound relay would make it, and its entries.
@@ -85,10 +91,10 @@
     let all = content.iter().map(|(name, (destination, words))| item(name, *destination, words));
     // Changes are those of one counting.
     let base = word.back.and_then(|back| history.versions.get(place.checked_sub(back)?));
-    let Some((base, _)) = base.filter(|(base, _)| base.epoch == version.epoch) else {
+    let Some((base, before)) = base.filter(|(base, _)| base.epoch == version.epoch) else {
         return (Offer { version: *version, after: None }, all.collect());
     };
-    // Also what changed meanwhile and is as it was: who holds a version between must hear of it.
+    // Also what changed meanwhile and is as it was, by one that saw it.
     let steps = history.versions[..=place].windows(2).rev();
     let changed: HashSet<&String> = steps
         .take(word.back.unwrap_or_default())
@@ -96,6 +102,7 @@
             let names = pair[0].1.keys().chain(pair[1].1.keys());
             names.filter(|name| pair[0].1.get(*name) != pair[1].1.get(*name))
         })
+        .filter(|name| !word.ends_alone || before.get(*name) != content.get(*name))
         .collect();
     let mut items: Vec<Item> = all.filter(|item| changed.contains(&item.name)).collect();
     items.extend(changed.iter().filter(|name| !content.contains_key(**name)).map(|name| gone(name)));
@@ -239,6 +246,11 @@
             }
             let content = truth.iter().map(|(n, (d, w))| (n.clone(), text(n, *d, w))).collect();
             followers.push((store.step(), version.index, content));
+            // One that comes from another relay, with a version that was never here, is given the whole.
+            for (other, _) in history.versions.iter().filter(|(other, _)| other.epoch == version.epoch) {
+                let was_here = followers.iter().any(|(_, index, _)| *index == other.index);
+                prop_assert!(was_here || store.position(other.index).is_none());
+            }
         }
         // A part is those entries whose destinations it holds, and its hash that of the same by another way.
         if let Some(version) = store.version() {
@@ -269,7 +281,7 @@
 #[test]
 fn the_model_catches_a_table_with_a_broken_row() {
     type Broken = fn(&Offer, Option<Version>) -> Verdict;
-    let broken: [(&str, Broken); 4] = [
+    let broken: [(&str, Broken); 5] = [
         ("takes an older whole list", |offer, held| match (offer.after, held) {
             (None, Some(held)) if offer.version < held => Verdict::Take,
             _ => sound(offer, held),
@@ -284,6 +296,15 @@
             }
             _ => sound(offer, held),
         }),
+        ("takes changes from before what is held", |offer, held| match (offer.after, held) {
+            (Some(after), Some(held)) if after < held.index && offer.version > held => {
+                match sound(offer, None) {
+                    Verdict::AskWhole if offer.version.epoch == held.epoch => Verdict::Take,
+                    other => other,
+                }
+            }
+            _ => sound(offer, held),
+        }),
         ("takes changes of a newer epoch", |offer, held| match (offer.after, held) {
             (Some(_), Some(held)) if offer.version.epoch > held.epoch => Verdict::Take,
             _ => sound(offer, held),
@@ -319,10 +340,11 @@
         (Some(at(0, 5)), at(0, 4), None, Pass),
         (Some(at(0, 5)), at(0, 4), Some(3), Pass),
         (Some(at(0, 5)), at(0, 5), None, Take),
-        (Some(at(0, 5)), at(0, 5), Some(4), Take),
+        (Some(at(0, 5)), at(0, 5), Some(5), Take),
+        (Some(at(0, 5)), at(0, 5), Some(4), Pass),
         (Some(at(0, 5)), at(0, 9), None, Take),
         (Some(at(0, 5)), at(0, 9), Some(5), Take),
-        (Some(at(0, 5)), at(0, 9), Some(2), Take),
+        (Some(at(0, 5)), at(0, 9), Some(2), AskWhole),
         (Some(at(0, 5)), at(0, 9), Some(6), AskWhole),
         (Some(at(1, 5)), at(0, 9), None, Pass),
         (Some(at(1, 5)), at(0, 9), Some(5), Pass),
