meadowhold relay: one source's list to many couriers, which follow the relay that the rendezvous names

A relay follows the platform's agent or other relays by the courier's own follower, holds each entry's text once, serves the published form and parts of it by partition, keeps its list on file, and says who holds what. A courier with `relays` follows one of them, moves on when it is silent, and never takes an older version.

--- a/crates/courier/src/command.rs
+++ b/crates/courier/src/command.rs
@@ -13,6 +13,7 @@
 
 use crate::config::Config;
 use crate::journal::Found;
+use crate::relay;
 
 /// What each sub-command does is said here once, for `meadowhold help` too.
 #[derive(Parser)]
@@ -22,7 +23,9 @@
     about = "meadowhold, a dispatcher of notifications to outside receivers"
 )]
 #[command(after_help = "RUST_LOG sets what is logged, to standard error (error, warn, info, debug).")]
-#[command(override_usage = "meadowhold [serve | check | owed [FOLDER] | version | help]")]
+#[command(
+    override_usage = "meadowhold [serve | check | owed [FOLDER] | relay [FILE | status ADDRESS] | version | help]"
+)]
 #[command(disable_help_subcommand = true, propagate_version = true)]
 struct Arguments {
     #[command(subcommand)]
@@ -37,12 +40,26 @@
     Check,
     /// list the mails that the journal in FOLDER (or $ROUTER_STATE) still owes
     Owed { folder: Option<PathBuf> },
+    /// relay the list to many as FILE says, or say who follows the relay at ADDRESS
+    #[command(args_conflicts_with_subcommands = true)]
+    Relay {
+        file: Option<PathBuf>,
+        #[command(subcommand)]
+        ask: Option<RelayAsk>,
+    },
     /// print the version
     Version,
     /// print this
     Help,
 }
 
+#[derive(Subcommand)]
+#[command(disable_help_subcommand = true)]
+enum RelayAsk {
+    /// say which version the relay at ADDRESS holds, and where it is in force
+    Status { address: SocketAddr },
+}
+
 /// Runs the command that these words, the first of them the program's name, ask for.
 pub fn run(words: impl IntoIterator<Item = OsString>) -> Result<(), String> {
     let arguments = match Arguments::try_parse_from(words) {
@@ -60,6 +77,9 @@
         Some(Command::Owed { folder: None }) => {
             owed(Path::new(&std::env::var_os("ROUTER_STATE").ok_or("ROUTER_STATE is not set")?))
         }
+        Some(Command::Relay { ask: Some(RelayAsk::Status { address }), .. }) => relay_status(address),
+        Some(Command::Relay { file: Some(file), .. }) => relay(&file),
+        Some(Command::Relay { .. }) => Err("relay needs FILE, or status ADDRESS; see meadowhold help".into()),
         Some(Command::Version) => version(),
         Some(Command::Help) | None => help(),
     }
@@ -85,8 +105,7 @@
 fn serve() -> Result<(), String> {
     lines::start()?;
     let config = Config::from_environment().map_err(|refused| refused.to_string())?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| e.to_string())?;
+    let runtime = runtime()?;
     let ended = tokio::task::LocalSet::new().block_on(&runtime, async {
         // From here on, before anything is touched, none of these signals ends the process by itself.
         let handler = |kind| signal(kind).map_err(|e| format!("no signal can be heard: {e}"));
@@ -120,6 +139,45 @@
     }
 }
 
+fn runtime() -> Result<tokio::runtime::Runtime, String> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())
+}
+
+fn relay(file: &Path) -> Result<(), String> {
+    lines::start()?;
+    let config = relay::config::Config::load(file).map_err(|refused| refused.to_string())?;
+    let runtime = runtime()?;
+    let ended = tokio::task::LocalSet::new().block_on(&runtime, async {
+        let handler = |kind| signal(kind).map_err(|e| format!("no signal can be heard: {e}"));
+        let (mut terminate, mut interrupt) =
+            (handler(SignalKind::terminate())?, handler(SignalKind::interrupt())?);
+        let mut hangup = handler(SignalKind::hangup())?;
+        let (anew, anew_in) = watch::channel(None);
+        let path = file.to_path_buf();
+        tokio::task::spawn_local(async move {
+            while hangup.recv().await.is_some() {
+                match relay::config::Config::load(&path) {
+                    Ok(config) => drop(anew.send_replace(Some(config))),
+                    // Guards against a file that is half written or wrong: nothing changes.
+                    Err(words) => log::error!("the configuration cannot be read anew: {words}"),
+                }
+            }
+        });
+        let stop = async move {
+            tokio::select! { _ = terminate.recv() => {}, _ = interrupt.recv() => {} }
+        };
+        relay::run(config, anew_in, stop).await.map_err(|e| e.to_string())
+    });
+    runtime.shutdown_background();
+    ended
+}
+
+fn relay_status(address: SocketAddr) -> Result<(), String> {
+    let asked = tokio::task::LocalSet::new().block_on(&runtime()?, relay::status::ask(address));
+    print!("{}", asked.map_err(|e| format!("the relay at {address}: {e}"))?);
+    Ok(())
+}
+
 fn check() -> Result<(), String> {
     let config = Config::from_environment().map_err(|refused| refused.to_string())?;
     let set = &config.decoded.settings;
--- a/crates/courier/src/config.rs
+++ b/crates/courier/src/config.rs
@@ -8,12 +8,14 @@
 
 use garde::Validate;
 use meadowhold_settings::{decode_json, Decoded};
+use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use serde_json::Value;
 use serde_path_to_error::{Path, Segment};
 
 use crate::discovery::List;
 use crate::members::Members;
+use crate::relays::MOST_RELAYS;
 
 pub struct Config {
     pub name: String,
@@ -26,6 +28,8 @@
     pub known: List,
     pub decoded: Decoded,
     pub peers: Option<Peers>,
+    /// Where the list is followed, if not at the platform's agent; notices go there all the same.
+    pub relays: Option<Vec<SocketAddr>>,
 }
 
 /// Where notes from other couriers are heard, and where they are.
@@ -57,6 +61,8 @@
     settings: Value,
     #[garde(dive)]
     peers: Option<PeersText>,
+    #[garde(inner(length(min = 1, max = MOST_RELAYS)), custom(many_addresses))]
+    relays: Option<Vec<String>>,
 }
 
 #[derive(Deserialize, Validate)]
@@ -114,11 +120,11 @@
     holds(settings.is_object(), || words.to_string())
 }
 
-fn one_address(text: &Option<String>, (): &()) -> garde::Result {
+pub(crate) fn one_address(text: &Option<String>, (): &()) -> garde::Result {
     all_addresses(text.as_slice())
 }
 
-fn many_addresses(texts: &Option<Vec<String>>, (): &()) -> garde::Result {
+pub(crate) fn many_addresses(texts: &Option<Vec<String>>, (): &()) -> garde::Result {
     all_addresses(texts.as_deref().unwrap_or_default())
 }
 
@@ -136,7 +142,7 @@
     }
 }
 
-type Faults = BTreeMap<String, String>;
+pub(crate) type Faults = BTreeMap<String, String>;
 
 /// Why there is no configuration: every fault that was found.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -179,7 +185,7 @@
 }
 
 /// The file, and what cannot be read in it; without what cannot be read, so that the rest can be looked into.
-fn parse(text: &[u8]) -> Result<(File, Faults), Refused> {
+pub(crate) fn parse<T: DeserializeOwned>(text: &[u8]) -> Result<(T, Faults), Refused> {
     let mut from = serde_json::Deserializer::from_slice(text);
     let refused = match serde_path_to_error::deserialize(&mut from) {
         Ok(file) => match from.end() {
@@ -195,7 +201,7 @@
     // Items taken out so far, by list: those after them have moved up.
     let mut taken = BTreeMap::new();
     loop {
-        let refused = match serde_path_to_error::deserialize::<_, File>(&value) {
+        let refused = match serde_path_to_error::deserialize::<_, T>(&value) {
             Ok(file) => {
                 // Such as a name that is there twice: of this the value keeps nothing.
                 faults.entry(first.0).or_insert(first.1);
@@ -289,7 +295,7 @@
 
     /// From the file's text, and from variables by name, which go before what it says.
     pub fn read(text: &[u8], variable: &dyn Fn(&str) -> Option<String>) -> Result<Config, Refused> {
-        let (file, mut faults) = parse(text)?;
+        let (file, mut faults) = parse::<File>(text)?;
         // Any text serves as a seed; the platform's is hexadecimal.
         let seed = u64::from_str_radix(&file.seed, 16);
         let seed = seed.unwrap_or_else(|_| u64::from(crc32fast::hash(file.seed.as_bytes())));
@@ -321,6 +327,8 @@
             faults.insert("ROUTER_STATE".to_string(), "is not set".to_string());
         }
         let peers = file.peers.and_then(PeersText::read);
+        // Their faults are told already.
+        let relays = file.relays.map(|all| all.iter().filter_map(|relay| relay.parse().ok()).collect());
         let (true, Some(listen), Some(discovery), Some(state), Some(decoded)) =
             (faults.is_empty(), listen, discovery, state, decoded)
         else {
@@ -336,6 +344,7 @@
             known: file.known,
             decoded,
             peers,
+            relays,
         })
     }
 }
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod notes;
 pub mod notices;
 pub mod platform;
+pub mod relay;
+pub mod relays;
 pub mod resp;
 pub mod told;
 
@@ -67,7 +69,7 @@
     discovery: watch::Receiver<SocketAddr>,
     stop: impl Future<Output = ()>,
 ) -> io::Result<()> {
-    let Config { name, listen, state, sockets, disk, known, decoded, peers, .. } = config;
+    let Config { name, listen, state, sockets, disk, known, decoded, peers, relays, .. } = config;
     let for_clients = sockets / 3;
     let limits = endpoints::Limits {
         connect: exchange::duration(decoded.settings.connect_timeout),
@@ -112,7 +114,12 @@
     parts.spawn_local(exchange::drive(shared.clone()));
     parts.spawn_local(endpoints::run(shared.clone(), orders_in, limits));
     parts.spawn_local(notices::tell(shared.clone(), discovery.clone(), notices_in));
-    parts.spawn_local(discovery::follow(shared.clone(), clock, discovery, index, push, seed));
+    match relays {
+        None => parts.spawn_local(discovery::follow(shared.clone(), clock, discovery, index, push, seed)),
+        Some(relays) => {
+            parts.spawn_local(relays::follow_for(shared.clone(), clock, name.clone(), relays, index, seed))
+        }
+    };
     let clients = Rc::new(Cell::new(0));
     let listening =
         parts.spawn_local(clients::listen(shared.clone(), listener, for_clients, clients.clone(), phase_in));
--- /dev/null
+++ b/crates/courier/src/relay/serve.rs
@@ -0,0 +1,310 @@
+//! Answers a relay's followers: the whole list, watches on it, what it holds, and who follows. A watch holds
+//! a place in the changes and one piece that is on its way; whoever does not take that for `STALL` is closed.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::convert::Infallible;
+use std::net::IpAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::channel::{Channel, Sender};
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::header::AGE;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use meadowhold_catalog::versions::Version;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::{sleep, timeout};
+
+use super::hub::{Hub, Next};
+use super::paced::{Paced, STALL};
+use super::status;
+use crate::relays::HELD;
+
+pub type Shared = Rc<RefCell<Hub>>;
+
+/// An empty line comes so often where nothing changes: the agent's turn.
+const TURN: Duration = Duration::from_secs(2);
+/// For a request's head, and between two on one connection.
+const HEAD: Duration = Duration::from_secs(10);
+/// Of a request's head, and what is written at once, in bytes.
+const BUFFER: usize = 16 * 1024;
+/// Kept by the system for a connection, in bytes each way.
+const SYSTEM: usize = 128 * 1024;
+/// Connections that have asked nothing yet; one more closes the oldest of them.
+const UNHEARD: usize = 256;
+
+type Reply = Response<BoxBody<Bytes, Infallible>>;
+
+/// A body of pieces that others share.
+struct Pieces {
+    left: VecDeque<Bytes>,
+    length: u64,
+}
+
+impl Pieces {
+    fn new(pieces: Vec<Bytes>) -> Pieces {
+        let length = pieces.iter().map(|piece| piece.len() as u64).sum();
+        Pieces { left: pieces.into(), length }
+    }
+}
+
+impl Body for Pieces {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let piece = self.left.pop_front();
+        self.length -= piece.as_ref().map_or(0, |piece| piece.len() as u64);
+        Poll::Ready(piece.map(|piece| Ok(Frame::data(piece))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.left.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.length)
+    }
+}
+
+/// Connections that have asked nothing, oldest first.
+#[derive(Default)]
+struct Unheard(BTreeMap<u64, AbortHandle>);
+
+/// Serves who connects, for good.
+pub async fn listen(hub: Shared, listener: TcpListener, followers: usize) {
+    // A follower has one connection for its watch and one for what it says, and asks for the whole over a
+    // third.
+    let most = followers.saturating_mul(3).saturating_add(UNHEARD);
+    let unheard: Rc<RefCell<Unheard>> = Rc::default();
+    let mut open = JoinSet::new();
+    let mut next = 0_u64;
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, from)) => {
+                    // Guards against thousands that connect and ask nothing.
+                    let full = unheard.borrow().0.len() >= UNHEARD || open.len() >= most;
+                    if full {
+                        if let Some((_, oldest)) = unheard.borrow_mut().0.pop_first() {
+                            oldest.abort();
+                        }
+                    }
+                    if open.len() >= most + UNHEARD {
+                        continue;
+                    }
+                    next += 1;
+                    let task = connection(hub.clone(), unheard.clone(), next, stream, from.ip());
+                    let task = open.spawn_local(task);
+                    unheard.borrow_mut().0.insert(next, task);
+                }
+                Err(_) => sleep(Duration::from_millis(10)).await,
+            },
+            Some(_) = open.join_next() => {}
+        }
+        hub.borrow_mut().connections = open.len();
+    }
+}
+
+async fn connection(hub: Shared, unheard: Rc<RefCell<Unheard>>, id: u64, stream: TcpStream, from: IpAddr) {
+    struct Gone(Rc<RefCell<Unheard>>, u64);
+
+    impl Drop for Gone {
+        fn drop(&mut self) {
+            self.0.borrow_mut().0.remove(&self.1);
+        }
+    }
+
+    let _ = stream.set_nodelay(true);
+    let socket = socket2::SockRef::from(&stream);
+    let _ = socket.set_send_buffer_size(SYSTEM);
+    let gone = Gone(unheard, id);
+    // Its watches end with it.
+    let watches: Rc<RefCell<JoinSet<()>>> = Rc::default();
+    let service = service_fn(|request| {
+        gone.0.borrow_mut().0.remove(&id);
+        let reply = answer(&hub, &watches, from, &request);
+        async move { Ok::<_, Infallible>(reply) }
+    });
+    let mut server = http1::Builder::new();
+    server.timer(TokioTimer::new()).header_read_timeout(HEAD).max_buf_size(BUFFER);
+    let _ = server.serve_connection(TokioIo::new(Paced::new(stream)), service).await;
+}
+
+fn plain(status: StatusCode, body: impl Into<Bytes>) -> Reply {
+    let mut reply = Response::new(Full::new(body.into()).boxed());
+    *reply.status_mut() = status;
+    reply
+}
+
+/// A word of the query, as it stands.
+fn word<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+}
+
+fn number(query: &str, name: &str) -> Option<u64> {
+    word(query, name)?.parse().ok()
+}
+
+/// Text of a query as it was before it was quoted; `None`: it was not, or is no text.
+fn unquoted(word: &str) -> Option<String> {
+    let (mut bytes, mut rest) = (Vec::new(), word.as_bytes());
+    while let Some((&first, after)) = rest.split_first() {
+        rest = after;
+        if first != b'%' {
+            bytes.push(first);
+            continue;
+        }
+        let (digits, after) = rest.split_at_checked(2)?;
+        bytes.push(u8::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok()?);
+        rest = after;
+    }
+    String::from_utf8(bytes).ok()
+}
+
+/// Partition numbers and ranges with a comma between: `3,5-9`. Errors: what is wrong, in words.
+fn partitions(text: &str, count: u32) -> Result<HashSet<u32>, String> {
+    let mut asked = HashSet::new();
+    for piece in text.split(',') {
+        let one = |text: &str| text.parse::<u32>().ok().filter(|&p| p < count);
+        let range = match piece.split_once('-') {
+            Some((first, last)) => one(first).zip(one(last)).filter(|(first, last)| first <= last),
+            None => one(piece).map(|p| (p, p)),
+        };
+        // At most `count`: what comes twice is there once.
+        let (first, last) =
+            range.ok_or_else(|| format!("partition: what is {piece}? 0 to {}\n", count - 1))?;
+        asked.extend(first..=last);
+    }
+    Ok(asked)
+}
+
+fn answer(
+    hub: &Shared,
+    watches: &Rc<RefCell<JoinSet<()>>>,
+    from: IpAddr,
+    request: &Request<Incoming>,
+) -> Reply {
+    let query = request.uri().query().unwrap_or_default();
+    if request.method() != Method::GET {
+        return plain(StatusCode::METHOD_NOT_ALLOWED, "");
+    }
+    match request.uri().path() {
+        "/catalog/members" => list(hub, watches, from, query),
+        HELD => {
+            let mut hub = hub.borrow_mut();
+            let name = word(query, "name").and_then(unquoted).unwrap_or_default();
+            let version = Version {
+                epoch: number(query, "epoch").unwrap_or(0),
+                index: number(query, "index").unwrap_or(0),
+            };
+            hub.state(&name, version, from);
+            match hub.held() {
+                Some(held) => plain(StatusCode::OK, serde_json::to_vec(&held).unwrap_or_default()),
+                None => plain(StatusCode::SERVICE_UNAVAILABLE, "no list is held yet\n"),
+            }
+        }
+        status::PATH => {
+            let status = status::Status::of(&hub.borrow());
+            plain(StatusCode::OK, serde_json::to_vec(&status).unwrap_or_default())
+        }
+        _ => plain(StatusCode::NOT_FOUND, ""),
+    }
+}
+
+fn list(hub: &Shared, watches: &Rc<RefCell<JoinSet<()>>>, from: IpAddr, query: &str) -> Reply {
+    let mut held = hub.borrow_mut();
+    let count = held.store.parts().len() as u32;
+    let of = match word(query, "partition").map(|text| partitions(text, count)).transpose() {
+        Ok(of) => of,
+        Err(words) => return plain(StatusCode::BAD_REQUEST, words),
+    };
+    if held.store.version().is_none() {
+        return plain(StatusCode::SERVICE_UNAVAILABLE, "no list is held yet\n");
+    }
+    let age = held.age() / 10_000;
+    let mut reply = if word(query, "watch") == Some("1") {
+        let after = number(query, "after").unwrap_or(0);
+        let Some(id) = held.open_watch(from, after) else {
+            return plain(StatusCode::SERVICE_UNAVAILABLE, "too many follow already\n");
+        };
+        let (lines, body) = Channel::new(1);
+        let mut watches = watches.borrow_mut();
+        // Those that have ended.
+        while watches.try_join_next().is_some() {}
+        watches.spawn_local(watch(Open { hub: hub.clone(), id }, after, of, lines));
+        Response::new(body.boxed())
+    } else {
+        let Some((pieces, _)) = held.whole(of.as_ref()) else { return plain(StatusCode::NOT_FOUND, "") };
+        Response::new(Pieces::new(pieces).boxed())
+    };
+    reply.headers_mut().insert(AGE, age.into());
+    reply
+}
+
+/// A watch, counted for as long as it lasts.
+struct Open {
+    hub: Shared,
+    id: u64,
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.hub.borrow_mut().watches.remove(&self.id);
+    }
+}
+
+async fn watch(open: Open, after: u64, of: Option<HashSet<u32>>, mut lines: Sender<Bytes>) {
+    let mut steps = open.hub.borrow().step.subscribe();
+    // As the agent does: who is up to date is told nothing, who knows another truth all of it.
+    let (mut at, mut index, mut first) = (open.hub.borrow().store.position(after), after, true);
+    loop {
+        steps.borrow_and_update();
+        let (next, step) = {
+            let mut hub = open.hub.borrow_mut();
+            let step = hub.store.step();
+            let nothing = at == Some(step);
+            (if nothing { Next::Nothing } else { hub.next(at, index, first, of.as_ref()) }, step)
+        };
+        let (pieces, told) = match next {
+            Next::Nothing => (Vec::new(), None),
+            Next::Anew => return,
+            Next::Line(line, told) => (vec![line], Some(told)),
+            Next::Whole(pieces, told) => (pieces, Some(told)),
+        };
+        for piece in pieces {
+            if !matches!(timeout(STALL, lines.send_data(piece)).await, Ok(Ok(()))) {
+                return;
+            }
+        }
+        at = Some(step);
+        if let Some(told) = told {
+            (index, first) = (told, false);
+            if let Some(watch) = open.hub.borrow_mut().watches.get_mut(&open.id) {
+                watch.told = told;
+            }
+        }
+        tokio::select! {
+            changed = steps.changed() => if changed.is_err() { return },
+            () = sleep(TURN) => {
+                let line = Bytes::from_static(b"\n");
+                if !matches!(timeout(STALL, lines.send_data(line)).await, Ok(Ok(()))) {
+                    return;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/courier/src/relay/status.rs
@@ -0,0 +1,146 @@
+//! Who follows a relay, and which version is in force where: what followers state, and for the others what
+//! they asked after and what was written to them.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, StatusCode};
+use serde::{Deserialize, Serialize};
+use tokio::time::timeout;
+
+use super::hub::Hub;
+use crate::platform::Connection;
+use crate::relays::Held;
+
+pub const PATH: &str = "/relay/status";
+/// An answer may take so long, and so many bytes.
+const PATIENCE: Duration = Duration::from_secs(5);
+const MOST: usize = 32 << 20;
+/// Of those who are behind so many are named.
+const NAMED: usize = 20;
+
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Status {
+    /// `None`: no list is held yet.
+    pub held: Option<Held>,
+    pub entries: usize,
+    pub bytes: usize,
+    pub partitions: usize,
+    pub connections: usize,
+    /// Those who state what they hold, each second; forgotten after ten without a word.
+    pub followers: Vec<Follower>,
+    /// Open watches. Of a follower in the old form it is known only what it asked after, and what was
+    /// written.
+    pub watches: Vec<Watch>,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Follower {
+    pub name: String,
+    pub from: String,
+    pub epoch: u64,
+    pub index: u64,
+    /// Milliseconds since it has lacked a version that is held here.
+    pub behind_ms: Option<u64>,
+    /// Milliseconds since it said so.
+    pub said_ms: u64,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Watch {
+    pub from: String,
+    pub asked_after: u64,
+    pub told: u64,
+    pub open_ms: u64,
+}
+
+impl Status {
+    pub fn of(hub: &Hub) -> Status {
+        let now = hub.clock.now();
+        let ms = |at| now.saturating_sub(at) / 10;
+        let followers = hub.stated().map(|(name, stated)| Follower {
+            name: name.clone(),
+            from: stated.from.to_string(),
+            epoch: stated.version.epoch,
+            index: stated.version.index,
+            behind_ms: stated.behind.map(|(_, since)| ms(since)),
+            said_ms: ms(stated.at),
+        });
+        let watches = hub.watches.values().map(|watch| Watch {
+            from: watch.from.to_string(),
+            asked_after: watch.asked,
+            told: watch.told,
+            open_ms: ms(watch.since),
+        });
+        Status {
+            held: hub.held(),
+            entries: hub.store.entries(),
+            bytes: hub.store.bytes(),
+            partitions: hub.store.parts().len(),
+            connections: hub.connections,
+            followers: followers.collect(),
+            watches: watches.collect(),
+        }
+    }
+}
+
+/// What the command prints.
+impl fmt::Display for Status {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let Some(held) = &self.held else {
+            return writeln!(f, "no list is held yet; {} connections", self.connections);
+        };
+        let from = if held.kept { "from its file, which no source has confirmed; " } else { "" };
+        let age = held.age_ms as f64 / 1000.0;
+        writeln!(
+            f,
+            "epoch {} index {}, hash {}; {from}{age:.1} s old; {} entries in {} partitions; {} connections",
+            held.epoch, held.index, held.hash, self.entries, self.partitions, self.connections
+        )?;
+        let mut behind: Vec<&Follower> = self.followers.iter().filter(|f| f.behind_ms.is_some()).collect();
+        behind.sort_by_key(|follower| std::cmp::Reverse(follower.behind_ms));
+        let (m, n) = (self.followers.len(), self.followers.len() - behind.len());
+        writeln!(f, "in force at {n} of {m} that state what they hold")?;
+        for follower in behind.iter().take(NAMED) {
+            let since = follower.behind_ms.unwrap_or_default() as f64 / 1000.0;
+            let Follower { name, from, epoch, index, .. } = follower;
+            writeln!(f, "  {name} at {from} holds epoch {epoch} index {index}, behind for {since:.1} s")?;
+        }
+        if behind.len() > NAMED {
+            writeln!(f, "  and {} more", behind.len() - NAMED)?;
+        }
+        let told = self.watches.iter().filter(|watch| watch.told == held.index).count();
+        writeln!(
+            f,
+            "written to {told} of {} open watches; which they asked after, from when on:",
+            self.watches.len()
+        )?;
+        let late = self.watches.iter().filter(|watch| watch.told != held.index);
+        for watch in late.take(NAMED) {
+            let (since, Watch { from, asked_after, told, .. }) = (watch.open_ms as f64 / 1000.0, watch);
+            writeln!(f, "  {from} asked after {asked_after} {since:.1} s ago, written up to {told}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Asks a relay, within a `LocalSet`.
+///
+/// # Errors
+/// Nobody is there, or what answers is no relay.
+pub async fn ask(address: SocketAddr) -> io::Result<Status> {
+    let asked = async {
+        let mut connection = Connection::open(address).await?;
+        let request = Request::get(PATH).body(Full::default()).map_err(io::Error::other)?;
+        let answer = connection.send(request).await?;
+        if answer.status() != StatusCode::OK {
+            return Err(io::Error::other(format!("it answers {}", answer.status().as_u16())));
+        }
+        let body = Limited::new(answer.into_body(), MOST).collect().await.map_err(io::Error::other)?;
+        Ok(serde_json::from_slice(&body.to_bytes())?)
+    };
+    timeout(PATIENCE, asked).await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
--- /dev/null
+++ b/crates/courier/src/relays.rs
@@ -0,0 +1,313 @@
+//! Follows the list at one of several relays: which one, the catalog's `choice` says; that no older list is
+//! taken than was held, its `versions`. The list itself is followed by `discovery` as ever; beside it goes an
+//! ask a second, by which the relay hears what is held here, and says what it holds.
+
+use std::cell::RefCell;
+use std::fmt::Write;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, StatusCode};
+use meadowhold_catalog::choice::{order, Choice, Effect, Input};
+use meadowhold_catalog::versions::{Offer, Verdict, Version, Versions};
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio::time::sleep_until;
+
+use crate::discovery::{self, List, Listener};
+use crate::exchange::{Clock, Exchange};
+use crate::platform::Connection;
+
+/// Relays that a configuration may name.
+pub const MOST_RELAYS: usize = 64;
+/// Of a relay's answer on what it holds, in bytes.
+const MOST_ANSWER: usize = 4096;
+pub const HELD: &str = "/relay/held";
+
+/// What a relay says that it holds. Fields that are not known are passed over.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+pub struct Held {
+    pub epoch: u64,
+    pub index: u64,
+    /// Of all names and entries, in whatever order.
+    #[serde(default)]
+    pub hash: String,
+    /// It comes from the relay's file: no source has told a list since its process began.
+    #[serde(default)]
+    pub kept: bool,
+    /// Milliseconds since this version was taken up.
+    #[serde(default)]
+    pub age_ms: u64,
+}
+
+/// Who holds a list that comes by relays.
+pub trait Holder: Listener {
+    /// The version that is held.
+    fn held(&self) -> Option<Version>;
+
+    /// From here on lists come from another relay, or under another epoch.
+    fn comes(&mut self, epoch: u64);
+
+    /// Whether something is missing that only a whole list brings; asked once.
+    fn wants_whole(&mut self) -> bool;
+}
+
+/// Stands before a courier's exchange, and passes on what is no older than what was held.
+pub struct Guard<L> {
+    inner: Rc<RefCell<L>>,
+    versions: Versions,
+    epoch: u64,
+    /// The version last heard from the present relay.
+    heard: Option<u64>,
+    wants_whole: bool,
+}
+
+impl<L: Listener> Guard<L> {
+    /// `index`: the version held at the start, 0: none.
+    pub fn new(inner: Rc<RefCell<L>>, index: u64) -> Guard<L> {
+        let held = (index > 0).then_some(Version { epoch: 0, index });
+        Guard { inner, versions: Versions::new(held), epoch: 0, heard: None, wants_whole: false }
+    }
+}
+
+impl<L: Listener> Listener for Guard<L> {
+    fn listed(&mut self, list: &List) {
+        let heard = self.heard.replace(list.index);
+        let version = Version { epoch: self.epoch, index: list.index };
+        // Changes of which nothing went before cannot be told from a part of them.
+        let after = if list.snapshot { None } else { Some(heard.unwrap_or(list.index)) };
+        match self.versions.put(&Offer { version, after }, Vec::new()) {
+            Verdict::Take => self.inner.borrow_mut().listed(list),
+            Verdict::AskWhole => self.wants_whole = true,
+            Verdict::Pass | Verdict::TurnDown(_) => {
+                log::debug!("a relay's list {version:?} is from before {:?}", self.versions.held());
+            }
+        }
+    }
+
+    fn hold(&mut self) {
+        self.inner.borrow_mut().hold();
+    }
+
+    fn release(&mut self) {
+        self.inner.borrow_mut().release();
+    }
+}
+
+impl<L: Listener> Holder for Guard<L> {
+    fn held(&self) -> Option<Version> {
+        self.versions.held()
+    }
+
+    fn comes(&mut self, epoch: u64) {
+        (self.epoch, self.heard, self.wants_whole) = (epoch, None, false);
+    }
+
+    fn wants_whole(&mut self) -> bool {
+        std::mem::take(&mut self.wants_whole)
+    }
+}
+
+/// A courier follows the list at these relays; `index` is that of the list it begins with.
+pub fn follow_for(
+    exchange: Rc<RefCell<Exchange>>,
+    clock: Clock,
+    name: String,
+    relays: Vec<SocketAddr>,
+    index: u64,
+    seed: u64,
+) -> impl Future<Output = ()> {
+    follow(Rc::new(RefCell::new(Guard::new(exchange, index))), clock, name, relays, seed)
+}
+
+/// Text as a word of a query.
+fn quoted(text: &str) -> String {
+    let mut quoted = String::new();
+    for byte in text.bytes() {
+        if byte.is_ascii_alphanumeric() || b"-._".contains(&byte) {
+            quoted.push(char::from(byte));
+        } else {
+            let _ = write!(quoted, "%{byte:02x}");
+        }
+    }
+    quoted
+}
+
+/// Asks one relay once, over the connection that is there if it can be used.
+async fn ask(
+    connection: Option<Connection>,
+    address: SocketAddr,
+    path: String,
+) -> io::Result<(Connection, Held)> {
+    let mut connection = match connection.filter(Connection::is_usable) {
+        Some(connection) => connection,
+        None => Connection::open(address).await?,
+    };
+    let request = Request::get(path).body(Full::default()).map_err(io::Error::other)?;
+    let answer = connection.send(request).await?;
+    if answer.status() != StatusCode::OK {
+        return Err(io::Error::other(format!("the relay answers {}", answer.status().as_u16())));
+    }
+    let body = Limited::new(answer.into_body(), MOST_ANSWER).collect().await.map_err(io::Error::other)?;
+    let held = serde_json::from_slice(&body.to_bytes())?;
+    Ok((connection, held))
+}
+
+type Asking = Pin<Box<dyn Future<Output = io::Result<(Connection, Held)>>>>;
+
+struct Feeder<H> {
+    holder: Rc<RefCell<H>>,
+    clock: Clock,
+    name: String,
+    relays: Vec<SocketAddr>,
+    choice: Choice,
+    chance: fastrand::Rng,
+    /// The relay that is asked now, and its answer to come.
+    asking: Option<(usize, Asking)>,
+    /// A connection to the one that was asked last and answered.
+    kept: Option<(usize, Connection)>,
+    /// What the relay that is followed was said to speak of.
+    epoch: u64,
+}
+
+impl<H: Holder> Feeder<H> {
+    fn ask(&mut self, relay: usize) {
+        let held = self.holder.borrow().held();
+        let mut path = format!("{HELD}?name={}", quoted(&self.name));
+        if let Some(Version { epoch, index }) = held {
+            let _ = write!(path, "&epoch={epoch}&index={index}");
+        }
+        // A try at another relay leaves the connection to the one that is followed.
+        let kept = match self.kept.take() {
+            Some((of, connection)) if of == relay => Some(connection),
+            other => {
+                self.kept = other;
+                None
+            }
+        };
+        self.asking = Some((relay, Box::pin(ask(kept, self.relays[relay], path))));
+    }
+
+    /// What an answer means to the choice.
+    fn read(&mut self, relay: usize, answer: io::Result<(Connection, Held)>) -> (Input, Option<Held>) {
+        let (connection, held) = match answer {
+            Ok(answered) => answered,
+            Err(e) => {
+                log::debug!("relay {}: {e}", self.relays[relay]);
+                return (Input::Failed, None);
+            }
+        };
+        let version = Version { epoch: held.epoch, index: held.index };
+        self.kept = Some((relay, connection));
+        (Input::Said(version), Some(held))
+    }
+
+    /// Where the list is to be followed from here on, whole at first.
+    fn go(&mut self, relay: usize, epoch: u64) -> Option<SocketAddr> {
+        self.epoch = epoch;
+        self.holder.borrow_mut().comes(epoch);
+        Some(self.relays[relay])
+    }
+
+    /// One input to the choice; says where the list is to be followed anew, if it is.
+    async fn turn(&mut self) -> Option<SocketAddr> {
+        let due = self.clock.instant(self.choice.due());
+        let (input, said, asked) = match &mut self.asking {
+            Some((relay, asking)) => {
+                let relay = *relay;
+                tokio::select! {
+                    answer = asking => {
+                        self.asking = None;
+                        let (input, said) = self.read(relay, answer);
+                        (input, said, relay)
+                    }
+                    () = sleep_until(due.into()) => (Input::Due, None, relay),
+                }
+            }
+            None => {
+                sleep_until(due.into()).await;
+                (Input::Due, None, 0)
+            }
+        };
+        let (now, held) = (self.clock.now(), self.holder.borrow().held());
+        if input == Input::Due && now >= self.choice.due() {
+            // Where one is out its time is up.
+            self.asking = None;
+        }
+        let before = self.choice.followed();
+        let effect = self.choice.put(now, input, held, self.chance.f64());
+        let followed = self.choice.followed();
+        if let (Some(relay), None) = (before, followed) {
+            log::warn!("relay {} is lost or behind: another is asked", self.relays[relay]);
+        }
+        match (effect, said) {
+            (Effect::Ask(relay), _) => self.ask(relay),
+            (Effect::Follow(relay), Some(held)) => {
+                log::info!("the list is followed at relay {}", self.relays[relay]);
+                return self.go(relay, held.epoch);
+            }
+            // The same relay counts anew, or a part is missing: all of it again.
+            (_, Some(held)) if followed == Some(asked) => {
+                let wants = self.holder.borrow_mut().wants_whole();
+                if held.epoch != self.epoch || wants {
+                    return self.go(asked, held.epoch);
+                }
+            }
+            _ => {}
+        }
+        None
+    }
+}
+
+/// Follows the list at the relay that the choice names, for good.
+pub async fn follow<H: Holder + 'static>(
+    holder: Rc<RefCell<H>>,
+    clock: Clock,
+    name: String,
+    relays: Vec<SocketAddr>,
+    seed: u64,
+) {
+    // Guards against couriers of one seed that would all draw the same.
+    let seed = seed ^ u64::from(crc32fast::hash(name.as_bytes()));
+    let by_address: Vec<(String, f64)> = relays.iter().map(|relay| (relay.to_string(), 1.0)).collect();
+    let choice = Choice::new(order(&name, &by_address), clock.now());
+    let mut feeder = Feeder {
+        holder: holder.clone(),
+        clock,
+        name,
+        relays,
+        choice,
+        chance: fastrand::Rng::with_seed(seed ^ 0x5eed),
+        asking: None,
+        kept: None,
+        epoch: 0,
+    };
+    // Asked for as where asks are priced: many follow one relay. Begun anew with each relay and epoch, from
+    // no version on: which list is taken is the holder's to say, and a follower that has moved would wait
+    // before it passes on a lower version.
+    let mut following: Option<Pin<Box<dyn Future<Output = ()>>>> = None;
+    loop {
+        let to = {
+            let turn = feeder.turn();
+            let followed = async {
+                match &mut following {
+                    Some(following) => following.await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                to = turn => to,
+                // It never ends.
+                () = followed => return,
+            }
+        };
+        if let Some(to) = to {
+            let (_, from) = watch::channel(to);
+            following = Some(Box::pin(discovery::follow(holder.clone(), clock, from, 0, false, seed)));
+        }
+    }
+}
--- a/crates/courier/tests/config.rs
+++ b/crates/courier/tests/config.rs
@@ -294,7 +294,7 @@
 #[test]
 fn each_command_says_its_words_and_ends_with_its_code() {
     let version = concat!("meadowhold ", env!("CARGO_PKG_VERSION"), "\n");
-    let commands = ["serve", "check", "owed", "version", "help"];
+    let commands = ["serve", "check", "owed", "relay", "version", "help"];
     // (arguments, exit code, on standard output, on standard error)
     let rows: [(&[&str], i32, &str, &str); 19] = [
         (&[], 0, "owed", ""),
@@ -332,7 +332,13 @@
             for command in commands {
                 assert_eq!(got.1.matches(&format!("\n  {command} ")).count(), 1, "{command}: {}", got.1);
             }
-            assert!(got.1.contains("[serve | check | owed [FOLDER] | version | help]"), "{}", got.1);
+            assert!(
+                got.1.contains(
+                    "[serve | check | owed [FOLDER] | relay [FILE | status ADDRESS] | version | help]"
+                ),
+                "{}",
+                got.1
+            );
             assert_eq!(got.1.matches("\n  ").count(), commands.len() + 2, "no further ones: {}", got.1);
         }
     }
