--- a/crates/courier/tests/relay.rs
+++ b/crates/courier/tests/relay.rs
@@ -3,13 +3,15 @@
 
 mod common;
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use common::{command, output, own_address, serve, until, until_for, Courier, Endpoint, Folder, Platform};
 use meadowhold_catalog::choice::order;
@@ -596,8 +598,14 @@
 
 /// Entries of destinations of their own, with long names.
 fn many(count: u64) -> Vec<Value> {
+    many_from(0, count)
+}
+
+fn many_from(first: u64, count: u64) -> Vec<Value> {
     let address = SocketAddr::from(([127, 0, 0, 1], 9));
-    (0..count).map(|i| entry(&format!("endpoint-with-a-long-name-{i}"), address, i, "SERVING")).collect()
+    (first..first + count)
+        .map(|i| entry(&format!("endpoint-with-a-long-name-{i}"), address, i, "SERVING"))
+        .collect()
 }
 
 #[test]
@@ -679,7 +687,7 @@
             index
         }
     });
-    let mut held = std::collections::BTreeMap::new();
+    let mut held = BTreeMap::new();
     let whole = |list: &Value| {
         let entries = list["endpoints"].as_array().unwrap().clone();
         entries.into_iter().map(|entry| (entry["name"].as_str().unwrap().to_string(), entry)).collect()
@@ -930,3 +938,236 @@
         assert!(!success && words.contains(fault), "{words}");
     }
 }
+
+/// What a process has used so far: processor time, kilobytes resident now and at most.
+fn used(process: u32) -> (Duration, usize, usize) {
+    let stat = fs::read_to_string(format!("/proc/{process}/stat")).unwrap();
+    let fields: Vec<&str> = stat.rsplit_once(") ").unwrap().1.split(' ').collect();
+    // In hundredths of a second, as on all that Linux runs on.
+    let ticks: u64 = fields[11].parse::<u64>().unwrap() + fields[12].parse::<u64>().unwrap();
+    let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap();
+    let field = |name: &str| {
+        let line = status.lines().find(|line| line.starts_with(name)).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    };
+    (Duration::from_millis(ticks * 10), field("VmRSS"), field("VmHWM"))
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
+/// Followers as couriers are: each a watch, and an ask a second of what is held.
+struct Crowd {
+    read: Arc<AtomicU64>,
+    written: Arc<AtomicU64>,
+    /// By the moment of a change, in milliseconds: how many heard of it, and the last after how long.
+    heard: Arc<Mutex<BTreeMap<u64, (usize, u64)>>>,
+    ends: Arc<AtomicBool>,
+}
+
+impl Crowd {
+    fn new(address: SocketAddr, count: usize, after: u64) -> Crowd {
+        let crowd = Crowd {
+            read: Arc::default(),
+            written: Arc::default(),
+            heard: Arc::default(),
+            ends: Arc::default(),
+        };
+        for follower in 0..count {
+            let (read, written, heard) = (crowd.read.clone(), crowd.written.clone(), crowd.heard.clone());
+            let small = || thread::Builder::new().stack_size(256 * 1024);
+            let watch = move || {
+                let mut stream = TcpStream::connect(address).unwrap();
+                let ask =
+                    format!("GET /catalog/members?watch=1&after={after} HTTP/1.1\r\nHost: {address}\r\n\r\n");
+                stream.write_all(ask.as_bytes()).unwrap();
+                written.fetch_add(ask.len() as u64, Relaxed);
+                let mut lines = BufReader::new(stream);
+                let mut line = String::new();
+                while lines.read_line(&mut line).is_ok_and(|n| n > 0) {
+                    read.fetch_add(line.len() as u64, Relaxed);
+                    let stamp = line
+                        .split("\"since_ms\":")
+                        .nth(1)
+                        .and_then(|rest| rest.split('}').next()?.parse().ok());
+                    if let Some(stamp) = stamp.filter(|&stamp| stamp > 0) {
+                        let took = unix_ms().saturating_sub(stamp);
+                        let mut heard = heard.lock().unwrap();
+                        let one = heard.entry(stamp).or_default();
+                        *one = (one.0 + 1, one.1.max(took));
+                    }
+                    line.clear();
+                }
+            };
+            small().spawn(watch).unwrap();
+            let (read, written, ends) = (crowd.read.clone(), crowd.written.clone(), crowd.ends.clone());
+            let ask = move || {
+                let mut stream = TcpStream::connect(address).unwrap();
+                let ask = format!(
+                    "GET /relay/held?name=courier-{follower}&epoch=0&index={after} HTTP/1.1\r\nhost: {address}\r\n\r\n"
+                );
+                let mut bytes = [0; 1024];
+                while !ends.load(Relaxed) && stream.write_all(ask.as_bytes()).is_ok() {
+                    written.fetch_add(ask.len() as u64, Relaxed);
+                    read.fetch_add(stream.read(&mut bytes).unwrap_or(0) as u64, Relaxed);
+                    thread::sleep(Duration::from_millis(750 + (follower as u64 * 37) % 250));
+                }
+            };
+            small().spawn(ask).unwrap();
+        }
+        crowd
+    }
+
+    /// Says what a process and its followers used in so long.
+    fn measure(&self, what: &str, process: u32, count: usize, span: Duration) {
+        let (before, start) = (used(process).0, Instant::now());
+        let bytes = || (self.read.load(Relaxed), self.written.load(Relaxed));
+        let bytes_before = bytes();
+        self.heard.lock().unwrap().clear();
+        thread::sleep(span);
+        let (took, (now, resident, most)) = (start.elapsed().as_secs_f64(), used(process));
+        let after = bytes();
+        let rate = |from: u64, to: u64| (to - from) as f64 / took / count as f64;
+        let load = fs::read_to_string("/proc/loadavg").unwrap();
+        let heard = self.heard.lock().unwrap();
+        let all: Vec<u64> = heard.values().filter(|(n, _)| *n == count).map(|(_, last)| *last).collect();
+        println!(
+            "{what}: {:.2}% of a core, {resident} kB resident ({most} at most), {:.0} B/s to and {:.0} B/s from each \
+             of {count}; {} changes, {} of them at all, the last follower after {} ms at most, {:.1} in the mean; \
+             load {}",
+            100.0 * (now - before).as_secs_f64() / took,
+            rate(bytes_before.0, after.0),
+            rate(bytes_before.1, after.1),
+            heard.len(),
+            all.len(),
+            all.iter().max().unwrap_or(&0),
+            all.iter().sum::<u64>() as f64 / all.len().max(1) as f64,
+            load.split(' ').next().unwrap()
+        );
+        assert!(all.len() + 1 >= heard.len(), "a change is not everywhere");
+    }
+}
+
+impl Drop for Crowd {
+    fn drop(&mut self) {
+        self.ends.store(true, Relaxed);
+    }
+}
+
+const CROWD: usize = 260;
+
+/// A relay's hub and server in a process of their own, which has 30,000 entries told by itself: no follower
+/// of the list reads so many yet. It runs where `figures_at_30_000_entries` starts it, by the variable.
+#[test]
+#[ignore = "a part of figures_at_30_000_entries"]
+fn the_process_that_is_measured() {
+    use meadowhold_courier::discovery::{List, Listener};
+    use meadowhold_courier::relay::{config::Bounds, hub::Hub, serve};
+    use std::{cell::RefCell, rc::Rc};
+
+    let Ok(every) = std::env::var("RELAY_FIGURES") else { return };
+    let every = Duration::from_millis(every.parse().unwrap());
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async move {
+        let hub = Hub::new(meadowhold_courier::exchange::Clock::new(), 1024, Bounds::default());
+        let hub = Rc::new(RefCell::new(hub));
+        let list = |index: u64, snapshot: bool, entries: Vec<Value>| -> List {
+            serde_json::from_value(json!({"index": index, "snapshot": snapshot, "endpoints": entries}))
+                .unwrap()
+        };
+        // In pieces of one version, as a reader of fewer entries at once would tell them, and never all as
+        // values.
+        for piece in 0..30 {
+            let texts: Vec<String> = many_from(piece * 1000, 1000).iter().map(Value::to_string).collect();
+            let text =
+                format!("{{\"index\":5,\"snapshot\":{},\"endpoints\":[{}]}}", piece == 0, texts.join(","));
+            hub.borrow_mut().listed(&serde_json::from_str(&text).unwrap());
+        }
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        println!("\nat {}", listener.local_addr().unwrap());
+        tokio::task::spawn_local(serve::listen(hub.clone(), listener, 1024));
+        // The first line from outside starts the changes.
+        let mut commands = tokio::io::BufReader::new(
+            tokio::net::TcpStream::connect(std::env::var("RELAY_FIGURES_AT").unwrap()).await.unwrap(),
+        );
+        let mut word = String::new();
+        tokio::io::AsyncBufReadExt::read_line(&mut commands, &mut word).await.unwrap();
+        for change in 0.. {
+            let mut one = entry(
+                &format!("endpoint-with-a-long-name-{}", change * 97 % 30_000),
+                reader_address(),
+                7,
+                "SERVING",
+            );
+            one["since_ms"] = json!(unix_ms());
+            hub.borrow_mut().listed(&list(6 + change, false, vec![one]));
+            tokio::time::sleep(every).await;
+        }
+    });
+}
+
+/// `cargo test --release -p meadowhold-courier --test relay -- --ignored --nocapture figures_at`
+#[test]
+#[ignore = "a measurement of a minute and a half"]
+fn figures_at_30_000_entries() {
+    let back = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut child = Command::new(std::env::current_exe().unwrap())
+        .args(["--ignored", "--exact", "the_process_that_is_measured", "--nocapture"])
+        .env("RELAY_FIGURES", "1000")
+        .env("RELAY_FIGURES_AT", back.local_addr().unwrap().to_string())
+        .stdout(std::process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines().map_while(Result::ok);
+    let address = lines.find_map(|line| line.strip_prefix("at ")?.parse().ok()).unwrap();
+    let (mut go, _) = back.accept().unwrap();
+    let process = child.id();
+    println!("no follower: {:?} kB resident (at most)", (used(process).1, used(process).2));
+    let crowd = Crowd::new(address, CROWD, 5);
+    thread::sleep(Duration::from_secs(5));
+    crowd.measure("at rest, 30,000 entries", process, CROWD, Duration::from_secs(20));
+    go.write_all(b"go\n").unwrap();
+    thread::sleep(Duration::from_secs(3));
+    crowd.measure("a change a second", process, CROWD, Duration::from_secs(30));
+    // All ask for the whole at once, as after a relay was lost.
+    let (start, before) = (Instant::now(), used(process).0);
+    let whole: Vec<_> =
+        (0..CROWD).map(|_| thread::spawn(move || get(address, "/catalog/members").2.len())).collect();
+    let sizes: Vec<usize> = whole.into_iter().map(|one| one.join().unwrap()).collect();
+    let cost = used(process).0 - before;
+    println!("{CROWD} ask for the whole of {} bytes at once: the last has it after {:?}, for {cost:?} of processor \
+        time; {:?} kB resident (at most)", sizes[0], start.elapsed(), (used(process).1, used(process).2));
+    let _ = child.kill();
+    let _ = child.wait();
+}
+
+/// The program itself, from a source to 260 followers: `... --ignored --nocapture
+/// three_hundred_changes_in_a_minute`
+#[test]
+#[ignore = "a measurement of a minute and a half"]
+fn three_hundred_changes_in_a_minute_come_to_260_followers() {
+    let source = Source::new(5, many(8000));
+    let relay = Relay::of(source.address);
+    relay.holds(5);
+    let process = relay.child.id();
+    let crowd = Crowd::new(relay.address, CROWD, 5);
+    thread::sleep(Duration::from_secs(5));
+    crowd.measure("at rest, 8,000 entries", process, CROWD, Duration::from_secs(20));
+    let writer = thread::spawn({
+        let (book, address) = (source.book.clone(), source.address);
+        move || {
+            let source = Source { address, book };
+            for change in 0..300_u64 {
+                let name = format!("endpoint-with-a-long-name-{}", change * 97 % 8000);
+                let mut one = entry(&name, reader_address(), 7, "SERVING");
+                one["since_ms"] = json!(unix_ms());
+                source.put(one);
+                thread::sleep(Duration::from_millis(200));
+            }
+        }
+    });
+    crowd.measure("300 changes in a minute", process, CROWD, Duration::from_secs(64));
+    writer.join().unwrap();
+    assert_eq!(crowd.heard.lock().unwrap().len(), 300);
+}
