Relay: a source from before the kept list is asked for the whole; differences have a bound

Cause, found in reading: after a lower list the agent's changes were turned down for good, since only relays were asked whether a whole list is wanted; and a difference was kept for each version anybody named. Now the agent is asked within a second, 16 differences are shared a version, and a longer one of another follower gives way to the whole list.

--- a/crates/catalog/src/store.rs
+++ b/crates/catalog/src/store.rs
@@ -17,6 +17,10 @@
 
 pub const MOST_PARTITIONS: u32 = 4096;
 
+/// Differences that are kept for who asks next, of one version. Guards against one for each version that was
+/// ever held.
+const MOST_FOLDS: usize = 16;
+
 /// What a store may hold at most.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
@@ -233,6 +237,11 @@
         for (name, item) in changed {
             self.change(&name, item, &mut touched);
         }
+        if touched.is_empty() && before == Some(offer.version) {
+            // The same once more: nobody is to be told.
+            self.step -= 1;
+            return Verdict::Take;
+        }
         for &partition in &touched {
             let part = &mut self.parts[partition as usize];
             debug_assert!(part.version <= offer.version, "a partition's version went back");
@@ -341,7 +350,7 @@
             entries += 1;
         }
         let fold = Fold { entries, text: text.freeze() };
-        if of.is_none() {
+        if of.is_none() && self.folds.len() < MOST_FOLDS {
             self.folds.insert(step, fold.clone());
         }
         Some(fold)
--- a/crates/courier/src/relay.rs
+++ b/crates/courier/src/relay.rs
@@ -27,12 +27,14 @@
 use crate::discovery::{self, Entry};
 use crate::exchange::Clock;
 use crate::memory::{self, Kept, Memory};
-use crate::relays;
+use crate::relays::{self, Holder};
 use config::{Config, Source};
 use hub::Hub;
 
 /// The file is written no more often.
 const EVERY: Duration = Duration::from_secs(5);
+/// Whether a whole list is wanted of the agent is looked at so often.
+const LOOK: Duration = Duration::from_secs(1);
 /// At its end a relay waits no longer for its file.
 const LAST: Duration = Duration::from_secs(2);
 
@@ -181,14 +183,27 @@
     parts.spawn_local(keep(keeper.clone()));
     log::info!("{} relays the list at {at}", config.name);
     let moved = async {
-        while anew.changed().await.is_ok() {
-            let Some(config) = anew.borrow_and_update().clone() else { continue };
-            hub.borrow_mut().raise(config.epoch);
-            if let (Some(source), Source::Agent(address)) = (&source, &config.source) {
-                source.send_replace(*address);
+        loop {
+            tokio::select! {
+                changed = anew.changed() => {
+                    if changed.is_err() {
+                        std::future::pending::<()>().await;
+                    }
+                    let Some(config) = anew.borrow_and_update().clone() else { continue };
+                    hub.borrow_mut().raise(config.epoch);
+                    if let (Some(source), Source::Agent(address)) = (&source, &config.source) {
+                        source.send_replace(*address);
+                    }
+                }
+                () = sleep(LOOK) => {}
+            }
+            // Of relays it is asked beside the list.
+            if let Some(source) = &source {
+                if hub.borrow_mut().wants_whole() {
+                    source.send_modify(|_| ());
+                }
             }
         }
-        std::future::pending::<()>().await;
     };
     let ended = tokio::select! {
         () = stop => Ok(()),
--- a/crates/courier/src/relay/hub.rs
+++ b/crates/courier/src/relay/hub.rs
@@ -22,6 +22,10 @@
 /// A follower that has not said what it holds for so long is not counted.
 const FORGOTTEN: Time = 10 * SECOND;
 const LONGEST_NAME: usize = 128;
+/// Lines of one version that are shared; beyond them each follower's is its own, and no longer than this, in
+/// bytes.
+const MOST_LINES: usize = 16;
+const LONG: usize = 64 * 1024;
 
 /// What a follower said that it holds.
 #[derive(Clone, Debug)]
@@ -170,7 +174,9 @@
     /// A follower says what it holds.
     pub fn state(&mut self, name: &str, version: Version, from: IpAddr) {
         let (now, held) = (self.clock.now(), self.store.version());
-        self.stated.retain(|_, stated| now < stated.at + FORGOTTEN);
+        if self.stated.len() >= self.bound {
+            self.stated.retain(|_, stated| now < stated.at + FORGOTTEN);
+        }
         if name.is_empty() || name.len() > LONGEST_NAME {
             return;
         }
@@ -284,11 +290,19 @@
         if of.is_some() {
             return Next::Line(make(self), version.index);
         }
-        if !self.lines.contains_key(&step) {
-            let line = make(self);
-            self.lines.insert(step, line);
+        if let Some(line) = self.lines.get(&step) {
+            return Next::Line(line.clone(), version.index);
+        }
+        // Guards against long differences, one for each of many followers: the whole is shared by all.
+        if self.lines.len() >= MOST_LINES {
+            if fold.text.len() > LONG {
+                return self.whole(of).map_or(Next::Nothing, |(pieces, index)| Next::Whole(pieces, index));
+            }
+            return Next::Line(make(self), version.index);
         }
-        Next::Line(self.lines[&step].clone(), version.index)
+        let line = make(self);
+        self.lines.insert(step, line.clone());
+        Next::Line(line, version.index)
     }
 }
 
--- a/crates/courier/tests/relay.rs
+++ b/crates/courier/tests/relay.rs
@@ -596,6 +596,38 @@
     in_force(&[&second], &["c1"], index, IN_FORCE);
 }
 
+#[test]
+fn a_source_from_before_the_kept_list_is_followed_once_it_has_passed_it() {
+    let pair = Pair::new();
+    let (first, other) = (Source::new(5, pair.first()), Source::new(5, pair.first()));
+    let mut relay = Relay::of(first.address);
+    pair.second().into_iter().for_each(|entry| {
+        first.put(entry);
+    });
+    relay.holds(7);
+    let held = get_list(relay.address, "/catalog/members");
+    assert!(relay.end().success());
+    relay.config["source"] = json!(other.address.to_string());
+    relay.restart();
+    // It goes past 7 in one line, and what it tells then is as it was at 5: nothing of it is to be missed.
+    thread::sleep(Duration::from_secs(1));
+    assert_eq!(get_list(relay.address, "/catalog/members"), held);
+    {
+        let mut book = other.book.lock().unwrap();
+        book.index = 9;
+        book.entries.iter_mut().for_each(|(_, changed)| *changed = 9);
+    }
+    relay.holds(9);
+    let sorted = |mut list: Value| {
+        let entries = list["endpoints"].as_array_mut().unwrap();
+        entries.sort_by_key(|entry| entry["name"].to_string());
+        list
+    };
+    let (got, expected) =
+        (get_list(relay.address, "/catalog/members"), get_list(other.address, "/catalog/members"));
+    assert_eq!(sorted(got), sorted(expected));
+}
+
 /// Entries of destinations of their own, with long names.
 fn many(count: u64) -> Vec<Value> {
     many_from(0, count)
