--- a/crates/courier/tests/relay.rs
+++ b/crates/courier/tests/relay.rs
@@ -541,6 +541,8 @@
     // Back with the file from before, and no source: it serves what it has, and the courier keeps what it
     // held.
     relay.kill();
+    // For long enough that the courier gives it up, and begins anew with whatever is there.
+    thread::sleep(Duration::from_millis(2500));
     fs::write(&path, &old).unwrap();
     let gone = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     relay.config["source"] = json!(gone.to_string());
