--- a/crates/courier/src/command.rs
+++ b/crates/courier/src/command.rs
@@ -183,6 +183,10 @@
     let set = &config.decoded.settings;
     println!("{} would serve at {}", config.name, config.listen);
     println!("list and notices: {}; journal: {}", config.discovery, config.state.display());
+    if let Some(relays) = &config.relays {
+        let relays: Vec<String> = relays.iter().map(ToString::to_string).collect();
+        println!("the list by relays instead: {}", relays.join(", "));
+    }
     println!("{} slots, room for {} mails, {} queue classes", set.slots, set.room, set.classes.len());
     println!("{} endpoints known, at version {}", config.known.endpoints.len(), config.known.index);
     Ok(())
--- a/crates/courier/tests/relay.rs
+++ b/crates/courier/tests/relay.rs
@@ -962,9 +962,16 @@
     let one = json!({"listen": "127.0.0.1:0", "state": "s"});
     let (success, words) = output(Relay::command(&folder, &one));
     assert!(!success && words.contains("source is missing, and relays too"), "{words}");
+    // The worked file has none.
+    let worked = include_bytes!("../../../deploy/relay.json");
+    assert!(meadowhold_courier::relay::config::Config::read(worked).is_ok());
     // A courier's as well.
     let platform = Platform::new();
     let mut config = common::config(&platform, own_address());
+    config["relays"] = json!(["127.0.0.1:1", "127.0.0.1:2"]);
+    let said = command(&folder, &config, "check").output().unwrap();
+    let said = String::from_utf8(said.stdout).unwrap();
+    assert!(said.contains("by relays instead: 127.0.0.1:1, 127.0.0.1:2\n"));
     for (relays, fault) in [(json!([]), "relays "), (json!(["x"]), "is no address: x"), (json!(3), "relays ")]
     {
         config["relays"] = relays;
