Settings as an input of the decisions, between two turns

Input::Settings carries them; what is derived is reckoned in one place, which Control::new uses too. Calls out keep their slots, messages their class by its number; a limit that sinks is not exceeded by a new call, and none that rises is drawn for the time before it. A smaller room turns out nothing that was taken on.

--- a/src/control.rs
+++ b/src/control.rs
@@ -108,6 +108,7 @@
     top: f64,
     /// The shortest lifetime: what is learnt over it is learnt in time for what waits.
     window: Time,
+    room: usize,
     mails: Vec<Mail>,
     calls: Vec<Call>,
     endpoints: Vec<Endpoint>,
@@ -133,18 +134,28 @@
 
 impl Control {
     pub fn new(set: Settings) -> Control {
-        Control {
-            chance: fastrand::Rng::with_seed(set.seed),
-            mails: Vec::with_capacity(set.room.min(1 << 16)),
-            calls: vec![Call::default(); set.slots.min(1 << 16)],
-            ask_at: set.ask_list.then_some(0),
-            crowded: vec![0.0; set.kinds.len()],
-            top: set.classes.iter().map(|c| c.importance).fold(0.0, f64::max),
-            window: set.classes.iter().map(|c| c.lifetime).min().unwrap_or(WINDOW).max(WINDOW),
-            target: set.classes.iter().map(|c| c.target).min().unwrap_or(SECOND),
-            set,
-            ..Control::default()
-        }
+        let (chance, ask_at) = (fastrand::Rng::with_seed(set.seed), set.ask_list.then_some(0));
+        let mut control = Control { chance, ask_at, ..Control::default() };
+        control.keep_to(set);
+        control
+    }
+
+    /// From here on decisions go by these settings. What is out or taken on stays, also where it is beyond them.
+    fn keep_to(&mut self, set: Settings) {
+        // Guards against what a raised limit would let go at once: up to now it was saved up and grown by the old one.
+        let _ = (0..self.endpoints.len()).filter(|&e| self.endpoints[e].known && self.free(e)).count();
+        for dest in (0..self.dests.len()).filter(|_| set.slots > self.set.slots) {
+            self.dests[dest].grown = self.dests[dest].grown.min(self.cap(dest));
+        }
+        let part = self.set.couriers as f64 / set.couriers.max(1) as f64;
+        self.units.iter_mut().for_each(|unit| (unit.even, unit.pace) = (unit.even * part, unit.pace * part));
+        (self.top, self.window, self.target) = set.extremes(WINDOW);
+        self.room = self.room.max(set.room);
+        self.set = set.before(std::mem::take(&mut self.set));
+        self.crowded.resize(self.set.kinds.len(), 0.0);
+        let used = self.calls.iter().rposition(|call| call.left > 0).map_or(0, |last| last + 1);
+        self.calls.resize(used.max(self.set.slots.min(1 << 16)), Call::default());
+        self.sum_shares();
     }
 
     /// Whether a call may still begin: its endpoint was neither told of as leaving nor held since.
@@ -197,11 +208,10 @@
             }
             Input::Listed(ref entry) => self.list(entry),
             Input::ListEnd => {
-                for (endpoint, e) in self.endpoints.iter_mut().enumerate() {
-                    if !e.named && e.life != Life::Gone {
-                        (e.life, e.gone_at) = (Life::Gone, self.now);
-                        self.leaving.push(endpoint);
-                    }
+                let gone = |e: &Endpoint| !e.named && e.life != Life::Gone;
+                for (endpoint, e) in self.endpoints.iter_mut().enumerate().filter(|(_, e)| gone(e)) {
+                    (e.life, e.gone_at) = (Life::Gone, self.now);
+                    self.leaving.push(endpoint);
                 }
                 self.sum_shares();
             }
@@ -220,6 +230,7 @@
                 self.settle(ended, out)
             }
             Input::Heard { endpoint, news } => self.hear(endpoint, news),
+            Input::Settings(ref set) => self.keep_to((**set).clone()),
             Input::Hangup { .. } | Input::Ended(_) | Input::Woken => {}
         }
     }
@@ -284,8 +295,7 @@
             let well = sisters.filter(|s| s.life == Life::Ready).all(|s| s.standing == Standing::Well);
             let standing = if well { Standing::Well } else { Standing::Returning };
             let new = Endpoint { known: true, dest, unit, zone, kind, standing, ..Endpoint::default() };
-            self.endpoints[endpoint] =
-                Endpoint { last_good: now, since: now, ramp: Saved { calls: 0.0, at: now }, ..new };
+            self.endpoints[endpoint] = new.from(now);
             // Guards against couriers that all favour the first endpoint of the list while none is measured.
             let place = self.chance.usize(..=self.dests[dest].endpoints.len());
             self.dests[dest].endpoints.insert(place, endpoint);
@@ -346,17 +356,14 @@
         let Taken { mail, dest, class, key, since, due, connects, ran } = *taken;
         let class = class.min(self.set.classes.len() - 1);
         if let Some(key) = key {
-            grow(&mut self.keys, key);
-            self.keys[key].line.push(mail);
-        }
-        let target = since + self.set.classes[class].target;
-        grow(&mut self.mails, mail);
-        self.mails[mail] =
-            Mail { place: Place::Parked, dest, class, key, target, due, connects, ran, call: 0 };
-        grow(&mut self.dests, dest);
-        self.dests[dest].arrivals.count(self.now, WINDOW);
-        self.dests[dest].steady.count(self.now, self.set.cold.max(WINDOW));
-        self.dests[dest].lines[usize::from(connects > 0)].push(mail);
+            grow(&mut self.keys, key).line.push(mail);
+        }
+        let (place, target) = (Place::Parked, since + self.set.classes[class].target);
+        *grow(&mut self.mails, mail) = Mail { place, dest, class, key, target, due, connects, ran, call: 0 };
+        let d = grow(&mut self.dests, dest);
+        d.arrivals.count(self.now, WINDOW);
+        d.steady.count(self.now, self.set.cold.max(WINDOW));
+        d.lines[usize::from(connects > 0)].push(mail);
         self.open += 1;
     }
 
@@ -391,9 +398,7 @@
             m.place = Place::Over;
             return;
         }
-        for line in &mut self.dests[m.dest].lines {
-            line.retain(|&parked| parked != mail);
-        }
+        self.dests[m.dest].lines.iter_mut().for_each(|line| line.retain(|&parked| parked != mail));
         m.place = Place::Free;
         if let Some(key) = m.key {
             self.keys[key].line.retain(|&queued| queued != mail);
@@ -541,9 +546,8 @@
         let row = STANDINGS.iter().find(|row| row.0 == e.standing && row.1 == sign);
         let Some(&(_, _, next, step)) = row else { return };
         e.ill_since = if e.standing == Standing::Well { now } else { e.ill_since };
-        if next != e.standing {
-            (e.standing, e.since) = (next, now);
-        }
+        let since = if next != e.standing { now } else { e.since };
+        (e.standing, e.since) = (next, since);
         match step {
             Step::Note => e.trials = 0,
             Step::BackOff => {
@@ -623,7 +627,8 @@
             }
         }
         // A full room would turn mails away unseen: what is worth least makes way.
-        while self.open * 20 > self.set.room * 19 {
+        self.room = self.room.min(self.open * 20 / 19 + 1).max(self.set.room); // sinks as what it held ends
+        while self.open * 20 > self.room * 19 {
             let hope = |mail: usize| self.hope(&self.mails[mail]);
             let Some(least) = self.parked().min_by(|&a, &b| hope(a).total_cmp(&hope(b))) else { return };
             self.give_up(least, out);
@@ -672,10 +677,8 @@
         }
         order.sort_by(|a, b| b.0.total_cmp(&a.0));
         for &(_, dest) in &order {
-            while self.out < self.set.slots
-                && self.dests[dest].out < self.cap(dest)
-                && self.connect(dest, out)
-            {}
+            let room = |c: &Control| c.out < c.set.slots && c.dests[dest].out < c.cap(dest);
+            while room(self) && self.connect(dest, out) {}
         }
         self.order = order;
     }
@@ -840,9 +843,8 @@
                 self.dests[e.dest].endpoints.retain(|&other| other != endpoint);
                 self.endpoints[endpoint] = Endpoint { life: Life::Gone, ..Endpoint::default() };
                 out.push(Action::FreeEndpoint(endpoint));
-                return false;
             }
-            e.known && e.life == Life::Gone
+            self.endpoints[endpoint].known && self.endpoints[endpoint].life == Life::Gone
         });
         self.leaving = leaving;
     }
@@ -851,10 +853,9 @@
     fn rest_keys(&mut self, out: &mut Vec<Action>) {
         let (keys, now) = (&mut self.keys, self.now);
         self.resting.retain(|&key| {
-            let empty = keys[key].line.is_empty();
-            let done = empty && now >= keys[key].rest_until;
-            out.extend(done.then_some(Action::FreeKey(key)));
-            empty && !done
+            let (empty, over) = (keys[key].line.is_empty(), now >= keys[key].rest_until);
+            out.extend((empty && over).then_some(Action::FreeKey(key)));
+            empty && !over
         });
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -13,7 +13,7 @@
     OnceOnly,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct QueueClass {
     pub effect: Effect,
     /// Tagged: only endpoints in the zone of the first connect drop a repeat.
@@ -44,7 +44,7 @@
     }
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Kind {
     /// Mails in one call at most.
     pub batch: usize,
@@ -52,8 +52,8 @@
     pub apart: bool,
 }
 
-/// Read once, at the start of a courier.
-#[derive(Clone, Debug, Default)]
+/// Read at the start of a courier, and whenever others are in force (`Input::Settings`).
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     pub seed: u64,
     pub couriers: usize,
@@ -90,6 +90,22 @@
     pub classes: Vec<QueueClass>,
 }
 
+impl Settings {
+    /// The highest importance, the shortest lifetime, `least` at least, and the shortest target delay of the classes.
+    pub fn extremes(&self, least: Time) -> (f64, Time, Time) {
+        let top = self.classes.iter().map(|c| c.importance).fold(0.0, f64::max);
+        let lifetime = self.classes.iter().map(|c| c.lifetime).min().unwrap_or(least).max(least);
+        (top, lifetime, self.classes.iter().map(|c| c.target).min().unwrap_or(SECOND))
+    }
+
+    /// These, with the classes and kinds behind them that only the settings held so far have numbers for.
+    pub fn before(mut self, mut held: Settings) -> Settings {
+        self.classes.extend(held.classes.drain(self.classes.len().min(held.classes.len())..));
+        self.kinds.extend(held.kinds.drain(self.kinds.len().min(held.kinds.len())..));
+        self
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Life {
     #[default]
@@ -208,6 +224,9 @@
         endpoint: usize,
         news: News,
     },
+    /// From here on all decisions go by these. Classes, kinds and zones keep their numbers and new ones follow; numbers
+    /// beyond the new lists mean what they meant. The same kinds are apart, and the list is told in the same way.
+    Settings(Box<Settings>),
     Woken,
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -170,6 +170,13 @@
     pub latency: Latency,
 }
 
+impl Endpoint {
+    /// The same as one that is known since now.
+    pub fn from(self, now: Time) -> Endpoint {
+        Endpoint { last_good: now, since: now, ramp: Saved { calls: 0.0, at: now }, ..self }
+    }
+}
+
 impl Dest {
     /// Parked mails of both lines.
     pub fn waiting(&self) -> usize {
@@ -187,8 +194,9 @@
     time as f64 / SECOND as f64
 }
 
-pub fn grow<T: Default>(list: &mut Vec<T>, index: usize) {
+pub fn grow<T: Default>(list: &mut Vec<T>, index: usize) -> &mut T {
     if index >= list.len() {
         list.resize_with(index + 1, T::default);
     }
+    &mut list[index]
 }
