--- a/crates/courier/src/command.rs
+++ b/crates/courier/src/command.rs
@@ -9,8 +9,9 @@
 use clap::error::ErrorKind;
 use clap::{CommandFactory, Parser, Subcommand};
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::changes::{self, Change};
 use crate::config::Config;
 use crate::journal::Found;
 
@@ -84,7 +85,7 @@
 
 fn serve() -> Result<(), String> {
     lines::start()?;
-    let config = Config::from_environment().map_err(|refused| refused.to_string())?;
+    let start = changes::start().map_err(|refused| refused.to_string())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| e.to_string())?;
     let ended = tokio::task::LocalSet::new().block_on(&runtime, async {
@@ -93,30 +94,36 @@
         let (mut terminate, mut interrupt) =
             (handler(SignalKind::terminate())?, handler(SignalKind::interrupt())?);
         let mut hangup = handler(SignalKind::hangup())?;
-        let (discovery, discovery_in) = watch::channel(config.discovery);
+        let (discovery, discovery_in) = watch::channel(start.config.discovery);
+        let (changes, changes_in) = mpsc::unbounded_channel();
         tokio::task::spawn_local(async move {
             while hangup.recv().await.is_some() {
-                read_again(&discovery);
+                read_again(&changes, &discovery).await;
             }
         });
         let stop = async move {
             tokio::select! { _ = terminate.recv() => {}, _ = interrupt.recv() => {} }
         };
-        crate::serve(config, discovery_in, stop).await.map_err(|e| e.to_string())
+        crate::serve_changing(start, discovery_in, changes_in, stop).await.map_err(|e| e.to_string())
     });
     runtime.shutdown_background();
     ended
 }
 
-/// Of a configuration that is put in the place of the first, a running courier takes up where discovery is.
-fn read_again(discovery: &watch::Sender<SocketAddr>) {
-    match Config::again() {
-        Ok(config) => {
-            log::info!("the configuration is read anew: discovery at {}", config.discovery);
-            discovery.send_if_modified(|now| std::mem::replace(now, config.discovery) != config.discovery);
+/// Of a configuration that is put in the place of the first, a running courier takes up where discovery is, and its
+/// settings if it has a version.
+async fn read_again(changes: &mpsc::UnboundedSender<Change>, discovery: &watch::Sender<SocketAddr>) {
+    let (answer, heard) = oneshot::channel();
+    let _ = changes.send(Change { offered: Config::again(), answer });
+    match heard.await {
+        Ok(Some(Ok(address))) => {
+            log::info!("the configuration is read anew: discovery at {address}");
+            discovery.send_if_modified(|now| std::mem::replace(now, address) != address);
         }
         // Guards against a file that is half written or wrong: nothing changes.
-        Err(words) => log::error!("the configuration cannot be read anew: {words}"),
+        Ok(Some(Err(words))) => log::error!("the configuration cannot be read anew: {words}"),
+        // Turned down, which has been said, or the courier ends.
+        Ok(None) | Err(_) => {}
     }
 }
 
@@ -127,6 +134,9 @@
     println!("list and notices: {}; journal: {}", config.discovery, config.state.display());
     println!("{} slots, room for {} mails, {} queue classes", set.slots, set.room, set.classes.len());
     println!("{} endpoints known, at version {}", config.known.endpoints.len(), config.known.index);
+    if let Some(version) = config.version {
+        println!("settings version {version}");
+    }
     Ok(())
 }
 
--- a/crates/courier/src/config.rs
+++ b/crates/courier/src/config.rs
@@ -14,6 +14,7 @@
 
 use crate::discovery::List;
 use crate::members::Members;
+use crate::version::{Faults, Whole};
 
 pub struct Config {
     pub name: String,
@@ -26,6 +27,8 @@
     pub known: List,
     pub decoded: Decoded,
     pub peers: Option<Peers>,
+    /// The number of the settings' version; without one they are those of the start.
+    pub version: Option<u64>,
 }
 
 /// Where notes from other couriers are heard, and where they are.
@@ -57,6 +60,8 @@
     settings: Value,
     #[garde(dive)]
     peers: Option<PeersText>,
+    #[garde(custom(counted))]
+    version: Option<u64>,
 }
 
 #[derive(Deserialize, Validate)]
@@ -109,6 +114,10 @@
     holds(*megabytes > 0.0 && *megabytes < 1e9, || "is no size".to_string())
 }
 
+fn counted(version: &Option<u64>, (): &()) -> garde::Result {
+    holds(*version != Some(0), || "is under 1".to_string())
+}
+
 fn given(settings: &Value, (): &()) -> garde::Result {
     let words = if settings.is_null() { "is missing" } else { "is no object" };
     holds(settings.is_object(), || words.to_string())
@@ -136,7 +145,13 @@
     }
 }
 
-type Faults = BTreeMap<String, String>;
+/// A configuration as it is found: what tells it from another as far as that can be read, and what it says.
+pub struct Offered {
+    /// The file, where it has a version.
+    pub text: Option<Value>,
+    pub whole: Option<Whole>,
+    pub read: Result<Config, Refused>,
+}
 
 /// Why there is no configuration: every fault that was found.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -262,6 +277,17 @@
     read.map_err(|words| faults.insert(format!("{key} or {name}"), words)).ok()
 }
 
+impl Offered {
+    /// From the file's text, and from variables by name.
+    pub fn of(text: &[u8], variable: &dyn Fn(&str) -> Option<String>) -> Offered {
+        let read = Config::read(text, variable);
+        let text = serde_json::from_slice::<Value>(text).ok();
+        let whole = text.as_ref().and_then(Whole::of);
+        let text = text.filter(|_| whole.as_ref().is_some_and(|whole| whole.stamp().is_some()));
+        Offered { text, whole, read }
+    }
+}
+
 fn variable(name: &str) -> Option<String> {
     std::env::var(name).ok().filter(|value| !value.is_empty())
 }
@@ -274,17 +300,46 @@
 
     /// The file anew, in a process that runs: what it says of discovery now goes before the variable, which
     /// is as old as the process.
-    pub fn again() -> Result<Config, Refused> {
+    pub fn again() -> Offered {
         let variable = |name: &str| variable(name).filter(|_| name != "ROUTER_DISCOVERY");
-        Config::load(&variable)
+        Config::offered(&variable)
     }
 
     fn load(variable: &dyn Fn(&str) -> Option<String>) -> Result<Config, Refused> {
+        Config::offered(variable).read
+    }
+
+    /// The same with what tells the file's version from another, as far as that can be read.
+    fn offered(variable: &dyn Fn(&str) -> Option<String>) -> Offered {
         const FILE: &str = "ROUTER_CONFIG";
-        let path = variable(FILE).ok_or_else(|| Refused::only(FILE, "is not set"))?;
-        let text = std::fs::read(&path);
-        let text = text.map_err(|e| Refused::only(&path, format!("cannot be read: {e}")))?;
-        Config::read(&text, variable).map_err(|refused| Refused { file: Some(path), ..refused })
+        let text = variable(FILE).ok_or_else(|| Refused::only(FILE, "is not set")).and_then(|path| {
+            let text = std::fs::read(&path);
+            text.map(|text| (path.clone(), text))
+                .map_err(|e| Refused::only(&path, format!("cannot be read: {e}")))
+        });
+        match text {
+            Ok((path, text)) => {
+                let Offered { text, whole, read } = Offered::of(&text, variable);
+                let read = read.map_err(|refused| Refused { file: Some(path), ..refused });
+                Offered { text, whole, read }
+            }
+            Err(refused) => Offered { text: None, whole: None, read: Err(refused) },
+        }
+    }
+
+    /// The file as a start finds it.
+    pub fn at_start() -> Offered {
+        Config::offered(&variable)
+    }
+
+    /// What an earlier process kept of it, in the place of the file.
+    pub fn kept(text: &[u8]) -> Result<Config, Refused> {
+        Config::read(text, &variable)
+    }
+
+    /// The folder that lasts, as far as it is known.
+    pub fn folder() -> Option<PathBuf> {
+        variable("ROUTER_STATE").map(PathBuf::from)
     }
 
     /// From the file's text, and from variables by name, which go before what it says.
@@ -336,6 +391,7 @@
             known: file.known,
             decoded,
             peers,
+            version: file.version,
         })
     }
 }
--- a/crates/courier/src/endpoints.rs
+++ b/crates/courier/src/endpoints.rs
@@ -12,7 +12,7 @@
 use meadowhold::interface::{Outcome, Time};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::Notify;
-use tokio::time::{sleep_until, timeout_at, MissedTickBehavior};
+use tokio::time::{sleep_until, timeout_at, Interval, MissedTickBehavior};
 
 use crate::exchange::{Call, Clock, Letter, Order, Seen, Shared};
 use crate::http::{self, Body, Head};
@@ -23,6 +23,7 @@
 const SHORT: [i32; 3] = [23, 24, 99];
 
 /// What the calls keep to.
+#[derive(Clone, Copy, Debug)]
 pub struct Limits {
     pub connect: Duration,
     /// The far side closes a connection left idle for so long.
@@ -40,7 +41,7 @@
 struct Endpoints {
     shared: Shared,
     clock: Clock,
-    limits: Limits,
+    limits: Cell<Limits>,
     /// Idle connections by place, oldest first.
     idle: RefCell<BTreeMap<u64, VecDeque<Idle>>>,
     /// All connections, idle or not.
@@ -70,16 +71,13 @@
     let endpoints = Endpoints {
         shared,
         clock,
-        limits,
+        limits: Cell::new(limits),
         idle: RefCell::default(),
         open: Cell::new(0),
         freed: Notify::new(),
     };
     let endpoints = Rc::new(endpoints);
-    // Half of the margin at which idle connections are closed.
-    let every = (endpoints.limits.idle / 40).max(Duration::from_millis(5));
-    let mut sweep = tokio::time::interval(every);
-    sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut sweep = sweeps(limits.idle);
     loop {
         tokio::select! {
             order = orders.recv() => match order {
@@ -87,6 +85,10 @@
                     tokio::task::spawn_local(endpoints.clone().call(call));
                 }
                 Some(Order::LetGo(place)) => endpoints.let_go(place),
+                Some(Order::Times { connect, idle }) => {
+                    sweep = sweeps(idle);
+                    endpoints.limits.set(Limits { connect, idle, ..endpoints.limits.get() });
+                }
                 None => return,
             },
             _ = sweep.tick() => endpoints.sweep(),
@@ -94,6 +96,13 @@
     }
 }
 
+/// Half of the margin at which idle connections are closed.
+fn sweeps(idle: Duration) -> Interval {
+    let mut sweep = tokio::time::interval((idle / 40).max(Duration::from_millis(5)));
+    sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    sweep
+}
+
 /// The table of answers: what a status says of every mail of the call.
 pub fn read_status(head: &Head, several: bool) -> Seen {
     let (outcome, over) = match head.status {
@@ -130,7 +139,8 @@
 impl Endpoints {
     /// Connections are closed a twentieth before the far side would.
     fn fresh(&self, idle: &Idle) -> bool {
-        idle.since.elapsed() < self.limits.idle - self.limits.idle / 20
+        let idle_for = self.limits.get().idle;
+        idle.since.elapsed() < idle_for - idle_for / 20
     }
 
     fn close(&self, many: usize) {
@@ -179,7 +189,7 @@
 
     /// Makes room for one more connection by closing the one that has been idle longest.
     fn make_room(&self) -> bool {
-        if self.open.get() < self.limits.connections {
+        if self.open.get() < self.limits.get().connections {
             return true;
         }
         let mut pools = self.idle.borrow_mut();
@@ -204,7 +214,7 @@
         }
         let address = call.address.ok_or(Outcome::Unreached)?;
         self.open.set(self.open.get() + 1);
-        let until = until.min(Instant::now() + self.limits.connect);
+        let until = until.min(Instant::now() + self.limits.get().connect);
         match timeout_at(until.into(), Link::open(address)).await {
             Ok(Ok(link)) => Ok(Counted { link: Some(link), endpoints: self.clone(), kept: false }),
             failed => {
@@ -219,7 +229,7 @@
 
     async fn call(self: Rc<Self>, mut call: Call) {
         let last = call.letters.iter().map(|letter| letter.until).max().unwrap_or_default();
-        if !self.limits.may_overlap {
+        if !self.limits.get().may_overlap {
             // A mail whose time-out comes first may go again only once this call is closed.
             call.letters.iter_mut().for_each(|letter| letter.until = last.min(letter.due));
         }
--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -2,7 +2,7 @@
 //! journal and the timer; it carries out what the module says and tells it what was seen.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
@@ -11,7 +11,7 @@
 use meadowhold::control::Control;
 use meadowhold::door::Door;
 use meadowhold::interface::{
-    Action, Effect, Ended, Input, Life, Listed, News, Outcome, QueueClass, Report, Taken, Time,
+    Action, Effect, Ended, Input, Kind, Life, Listed, News, Outcome, Report, Settings, Taken, Time, SECOND,
 };
 use meadowhold_settings::{name, Decoded};
 use meadowhold_start::backlog::{self, Backlog};
@@ -22,6 +22,7 @@
 use crate::discovery::{List, Listener};
 use crate::journal::{held_as, weight, Found, Journal, Owed, Record, Sent, Terms, Verdict, NO_ZONE};
 use crate::memory::{deployment, Keeper};
+use crate::numbers::Classes;
 use crate::{http, must};
 
 /// What an earlier process took on is offered to the module within this time: all with the first turn. Spread over
@@ -131,6 +132,11 @@
     Call(Call),
     /// Close the idle connections to this place.
     LetGo(u64),
+    /// From here on connections are made within the one time, and kept idle for the other.
+    Times {
+        connect: Duration,
+        idle: Duration,
+    },
 }
 
 /// What is to be told to the platform.
@@ -201,10 +207,8 @@
     batches: Vec<usize>,
     /// Kinds whose endpoints are limited each on its own.
     apart: Vec<bool>,
-    /// The module's classes: those of the settings, and what stands for such as an earlier process left.
-    classes: Vec<QueueClass>,
-    /// What a mail of each class of the settings is taken on with.
-    terms: Vec<Terms>,
+    /// The module's classes: those of the settings, and what stands for such as an earlier process or version left.
+    classes: Classes,
     turn_gap: Time,
     resolution: Time,
     mails: Door<u64>,
@@ -246,16 +250,39 @@
     /// What the audit counts beside the books.
     tally: Tally,
     pub counts: Counts,
+    /// Which version of the settings is in force, and what came of others.
+    pub versions: Versions,
+}
+
+/// What a courier states of versions of its settings.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Versions {
+    /// The number of the one in force, and since when.
+    pub in_force: Option<(u64, Time)>,
+    /// In words, the last one that was turned down since then, with every fault.
+    pub turned_down: Option<String>,
+}
+
+impl Versions {
+    /// `None` where there are none.
+    pub fn words(&self, now: Time) -> Option<String> {
+        let (number, since) = self.in_force?;
+        let age = now.saturating_sub(since) / SECOND;
+        let down = self.turned_down.as_ref().map(|words| format!("; {words}")).unwrap_or_default();
+        Some(format!("settings version {number} are in force for {age} s{down}"))
+    }
 }
 
 /// What names on the sockets stand for.
 struct Names {
-    classes: HashMap<Bytes, usize>,
-    /// Those of the settings, and then those that only a list has named.
+    /// Those of the settings, and then those that only a list or a later version has named.
     zones: Vec<String>,
     /// So many of them have a number that the journal knows.
     on_file: usize,
+    /// Those of all versions so far, by number.
     kinds: Vec<String>,
+    /// The number of a kind that is none of them.
+    other: usize,
     report: [Option<usize>; 2],
     fields: Vec<String>,
 }
@@ -303,22 +330,27 @@
         news: Option<UnboundedSender<(Bytes, News)>>,
     ) -> Exchange {
         let deployment = deployment(&decoded);
-        let Decoded { mut settings, report, fields, classes, zones, kinds, .. } = decoded;
-        let terms: Vec<Terms> =
+        let Decoded { mut settings, report, fields, classes, zones, mut kinds, .. } = decoded;
+        let today: Vec<Terms> =
             classes.iter().zip(&settings.classes).map(|(name, class)| Terms::new(name, class)).collect();
+        let mut terms = today.clone();
         for owed in found.owed.values_mut() {
-            owed.class = held_as(owed, &terms, &mut settings.classes);
+            owed.class = held_as(owed, &today, &mut settings.classes);
+            let more = settings.classes.iter().skip(terms.len());
+            let more = more.map(|class| Terms { class: owed.terms.class.clone(), ..Terms::new("", class) });
+            terms.extend(more.collect::<Vec<_>>());
         }
-        let classes = classes.into_iter().enumerate().map(|(i, class)| (Bytes::from(class), i));
+        let named = classes.into_iter().enumerate().map(|(i, class)| (Bytes::from(class), i)).collect();
+        // The module has one kind at least.
+        kinds.resize(settings.kinds.len(), String::new());
         let (folder, allowance) = journal.place();
         let mut exchange = Exchange {
             keeper: Keeper::new(folder, allowance, deployment),
-            names: Names { classes: classes.collect(), zones, on_file: 0, kinds, report, fields },
+            names: Names { zones, on_file: 0, other: kinds.len() - 1, kinds, report, fields },
             room: settings.room,
             batches: settings.kinds.iter().map(|kind| kind.batch).collect(),
             apart: settings.kinds.iter().map(|kind| kind.apart).collect(),
-            classes: settings.classes.clone(),
-            terms,
+            classes: Classes { classes: settings.classes.clone(), terms, named },
             turn_gap: settings.turn_gap,
             resolution: settings.resolution,
             control: Control::new(settings),
@@ -353,6 +385,7 @@
             index: 0,
             tally: Tally { found: found.owed.len() as u64, ..Tally::default() },
             counts: Counts::default(),
+            versions: Versions::default(),
         };
         exchange.restore(found);
         exchange
@@ -395,7 +428,7 @@
                     self.open += 1;
                     let next = keys.len() as u64;
                     let key = self.is_ordered(&owed).then(|| *keys.entry(owed.item.clone()).or_insert(next));
-                    let importance = self.classes[usize::from(owed.class)].importance;
+                    let importance = self.classes.classes[usize::from(owed.class)].importance;
                     mails.push(backlog::Mail { serial, importance, due: owed.due, key });
                 }
             }
@@ -416,7 +449,7 @@
 
     /// Whether a mail keeps its order among those of its key.
     fn is_ordered(&self, owed: &Owed) -> bool {
-        !owed.item.is_empty() && self.classes[usize::from(owed.class)].in_turn
+        !owed.item.is_empty() && self.classes.classes[usize::from(owed.class)].in_turn
     }
 
     /// What an earlier process took on and is to be offered by now goes to the module.
@@ -449,7 +482,7 @@
     }
 
     pub fn hand_in(&mut self, offer: Offer) -> Answer {
-        let Some(&class) = self.names.classes.get(&offer.class) else {
+        let Some(&class) = self.classes.named.get(&offer.class) else {
             self.counts.failed += 1;
             return Answer::Failed("ERR unknown class");
         };
@@ -462,13 +495,13 @@
         if self.ids.contains_key(&offer.id) {
             return Answer::Known;
         }
-        let ordered = self.classes[class].in_turn && offer.item.iter().any(|&b| b != b'0');
+        let ordered = self.classes.classes[class].in_turn && offer.item.iter().any(|&b| b != b'0');
         let owed = Owed {
             id: offer.id,
             key: offer.key,
             item: if ordered { offer.item } else { Bytes::new() },
             class: class as u16,
-            terms: self.terms[class].clone(),
+            terms: self.classes.terms[class].clone(),
             dest: offer.dest,
             since: self.clock.now(),
             due: self.clock.now() + tenths(offer.lifetime),
@@ -501,6 +534,58 @@
         Answer::Taken(serial)
     }
 
+    /// What other settings would make of the numbers that are in use; nothing is changed.
+    ///
+    /// # Errors
+    /// The place, and words, of what cannot be.
+    pub fn numbered(&self, decoded: &Decoded) -> Result<Classes, (&'static str, &'static str)> {
+        let used = self.owed.values().filter(|owed| owed.verdict.is_none());
+        let used: BTreeSet<usize> = used.map(|owed| usize::from(owed.class)).collect();
+        let classes = &decoded.settings.classes;
+        let after = self.classes.after(&decoded.classes, classes, |class| used.contains(&class));
+        after.map_err(|words| ("setting Profiles", words))
+    }
+
+    /// These settings are in force from here on, between two turns; `classes` as `numbered` had them just now. The same
+    /// kinds must be apart as before. What is out or taken on stays as it is.
+    pub fn adopt(&mut self, decoded: Decoded, classes: Classes) {
+        let Decoded { settings, report, fields, zones, kinds, .. } = decoded;
+        let names = &mut self.names;
+        let mut fees = Vec::new();
+        for (i, zone) in zones.iter().enumerate() {
+            let at = names.zone(zone);
+            fees.resize(fees.len().max(names.zones.len()), 0.0);
+            if let (Some(fee), Some(held)) = (settings.fees.get(i), fees.get_mut(at)) {
+                *held = *fee;
+            }
+        }
+        for (i, kind) in settings.kinds.iter().enumerate() {
+            let name = kinds.get(i).cloned().unwrap_or_default();
+            let at = names.kinds.iter().position(|known| *known == name).unwrap_or(names.kinds.len());
+            if at == names.kinds.len() {
+                names.kinds.push(name);
+                self.batches.push(kind.batch);
+                self.apart.push(kind.apart);
+            }
+            self.batches[at] = kind.batch;
+            names.other = at;
+        }
+        (names.report, names.fields) = (report, fields);
+        let by_number = self.batches.iter().zip(&self.apart);
+        let settings = Settings {
+            kinds: by_number.map(|(&batch, &apart)| Kind { batch, apart }).collect(),
+            classes: classes.classes.clone(),
+            fees,
+            ..settings
+        };
+        self.classes = classes;
+        (self.room, self.turn_gap, self.resolution) = (settings.room, settings.turn_gap, settings.resolution);
+        let times = (duration(settings.connect_timeout), duration(settings.keep_idle));
+        let _ = self.orders.send(Order::Times { connect: times.0, idle: times.1 });
+        self.inputs.push(Input::Settings(Box::new(settings)));
+        self.notify.notify_one();
+    }
+
     /// Rests that are over need not be kept.
     fn forget_rests(&mut self) {
         let now = self.clock.now();
@@ -610,7 +695,7 @@
         for entry in &list.endpoints {
             let place = |names: &[String], text: &str| names.iter().position(|n| *n == name(text));
             let zone = self.names.zone(&entry.zone);
-            let kind = place(&self.names.kinds, &entry.kind).unwrap_or(self.names.kinds.len());
+            let kind = place(&self.names.kinds, &entry.kind).unwrap_or(self.names.other);
             let (address, since, group) = (entry.address.parse().ok(), entry.since_ms, entry.group);
             let mut life = entry.life();
             let name = Bytes::copy_from_slice(entry.name.as_bytes());
@@ -655,7 +740,7 @@
     /// key is known, counted from the first connect that may have run: its call may have waited for a connection,
     /// and the file has it from an earlier process.
     fn latest(&self, owed: &Owed) -> Time {
-        let class = &self.classes[usize::from(owed.class)];
+        let class = &self.classes.classes[usize::from(owed.class)];
         match (owed.ran, class.effect) {
             (None, _) | (_, Effect::Redeliverable) => Time::MAX,
             (Some((sent, _)), Effect::Tagged) => sent.saturating_add(class.window),
@@ -986,6 +1071,11 @@
         [self.wake, owed].into_iter().flatten().min().map(|at| self.clock.instant(at))
     }
 
+    /// No turn is given before this, so that turns are no closer than the settings say.
+    fn earliest_turn(&self) -> Time {
+        self.last_turn + self.resolution
+    }
+
     /// No call begins until `release`; mails are taken on meanwhile.
     pub fn hold(&mut self) {
         self.held = true;
@@ -1030,9 +1120,9 @@
 /// Gives the module its turns: when something was seen, and when it asked for one, but no more often than
 /// the settings say.
 pub async fn drive(shared: Shared) {
-    let (notify, clock, resolution) = {
+    let (notify, clock) = {
         let exchange = shared.borrow();
-        (exchange.notify.clone(), exchange.clock, exchange.resolution)
+        (exchange.notify.clone(), exchange.clock)
     };
     loop {
         let due = shared.borrow().next_turn();
@@ -1040,7 +1130,8 @@
             () = notify.notified() => {}
             () = sleep_until(due) => {}
         }
-        let earliest = clock.instant(shared.borrow().last_turn + resolution);
+        let earliest = shared.borrow().earliest_turn();
+        let earliest = clock.instant(earliest);
         tokio::time::sleep_until(earliest.into()).await;
         shared.borrow_mut().turn();
     }
--- a/crates/courier/src/journal.rs
+++ b/crates/courier/src/journal.rs
@@ -47,7 +47,7 @@
 
 /// So many classes of the module at most stand for what other settings left. Guards against a file of nothing
 /// but classes, by a fault of ours or another's hand.
-const MOST_CLASSES: usize = 4096;
+pub const MOST_CLASSES: usize = 4096;
 
 /// The module's class by which a mail of an earlier process is held: today's of the same name, if that allows no
 /// more than what the mail was taken on with, else one more that allows only what both do. `today`: what the
--- /dev/null
+++ b/crates/courier/src/kept.rs
@@ -0,0 +1,127 @@
+//! The last good version of the configuration, on file in the folder that lasts: one small file, written whole under
+//! another name and renamed. A start that finds a bad or an older configuration goes on with it.
+
+use std::fs::{self, File};
+use std::io::{self, Write};
+use std::path::Path;
+
+use meadowhold::interface::Time;
+use serde_json::{json, Value};
+
+use crate::version::{Stamp, Sum, Whole};
+
+const NAME: &str = "settings";
+const FRESH: &str = "settings.new";
+/// A later version's file is passed over.
+const MAGIC: &[u8] = b"meadowhold settings 1\n";
+const HEADER: usize = 8;
+const BLOCK: u64 = 512;
+/// Hundredths of the folder's allowance. Twice that while it is written anew; journal and memory take up to 96.
+const PART: u64 = 2;
+/// Guards against a file that fills the memory of the process: the allowance is not known when it is read.
+const MOST: u64 = 64 << 20;
+
+/// A version that was in force.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Kept {
+    /// Since when, by the system's clock, in tenths of a millisecond.
+    pub since: Time,
+    pub whole: Whole,
+    /// What the list was kept for (`memory::deployment`) by the process that put this on file. Guards against a list
+    /// that is passed over as another deployment's because a class has changed meanwhile.
+    pub lists: String,
+    /// The file's text, spaced anew; without the list that it knew if that is long.
+    pub text: Value,
+}
+
+impl Kept {
+    /// `None` where it has no number.
+    pub fn new(text: Value, since: Time, lists: String) -> Option<Kept> {
+        let whole = Whole::of(&text).filter(|whole| whole.stamp().is_some())?;
+        Some(Kept { since, whole, lists, text })
+    }
+
+    pub fn stamp(&self) -> Option<Stamp> {
+        self.whole.stamp()
+    }
+
+    /// The file's bytes, `most` at most: the list is left out before that.
+    fn bytes(&self, most: u64) -> io::Result<Vec<u8>> {
+        let known = self.whole.fixed.get("known");
+        let body = |text: &Value| {
+            let content = self.whole.content;
+            let known = known.map(|sum| json!([sum.0, sum.1]));
+            let body = json!({"since": self.since, "content": [content.0, content.1], "known": known,
+                "lists": self.lists, "configuration": text});
+            let body = body.to_string().into_bytes();
+            let mut out = MAGIC.to_vec();
+            out.extend_from_slice(&(body.len() as u32).to_be_bytes());
+            out.extend_from_slice(&crc32fast::hash(&body).to_be_bytes());
+            out.extend_from_slice(&body);
+            out
+        };
+        let whole = body(&self.text);
+        if whole.len() as u64 <= most {
+            return Ok(whole);
+        }
+        let mut text = self.text.clone();
+        text.as_object_mut().and_then(|text| text.remove("known"));
+        let short = body(&text);
+        let words = "the version is over its part of the folder";
+        let fits = short.len() as u64 <= most;
+        fits.then_some(short).ok_or_else(|| io::Error::new(io::ErrorKind::StorageFull, words))
+    }
+
+    /// What a file's bytes say; the words tell an operator why nothing is taken from them.
+    pub fn read(bytes: &[u8]) -> Result<Kept, &'static str> {
+        let rest = bytes.strip_prefix(MAGIC).ok_or("it is no such file")?;
+        let (header, body) = rest.split_at_checked(HEADER).ok_or("it is cut short")?;
+        let number =
+            |at: usize| u32::from_be_bytes([header[at], header[at + 1], header[at + 2], header[at + 3]]);
+        if body.len() as u64 != u64::from(number(0)) || crc32fast::hash(body) != number(4) {
+            return Err("its checksum is wrong");
+        }
+        Kept::from_body(body).ok_or("it cannot be read")
+    }
+
+    fn from_body(body: &[u8]) -> Option<Kept> {
+        let mut body: Value = serde_json::from_slice(body).ok()?;
+        let sum =
+            |value: &Value| Some(Sum(u32::try_from(value.get(0)?.as_u64()?).ok()?, value.get(1)?.as_u64()?));
+        let (since, content, known) = (body["since"].as_u64()?, sum(&body["content"])?, sum(&body["known"]));
+        let lists = body["lists"].as_str()?.to_string();
+        let mut kept = Kept::new(body["configuration"].take(), since, lists)?;
+        // What the file itself said, the list that it knew included.
+        kept.whole.content = content;
+        kept.whole.fixed.extend(known.map(|sum| ("known".to_string(), sum)));
+        Some(kept)
+    }
+}
+
+/// What the folder keeps; `None` where there is nothing, or nothing that can be used, which is worth one line.
+pub fn load(folder: &Path) -> Option<Kept> {
+    let path = folder.join(NAME);
+    let read = match fs::metadata(&path) {
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return None,
+        Err(e) => Err(e.to_string()),
+        Ok(found) if found.len() > MOST => Err("it is too long".to_string()),
+        Ok(_) => {
+            let bytes = fs::read(&path).map_err(|e| e.to_string());
+            bytes.and_then(|bytes| Kept::read(&bytes).map_err(str::to_string))
+        }
+    };
+    read.inspect_err(|words| log::warn!("the settings that were kept are passed over: {words}")).ok()
+}
+
+/// Puts a new file in the place of the old one.
+///
+/// # Errors
+/// The system's, or that it would be over its part of the folder's allowance, in bytes; the old file stays then.
+pub fn save(folder: &Path, allowance: u64, kept: &Kept) -> io::Result<()> {
+    let bytes = kept.bytes((allowance / 100 * PART).saturating_sub(BLOCK))?;
+    let path = folder.join(FRESH);
+    let mut file = File::create(&path)?;
+    let written = file.write_all(&bytes).and_then(|()| fs::rename(&path, folder.join(NAME)));
+    // Guards against half a file that takes room until the next start.
+    written.inspect_err(|_| drop(fs::remove_file(&path)))
+}
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod audit;
+pub mod changes;
 pub mod clients;
 pub mod command;
 pub mod config;
@@ -11,14 +12,17 @@
 pub mod exchange;
 pub mod http;
 pub mod journal;
+pub mod kept;
 pub mod link;
 pub mod members;
 pub mod memory;
 pub mod notes;
 pub mod notices;
+pub mod numbers;
 pub mod platform;
 pub mod resp;
 pub mod told;
+pub mod version;
 
 use std::cell::{Cell, RefCell};
 use std::future::Future;
@@ -32,6 +36,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout, Instant};
 
+use changes::{Change, Held, Start};
 use clients::Phase;
 use config::Config;
 use exchange::{Exchange, Shared};
@@ -66,6 +71,17 @@
     config: Config,
     discovery: watch::Receiver<SocketAddr>,
     stop: impl Future<Output = ()>,
+) -> io::Result<()> {
+    let (_none, changes) = mpsc::unbounded_channel();
+    serve_changing(Start { config, held: Held::default() }, discovery, changes, stop).await
+}
+
+/// The same, by settings that may change meanwhile.
+pub async fn serve_changing(
+    Start { config, mut held }: Start,
+    discovery: watch::Receiver<SocketAddr>,
+    changes: mpsc::UnboundedReceiver<Change>,
+    stop: impl Future<Output = ()>,
 ) -> io::Result<()> {
     let Config { name, listen, state, sockets, disk, known, decoded, peers, .. } = config;
     let for_clients = sockets / 3;
@@ -95,7 +111,11 @@
         journal.map_err(|e| io::Error::new(e.kind(), format!("the journal in {}: {e}", state.display())))?;
     // The folder is ours from here on. What it keeps saves no question: the list is asked for as ever.
     let kept = memory::load(&state, disk, exchange::Clock::new().now());
-    let kept = kept.and_then(|kept| kept.of(&memory::deployment(&decoded)));
+    let kept = kept.and_then(|kept| {
+        let ours = held.has_kept_for(&kept.deployment);
+        let of = if ours { kept.deployment.clone() } else { memory::deployment(&decoded) };
+        kept.of(&of)
+    });
     let (orders, orders_in) = mpsc::unbounded_channel();
     let (notices, notices_in) = mpsc::unbounded_channel();
     let news = notes.is_some().then_some(news);
@@ -105,6 +125,7 @@
     // its lists would be held to be from before.
     let index = known.index;
     exchange.listed(&discovery::List { snapshot: true, ..memory::Memory::newer(kept, known) });
+    changes::begin(&mut exchange, &mut held, &state, disk);
     let clock = exchange.clock;
     let shared: Shared = Rc::new(RefCell::new(exchange));
     let (phase, phase_in) = watch::channel(Phase::Serving);
@@ -117,6 +138,7 @@
     let listening =
         parts.spawn_local(clients::listen(shared.clone(), listener, for_clients, clients.clone(), phase_in));
     parts.spawn_local(log_counts(shared.clone()));
+    parts.spawn_local(changes::follow(shared.clone(), held, (state, disk), changes));
     if let Some((socket, others)) = notes {
         parts.spawn_local(notes::exchange(shared.clone(), socket, others, news_in));
     }
@@ -163,9 +185,12 @@
     let mut last = exchange::Counts::default();
     loop {
         sleep(EVERY).await;
-        let (counts, in_hand) = (shared.borrow().counts, shared.borrow().in_hand());
+        let exchange = shared.borrow();
+        let (counts, in_hand) = (exchange.counts, exchange.in_hand());
         if counts != last {
-            log::info!("{in_hand} mails in hand, {counts:?}");
+            let versions = exchange.versions.words(exchange.clock.now());
+            let versions = versions.map(|words| format!("; {words}")).unwrap_or_default();
+            log::info!("{in_hand} mails in hand, {counts:?}{versions}");
             last = counts;
         }
     }
--- /dev/null
+++ b/crates/courier/src/numbers.rs
@@ -0,0 +1,80 @@
+//! Numbers of classes over the versions of the settings: what was taken on keeps the number of its class, and the number
+//! means for it what it meant. No I/O.
+
+use std::collections::{BTreeSet, HashMap};
+
+use bytes::Bytes;
+use meadowhold::interface::QueueClass;
+
+use crate::journal::{Terms, MOST_CLASSES};
+
+/// The module's classes by number.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Classes {
+    pub classes: Vec<QueueClass>,
+    /// What a message of each is taken on with.
+    pub terms: Vec<Terms>,
+    /// Those that a message may be taken on with now.
+    pub named: HashMap<Bytes, usize>,
+}
+
+/// What a message keeps of its class to its end.
+fn rules(c: &QueueClass) -> (meadowhold::interface::Effect, bool, meadowhold::interface::Time, bool) {
+    (c.effect, c.by_zone, c.window, c.in_turn)
+}
+
+impl Classes {
+    /// Those of a version that follows, with at least one class. A class of which only targets and worths change keeps
+    /// its number; one with other rules gets one that nothing is held by (`is_used`), or a new one. What is left goes
+    /// on by its own rules; what a delay of it costs follows the class of its name, or else one that is alike, as after
+    /// a restart.
+    ///
+    /// # Errors
+    /// Words, where too many classes of earlier versions still have messages.
+    pub fn after(
+        &self,
+        names: &[String],
+        new: &[QueueClass],
+        is_used: impl Fn(usize) -> bool,
+    ) -> Result<Classes, &'static str> {
+        let mut after = Classes { named: HashMap::new(), ..self.clone() };
+        let mut claimed: BTreeSet<usize> = BTreeSet::new();
+        let mut moved = Vec::new();
+        for (name, class) in names.iter().zip(new) {
+            let held = self.named.get(name.as_bytes()).copied();
+            match held.filter(|&at| rules(&self.classes[at]) == rules(class) && claimed.insert(at)) {
+                Some(at) => after.put(at, name, class),
+                None => moved.push((name, class)),
+            }
+        }
+        for (name, class) in moved {
+            let free = (0..after.classes.len()).find(|&at| !claimed.contains(&at) && !is_used(at));
+            let at = free.unwrap_or(after.classes.len());
+            claimed.insert(at);
+            after.put(at, name, class);
+        }
+        if after.classes.len() > MOST_CLASSES {
+            return Err("are too many with those that still have messages");
+        }
+        for at in (0..after.classes.len()).filter(|at| !claimed.contains(at)) {
+            let held = &self.classes[at];
+            let same = names.iter().position(|name| name.as_bytes() == self.terms[at].class);
+            let base = same.or_else(|| new.iter().position(|class| class.effect == held.effect));
+            let (effect, by_zone, window, in_turn) = rules(held);
+            let base = new[base.unwrap_or_default()].clone();
+            after.classes[at] = QueueClass { effect, by_zone, window, in_turn, ..base };
+        }
+        Ok(after)
+    }
+
+    fn put(&mut self, at: usize, name: &str, class: &QueueClass) {
+        let terms = Terms::new(name, class);
+        self.named.insert(terms.class.clone(), at);
+        if at == self.classes.len() {
+            self.classes.push(class.clone());
+            self.terms.push(terms);
+        } else {
+            (self.classes[at], self.terms[at]) = (class.clone(), terms);
+        }
+    }
+}
--- a/crates/courier/tests/renamed.rs
+++ b/crates/courier/tests/renamed.rs
@@ -446,6 +446,7 @@
         let mut decided = vec![format!("turn {turn}")];
         while let Ok(order) = self.around.0.try_recv() {
             match order {
+                Order::Times { .. } => {}
                 Order::LetGo(place) => decided.push(format!("close {place}")),
                 Order::Call(call) => {
                     let sent: Vec<(u64, Time, Time)> =
--- /dev/null
+++ b/crates/courier/tests/settings.rs
@@ -0,0 +1,607 @@
+//! Versions of the settings in real couriers: in force between two turns, whole or not at all, kept through restarts,
+//! and never an older one than was said to be in force.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::fs::{self, File};
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Child, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::{
+    answers, command, config, output, own_address, put, serve, settings, until, until_for, Client, Folder,
+    Platform,
+};
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+use std::io::Write;
+
+const LONG: Duration = Duration::from_secs(30);
+
+/// A courier's process; what each one says goes to a file of its own.
+struct Process {
+    listen: SocketAddr,
+    folder: Folder,
+    config: Value,
+    child: Child,
+    started: usize,
+}
+
+impl Process {
+    fn start(platform: &Platform, change: impl FnOnce(&mut Value)) -> Process {
+        let (listen, folder) = (own_address(), Folder::new());
+        let mut config = config(platform, listen);
+        change(&mut config);
+        let child = Process::spawn(&folder, &config.to_string(), 0);
+        let process = Process { listen, folder, config, child, started: 0 };
+        answers(listen);
+        process
+    }
+
+    fn spawn(folder: &Folder, text: &str, started: usize) -> Child {
+        let said = File::create(folder.path.join(format!("said{started}"))).unwrap();
+        let mut command = command(folder, &Value::Null, "serve");
+        fs::write(folder.path.join("config.json"), text).unwrap();
+        command.env("RUST_LOG", "info").stderr(said).stdin(Stdio::null()).spawn().unwrap()
+    }
+
+    fn said(&self) -> String {
+        fs::read_to_string(self.folder.path.join(format!("said{}", self.started))).unwrap()
+    }
+
+    fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+        let said = self.said();
+        assert!(!said.contains("panicked") && !said.contains("ERROR"), "{said}");
+    }
+
+    /// Another process on the folder, with this text in the place of its configuration.
+    fn start_again(&mut self, text: &str) {
+        self.started += 1;
+        self.child = Process::spawn(&self.folder, text, self.started);
+        answers(self.listen);
+    }
+
+    fn hup(&self) {
+        kill_process(Pid::from_child(&self.child), Signal::HUP).unwrap();
+    }
+
+    /// Puts the text there whole, and says so.
+    fn offer(&self, text: &str) {
+        let next = self.folder.path.join("config.next");
+        fs::write(&next, text).unwrap();
+        fs::rename(&next, self.folder.path.join("config.json")).unwrap();
+        self.hup();
+    }
+
+    fn says(&self, words: &str) {
+        until_for(LONG, words, || self.said().contains(words));
+    }
+
+    /// The versions that this process has said to be in force.
+    fn in_force(&self) -> Vec<u64> {
+        in_force(&self.said())
+    }
+
+    fn client(&self) -> Client {
+        Client::connect(self.listen).unwrap()
+    }
+
+    /// Whether a message of this class is taken on; it is of a destination that never gets it.
+    fn takes(&self, class: &str) -> bool {
+        static NEXT: AtomicU64 = AtomicU64::new(1);
+        let id = format!("t{}", NEXT.fetch_add(1, Ordering::Relaxed));
+        let answer = self.client().put(&id, class, "d=300,k=77");
+        assert!(["+OK", "-ERR unknown class"].contains(&&answer[..]), "{class}: {answer}");
+        answer == "+OK"
+    }
+
+    fn on_file(&self) -> Option<Vec<u8>> {
+        fs::read(self.folder.path.join("state").join("settings")).ok()
+    }
+
+    fn ends_well(mut self) {
+        kill_process(Pid::from_child(&self.child), Signal::TERM).unwrap();
+        until_for(LONG, "its end", || self.child.try_wait().unwrap().is_some());
+        let said = self.said();
+        let last = said.lines().last().unwrap_or_default();
+        assert!(last.contains("has ended") && last.contains("broken: 0"), "{said}");
+        assert!(!said.contains("ERROR") && !said.contains("panicked"), "{said}");
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Warnings, but for those of an entry of the list that cannot be read: there always is one.
+fn warned(said: &str) -> Vec<&str> {
+    said.lines().filter(|line| line.contains("WARN") && !line.contains("an entry of the list")).collect()
+}
+
+fn in_force(said: &str) -> Vec<u64> {
+    let numbers = said.lines().filter_map(|line| line.split_once("settings version ")?.1.split_once(' '));
+    numbers.filter(|(_, rest)| *rest == "are in force").map(|(number, _)| number.parse().unwrap()).collect()
+}
+
+fn class(name: &str, effect: &str) -> Value {
+    json!({"Name": name, "Effect": effect, "Group": "all", "DedupWindowUs": 5_000_000,
+        "PromiseUs": 200_000, "HardLimitUs": 4_000_000, "Worth": 1.0, "LateWorth": 0.0})
+}
+
+/// A version with a class of its own, by which it can be told that all of it is in force.
+fn version(config: &Value, number: u64) -> Value {
+    let mut config = config.clone();
+    config["version"] = json!(number);
+    let mut classes = settings()["Profiles"].as_array().unwrap().clone();
+    classes.push(class(&format!("v{number}"), "read_like"));
+    config["settings"]["Profiles"] = json!(classes);
+    config
+}
+
+/// Twelve faults, and where each is.
+fn with_twelve_faults(config: &Value) -> (Value, [&'static str; 12]) {
+    let mut config = config.clone();
+    config["limits"] = json!({"sockets": 8, "disk_mb": -1});
+    config["listen"] = json!("here");
+    config["discovery"] = json!(7);
+    config["peers"] = json!({"listen": "there", "others": ["a"]});
+    let settings = &mut config["settings"];
+    settings["ResolutionUs"] = json!("often");
+    settings["Limits"]["MaxOpen"] = Value::Null;
+    settings["FamilyInfo"]["Slots"] = json!(-4);
+    settings["Profiles"][0]["Effect"] = json!("none");
+    settings["Profiles"][1]["PromiseUs"] = json!(u64::MAX);
+    settings["Profiles"][2]["Worth"] = json!("much");
+    let places = [
+        "limits.sockets is under 64",
+        "limits.disk_mb is no size",
+        "listen or ROUTER_LISTEN is no address: here",
+        "discovery cannot be read",
+        "peers.listen is no address: there",
+        "peers.others is no address: a",
+        "setting ResolutionUs cannot be read",
+        "setting Limits.MaxOpen cannot be read",
+        "setting FamilyInfo.Slots cannot be read",
+        "setting Profiles.0.Effect cannot be read",
+        "setting Profiles.1.PromiseUs is no time",
+        "setting Profiles.2.Worth cannot be read",
+    ];
+    (config, places)
+}
+
+fn platform() -> Platform {
+    let platform = Platform::new();
+    // Nobody is there.
+    platform.list("e0", "127.0.0.1:9".parse().unwrap(), "single", 7, "SERVING");
+    platform
+}
+
+#[test]
+fn a_bad_version_is_turned_down_by_each_of_three_couriers_and_rolled_back_by_a_new_number() {
+    let platform = platform();
+    let mut couriers = [1, 2, 3].map(|_| Process::start(&platform, |config| *config = version(config, 1)));
+    for courier in &mut couriers {
+        courier.says("settings version 1 are in force");
+        courier.offer(&version(&courier.config, 2).to_string());
+        courier.says("settings version 2 are in force");
+        assert!(courier.takes("v2") && !courier.takes("v1"));
+        let (bad, places) = with_twelve_faults(&version(&courier.config, 3));
+        courier.offer(&bad.to_string());
+        courier.says("settings version 3 are turned down: ");
+        let said = courier.said();
+        let line: Vec<&str> = said.lines().filter(|line| line.contains("turned down")).collect();
+        assert_eq!(line.len(), 1, "one line: {said}");
+        for place in places {
+            assert_eq!(line[0].matches(place).count(), 1, "{place}: {}", line[0]);
+        }
+        assert!(courier.takes("v2") && !courier.takes("v3"), "nothing has changed");
+        // The last good one stays through restarts, with the bad one in its place.
+        for _ in 0..2 {
+            courier.kill();
+            courier.start_again(&bad.to_string());
+            let said = courier.said();
+            assert_eq!(courier.in_force(), [2], "{said}");
+            let warned = warned(&said);
+            assert_eq!(warned.len(), 1, "{said}");
+            assert!(places.iter().all(|place| warned[0].contains(place)), "{}", warned[0]);
+            assert!(courier.takes("v2") && !courier.takes("v3"));
+        }
+        // The content of the first, by a new number.
+        let mut back = version(&courier.config, 1);
+        back["version"] = json!(4);
+        courier.offer(&back.to_string());
+        courier.says("settings version 4 are in force");
+        assert!(courier.takes("v1") && !courier.takes("v2"));
+    }
+    couriers.into_iter().for_each(Process::ends_well);
+}
+
+#[test]
+fn older_versions_other_content_and_what_needs_a_start_are_refused_with_their_names() {
+    let platform = platform();
+    let courier = Process::start(&platform, |config| *config = version(config, 5));
+    let base = version(&courier.config, 5);
+    let with = |number: u64, change: &dyn Fn(&mut Value)| {
+        let mut config = version(&courier.config, number);
+        change(&mut config);
+        config
+    };
+    let rows: [(Value, &[&str]); 7] = [
+        (version(&base, 4), &["version 4 are turned down: version is older than the one that is held"]),
+        (
+            with(5, &|config| config["settings"]["Limits"]["MaxOpen"] = json!(65)),
+            &["version 5 are turned down: version has another content than the one of its number that is held"],
+        ),
+        (
+            with(6, &|config| {
+                config["name"] = json!("n2");
+                config["listen"] = json!("127.0.0.1:1");
+                config["seed"] = json!("7");
+                config["limits"]["disk_mb"] = json!(4);
+                config["known"]["index"] = json!(99);
+                config["settings"]["MembershipMode"] = json!("ask");
+                config["settings"]["FamilyInfo"]["OwnLimits"] = json!([false, false]);
+                config["settings"]["Limits"]["MaxOpen"] = json!(65);
+            }),
+            &[
+                "known cannot change without a start; limits.disk_mb cannot change without a start; listen cannot",
+                "; name cannot change without a start; seed cannot change without a start; setting FamilyInfo",
+                "OwnLimits cannot change without a start for single; setting MembershipMode cannot change",
+            ],
+        ),
+        (with(7, &|config| config["version"] = json!("7")), &["without a version that can be read are turned"]),
+        (with(7, &|config| config["version"] = json!(0)), &["version is under 1"]),
+        (
+            with(7, &|config| drop(config.as_object_mut().unwrap().remove("version"))),
+            &["version is missing, and one is in force"],
+        ),
+        (json!(7), &["cannot be read: invalid type"]),
+    ];
+    let kept = courier.on_file().unwrap();
+    for (offered, words) in rows {
+        let down = |said: &str| -> Vec<String> {
+            said.lines().filter(|line| line.contains("turned down")).map(str::to_string).collect()
+        };
+        let lines = down(&courier.said()).len();
+        courier.offer(&offered.to_string());
+        until_for(LONG, "its answer", || down(&courier.said()).len() > lines);
+        let said = down(&courier.said());
+        assert!(words.iter().all(|words| said[lines].contains(words)), "{}", said[lines]);
+        assert_eq!(said.len(), lines + 1, "one line");
+        assert_eq!((courier.in_force(), courier.on_file().as_ref()), (vec![5], Some(&kept)));
+        assert!(courier.takes("v5"));
+    }
+    // The same once more is no fault.
+    courier.offer(&serde_json::to_string_pretty(&base).unwrap());
+    courier.says("the configuration is read anew");
+    assert!(!courier.said().lines().last().unwrap().contains("turned down"));
+    courier.ends_well();
+}
+
+#[test]
+fn a_hundred_changes_as_fast_as_they_are_read_are_each_in_force() {
+    let platform = platform();
+    let courier = Process::start(&platform, |config| *config = version(config, 1));
+    let start = Instant::now();
+    for number in 2..=101 {
+        courier.offer(&version(&courier.config, number).to_string());
+        courier.says(&format!("settings version {number} are in force"));
+    }
+    println!("100 changes in {:?}", start.elapsed());
+    assert_eq!(courier.in_force(), (1..=101).collect::<Vec<u64>>());
+    assert!(courier.takes("v101") && !courier.takes("v100"));
+    // Each told without waiting for the last: some are passed over, none is taken after a later one.
+    for number in 102..=201 {
+        courier.offer(&version(&courier.config, number).to_string());
+    }
+    courier.says("settings version 201 are in force");
+    let numbers = courier.in_force();
+    assert!(numbers.windows(2).all(|pair| pair[0] < pair[1]), "{numbers:?}");
+    println!("{} of 100 in force", numbers.len() - 101);
+    assert!(courier.takes("v201"));
+    courier.ends_well();
+}
+
+#[test]
+fn whenever_it_is_killed_a_courier_has_the_old_or_the_new_version_whole_and_never_an_older_one() {
+    let seed = 11;
+    println!("seed {seed}");
+    let mut chance = fastrand::Rng::with_seed(seed);
+    let platform = platform();
+    let mut courier = Process::start(&platform, |config| *config = version(config, 1));
+    let base = courier.config.clone();
+    let (mut newest, mut number, mut both) = (1, 1, [0, 0]);
+    for round in 0..24 {
+        // Some are taken, the last may be, or not, when the process is killed.
+        for _ in 0..chance.u8(1..4) {
+            number += 1;
+            courier.offer(&version(&base, number).to_string());
+            thread::sleep(Duration::from_micros(chance.u64(..6000)));
+        }
+        courier.kill();
+        let stated = courier.in_force().into_iter().max().unwrap();
+        assert!(stated >= newest, "{}", courier.said());
+        // In the place of the file: the older ones, half of a new one, or one with faults.
+        let text = match round % 3 {
+            0 => version(&base, 1).to_string(),
+            1 => version(&base, number + 1).to_string()[..700].to_string(),
+            _ => with_twelve_faults(&version(&base, number + 1)).0.to_string(),
+        };
+        courier.start_again(&text);
+        let now = courier.in_force();
+        assert!(now.len() == 1 && now[0] >= stated && now[0] <= number, "{now:?} after {stated}");
+        both[usize::from(now[0] > stated)] += 1;
+        newest = now[0];
+        for other in [newest - 1, newest, newest + 1] {
+            assert_eq!(courier.takes(&format!("v{other}")), other == newest, "{other} of {newest}");
+        }
+    }
+    println!("killed after it was said {} times, before it {} times", both[0], both[1]);
+    courier.ends_well();
+}
+
+/// What a stand-in saw of calls: of each its id, and how many were in progress with it, by when it began.
+#[derive(Default)]
+struct Calls {
+    in_progress: usize,
+    begun: Vec<(Instant, String, usize)>,
+}
+
+/// An endpoint that takes so long for each call, and counts.
+fn slow(takes: Duration) -> (SocketAddr, Arc<Mutex<Calls>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let calls: Arc<Mutex<Calls>> = Arc::default();
+    let seen = calls.clone();
+    serve(listener, move |request, out| {
+        {
+            let mut calls = seen.lock().unwrap();
+            calls.in_progress += 1;
+            let now = calls.in_progress;
+            calls.begun.extend(request.ids().into_iter().map(|id| (Instant::now(), id, now)));
+        }
+        thread::sleep(takes);
+        // Before the answer: a call that follows it is none beside it.
+        seen.lock().unwrap().in_progress -= 1;
+        out.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").is_ok()
+    });
+    (address, calls)
+}
+
+#[test]
+fn a_limit_lowered_under_load_is_never_exceeded_by_a_new_call() {
+    let platform = Platform::new();
+    let (address, calls) = slow(Duration::from_millis(120));
+    platform.list("e0", address, "many", 7, "SERVING");
+    let slots = |config: &Value, number: u64, slots: usize| {
+        let mut config = config.clone();
+        config["version"] = json!(number);
+        config["settings"]["FamilyInfo"] =
+            json!({"Slots": slots, "KindBatch": [1, 1], "OwnLimits": [true, false]});
+        config["settings"]["Limits"]["MaxOpen"] = json!(4000);
+        config["settings"]["Weights"] = json!("none");
+        config
+    };
+    // Three quarters of the slots are a destination's at most: 12, then 3, then 12.
+    let courier = Process::start(&platform, |config| *config = slots(config, 1, 16));
+    let base = courier.config.clone();
+    let end = Arc::new(AtomicBool::new(false));
+    let load = {
+        let (mut client, end) = (courier.client(), end.clone());
+        thread::spawn(move || {
+            let mut taken = 0;
+            while !end.load(Ordering::Relaxed) {
+                let answer = client.put(&format!("{taken}"), "once", "d=4000");
+                taken += u64::from(answer == "+OK");
+                thread::sleep(Duration::from_millis(4));
+            }
+            taken
+        })
+    };
+    let begun = |from: Instant, to: Instant| -> Vec<usize> {
+        let calls = calls.lock().unwrap();
+        calls.begun.iter().filter(|call| (from..to).contains(&call.0)).map(|call| call.2).collect()
+    };
+    let far = || Instant::now() + LONG;
+    let start = Instant::now();
+    until("the old limit", || begun(start, far()).iter().filter(|&&now| now == 12).count() > 20);
+    courier.offer(&slots(&base, 2, 4).to_string());
+    courier.says("settings version 2 are in force");
+    // Connections take a moment: what was decided on before may come in just after.
+    let lowered = Instant::now() + Duration::from_millis(100);
+    until("many calls within the new limit", || begun(lowered, far()).len() > 30);
+    let raised = Instant::now();
+    courier.offer(&slots(&base, 3, 16).to_string());
+    until("more calls again", || begun(raised, far()).iter().any(|&now| now > 6));
+    end.store(true, Ordering::Relaxed);
+    let taken = load.join().unwrap();
+    let within = begun(lowered, raised);
+    assert!(within.iter().all(|&now| now <= 3), "{within:?}");
+    assert!(begun(start, far()).iter().all(|&now| now <= 12));
+    // Nothing lost, nothing twice.
+    until_for(LONG, "all ends", || {
+        let (delivered, told) = (calls.lock().unwrap().begun.len(), platform.notices().len());
+        (delivered + told) as u64 >= taken && calls.lock().unwrap().in_progress == 0
+    });
+    let ids: Vec<String> = calls.lock().unwrap().begun.iter().map(|call| call.1.clone()).collect();
+    let mut once = ids.clone();
+    once.sort();
+    once.dedup();
+    assert_eq!(once.len(), ids.len(), "a call for each, and no second");
+    println!("{taken} taken, {} delivered, {} within the lowered limit", ids.len(), within.len());
+    courier.ends_well();
+}
+
+#[test]
+fn sighup_without_end_under_load_loses_nothing_and_runs_nothing_twice_in_three_couriers() {
+    let platform = Platform::new();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    // How often each was served; some calls are refused, or end unsent.
+    let ran: Arc<Mutex<(u64, BTreeMap<String, usize>)>> = Arc::default();
+    let seen = ran.clone();
+    serve(listener, move |request, out| {
+        let status = {
+            let (calls, ran) = &mut *seen.lock().unwrap();
+            *calls += 1;
+            let status = match *calls % 25 {
+                3 => "429 X\r\nRetry-After: 0.005",
+                7 => "503 X\r\nX-Over-Slots: 1",
+                _ => "200 X",
+            };
+            if status == "200 X" {
+                request.ids().into_iter().for_each(|id| *ran.entry(id).or_default() += 1);
+            }
+            status
+        };
+        write!(out, "HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n").is_ok()
+    });
+    platform.list("e0", address, "single", 7, "SERVING");
+    let couriers = [0, 1, 2].map(|_| Process::start(&platform, |config| *config = version(config, 1)));
+    let mut owed: BTreeMap<String, usize> = BTreeMap::new();
+    let mut number = 1;
+    for step in 0..60 {
+        for (i, courier) in couriers.iter().enumerate() {
+            let mut client = courier.client();
+            number += 1;
+            courier.offer(&version(&courier.config, number).to_string());
+            for n in 0..4 {
+                let id = format!("m{i}-{step}-{n}");
+                let class = ["once", "again", "tagged", "turns"][n];
+                let answer = client.say(&put("7f3a", &id, class, "d=3500,k=77", b"hello"));
+                if answer == "+OK" {
+                    owed.insert(id, i);
+                }
+            }
+        }
+    }
+    until_for(LONG, "all ends", || {
+        let (ran, told) = (ran.lock().unwrap().1.clone(), platform.notices());
+        owed.keys().all(|id| ran.contains_key(id) || told.iter().any(|notice| notice.0 == *id))
+            && couriers.iter().all(|courier| {
+                let mut owed = command(&courier.folder, &courier.config, "owed");
+                String::from_utf8(owed.output().unwrap().stdout).unwrap().starts_with("0 mails owed")
+            })
+    });
+    let told = platform.notices();
+    let calls = ran.lock().unwrap().1.clone();
+    for id in owed.keys() {
+        let (ran, ends) = (calls.get(id).copied().unwrap_or(0), told.iter().filter(|n| n.0 == *id).count());
+        assert!(ran + ends >= 1, "{id} is lost");
+        // What may run again may do so after a time-out, and be handed back after it.
+        let once = id.ends_with("-0");
+        assert!(ends <= 1 && (!once || ran <= 1), "{id} ran {ran} times, and was told of {ends} times");
+    }
+    let changes: Vec<usize> = couriers.iter().map(|courier| courier.in_force().len()).collect();
+    println!("{} taken, {} given up, versions in force {changes:?}", owed.len(), told.len());
+    assert!(owed.len() > 300 && changes.iter().all(|&changes| changes > 20));
+    couriers.into_iter().for_each(Process::ends_well);
+}
+
+#[test]
+fn without_a_version_a_courier_does_as_it_did() {
+    let platform = platform();
+    let courier = Process::start(&platform, |_| ());
+    let mut changed = version(&courier.config, 1);
+    changed.as_object_mut().unwrap().remove("version");
+    changed["name"] = json!("n2");
+    courier.offer(&changed.to_string());
+    courier.says("the configuration is read anew: discovery at");
+    assert!(courier.takes("again") && !courier.takes("v1"));
+    courier.offer("{");
+    courier.says("the configuration cannot be read anew: ");
+    let said = courier.said();
+    assert!(!said.contains("settings version") && !said.contains("turned down"), "{said}");
+    let mut files: Vec<String> = fs::read_dir(courier.folder.path.join("state"))
+        .unwrap()
+        .map(|file| file.unwrap().file_name().into_string().unwrap())
+        .filter(|name| !name.ends_with(".new"))
+        .collect();
+    files.sort();
+    assert_eq!(files, ["journal", "lock", "memory"]);
+    // The first that has one is taken while it runs, and from there on there is no way back to none.
+    courier.offer(&version(&courier.config, 1).to_string());
+    courier.says("settings version 1 are in force");
+    assert!(courier.takes("v1"));
+    courier.offer(&courier.config.to_string());
+    courier.says("version is missing, and one is in force");
+    assert!(courier.takes("v1"));
+}
+
+#[test]
+fn a_start_takes_the_newer_of_the_file_and_what_is_kept_and_says_which() {
+    let platform = platform();
+    let mut courier = Process::start(&platform, |config| *config = version(config, 3));
+    let base = courier.config.clone();
+    courier.kill();
+    // (the file, what is in force, words of the one line about it)
+    let other = |number: u64| {
+        let mut other = version(&base, number);
+        other["settings"]["Limits"]["MaxOpen"] = json!(65);
+        other.to_string()
+    };
+    let rows: [(String, u64, Option<&str>); 8] = [
+        (version(&base, 3).to_string(), 3, None),
+        (version(&base, 2).to_string(), 3, Some("version 2 are turned down: version is older")),
+        (other(3), 3, Some("version 3 are turned down: version has another content")),
+        ("".to_string(), 3, Some("are turned down: cannot be read: EOF")),
+        (version(&base, 5).to_string(), 5, None),
+        (version(&base, 4).to_string(), 5, Some("version 4 are turned down: version is older")),
+        (other(6).replace("n1", "n9"), 6, None),
+        (format!("{}}}", version(&base, 7)), 6, Some("are turned down: cannot be read: trailing")),
+    ];
+    for (text, number, words) in rows {
+        courier.start_again(&text);
+        let said = courier.said();
+        assert_eq!(courier.in_force(), [number], "{said}");
+        let warned = warned(&said);
+        assert_eq!(warned.len(), usize::from(words.is_some()), "{said}");
+        assert!(words.is_none_or(|words| warned[0].contains(words)), "{said}");
+        courier.kill();
+    }
+    // A file that is not there at all.
+    fs::remove_file(courier.folder.path.join("config.json")).unwrap();
+    let said = File::create(courier.folder.path.join("said99")).unwrap();
+    let mut absent = command(&courier.folder, &base, "serve");
+    fs::remove_file(courier.folder.path.join("config.json")).unwrap();
+    courier.child = absent.env("RUST_LOG", "info").stderr(said).spawn().unwrap();
+    courier.started = 99;
+    answers(courier.listen);
+    assert_eq!(courier.in_force(), [6]);
+    courier.kill();
+    // What is kept is spoilt: the file's serves, and a bad one ends the start as ever.
+    let path = courier.folder.path.join("state").join("settings");
+    let mut bytes = fs::read(&path).unwrap();
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 1;
+    fs::write(&path, bytes).unwrap();
+    let (ended_well, said) = output(command(&courier.folder, &json!({"version": 9}), "serve"));
+    assert!(!ended_well && said.contains("settings is missing"), "{said}");
+    courier.started = 100;
+    courier.start_again(&version(&base, 2).to_string());
+    assert!(courier.said().contains("the settings that were kept are passed over: its checksum is wrong"));
+    assert_eq!(courier.in_force(), [2]);
+    courier.ends_well();
+}
+
+#[test]
+fn check_says_the_version_where_there_is_one() {
+    let (platform, folder) = (platform(), Folder::new());
+    let base = config(&platform, own_address());
+    for (config, words) in [(version(&base, 12), Some("settings version 12\n")), (base, None)] {
+        let output = command(&folder, &config, "check").output().unwrap();
+        let out = String::from_utf8(output.stdout).unwrap();
+        assert!(output.status.success());
+        assert_eq!(out.contains("version 12"), words.is_some(), "{out}");
+        assert!(words.is_none_or(|words| out.ends_with(words)), "{out}");
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -206,6 +206,12 @@
     read(seed, &Pairs::from_json(settings))
 }
 
+/// What nested JSON says at these paths, as the lines would; `None` where it says nothing. Nothing is checked.
+pub fn texts<const N: usize>(settings: &Value, paths: [&str; N]) -> [Option<String>; N] {
+    let pairs = Pairs::from_json(settings);
+    paths.map(|path| pairs.0.get(path).cloned())
+}
+
 fn read(seed: u64, pairs: &Pairs) -> Result<Decoded, Faults> {
     let p = &Reader { pairs, faults: RefCell::default() };
     let fields: Vec<String> = p.list("Telemetry.Fields");
