--- a/crates/courier/src/changes.rs
+++ b/crates/courier/src/changes.rs
@@ -66,7 +66,7 @@
             let refused = Refused { file: None, faults: faults.clone() };
             let refused = read.err().unwrap_or(refused);
             let Some(kept) = kept else { return Err(refused) };
-            let config = match Config::kept(kept.text.to_string().as_bytes()) {
+            let config = match Config::kept(&kept.text) {
                 Ok(config) => config,
                 Err(e) => {
                     log::warn!("the settings that were kept cannot stand in: {e}");
--- a/crates/courier/src/config.rs
+++ b/crates/courier/src/config.rs
@@ -148,7 +148,7 @@
 /// A configuration as it is found: what tells it from another as far as that can be read, and what it says.
 pub struct Offered {
     /// The file, where it has a version.
-    pub text: Option<Value>,
+    pub text: Option<Vec<u8>>,
     pub whole: Option<Whole>,
     pub read: Result<Config, Refused>,
 }
@@ -281,10 +281,9 @@
     /// From the file's text, and from variables by name.
     pub fn of(text: &[u8], variable: &dyn Fn(&str) -> Option<String>) -> Offered {
         let read = Config::read(text, variable);
-        let text = serde_json::from_slice::<Value>(text).ok();
-        let whole = text.as_ref().and_then(Whole::of);
-        let text = text.filter(|_| whole.as_ref().is_some_and(|whole| whole.stamp().is_some()));
-        Offered { text, whole, read }
+        let whole = Whole::read(text);
+        let numbered = whole.as_ref().is_some_and(|whole| whole.stamp().is_some());
+        Offered { text: numbered.then(|| text.to_vec()), whole, read }
     }
 }
 
--- a/crates/courier/src/kept.rs
+++ b/crates/courier/src/kept.rs
@@ -30,14 +30,14 @@
     /// What the list was kept for (`memory::deployment`) by the process that put this on file. Guards against a list
     /// that is passed over as another deployment's because a class has changed meanwhile.
     pub lists: String,
-    /// The file's text, spaced anew; without the list that it knew if that is long.
-    pub text: Value,
+    /// The file's text; without spaces, and without the list that it knew, where that is too long.
+    pub text: Vec<u8>,
 }
 
 impl Kept {
     /// `None` where it has no number.
-    pub fn new(text: Value, since: Time, lists: String) -> Option<Kept> {
-        let whole = Whole::of(&text).filter(|whole| whole.stamp().is_some())?;
+    pub fn new(text: Vec<u8>, since: Time, lists: String) -> Option<Kept> {
+        let whole = Whole::read(&text).filter(|whole| whole.stamp().is_some())?;
         Some(Kept { since, whole, lists, text })
     }
 
@@ -45,31 +45,34 @@
         self.whole.stamp()
     }
 
-    /// The file's bytes, `most` at most: the list is left out before that.
+    /// The file's bytes, `most` at most.
     fn bytes(&self, most: u64) -> io::Result<Vec<u8>> {
-        let known = self.whole.fixed.get("known");
-        let body = |text: &Value| {
-            let content = self.whole.content;
-            let known = known.map(|sum| json!([sum.0, sum.1]));
-            let body = json!({"since": self.since, "content": [content.0, content.1], "known": known,
-                "lists": self.lists, "configuration": text});
-            let body = body.to_string().into_bytes();
-            let mut out = MAGIC.to_vec();
-            out.extend_from_slice(&(body.len() as u32).to_be_bytes());
-            out.extend_from_slice(&crc32fast::hash(&body).to_be_bytes());
-            out.extend_from_slice(&body);
-            out
-        };
-        let whole = body(&self.text);
-        if whole.len() as u64 <= most {
-            return Ok(whole);
+        let mut bytes = self.with(&self.text);
+        if bytes.len() as u64 > most {
+            let mut text: Value = serde_json::from_slice(&self.text)?;
+            bytes = self.with(text.to_string().as_bytes());
+            if bytes.len() as u64 > most {
+                text.as_object_mut().and_then(|text| text.remove("known"));
+                bytes = self.with(text.to_string().as_bytes());
+            }
         }
-        let mut text = self.text.clone();
-        text.as_object_mut().and_then(|text| text.remove("known"));
-        let short = body(&text);
         let words = "the version is over its part of the folder";
-        let fits = short.len() as u64 <= most;
-        fits.then_some(short).ok_or_else(|| io::Error::new(io::ErrorKind::StorageFull, words))
+        let fits = bytes.len() as u64 <= most;
+        fits.then_some(bytes).ok_or_else(|| io::Error::new(io::ErrorKind::StorageFull, words))
+    }
+
+    /// A line of what is known of the text, and the text.
+    fn with(&self, text: &[u8]) -> Vec<u8> {
+        let (content, known) = (self.whole.content, self.whole.fixed.get("known"));
+        let known = known.map(|sum| json!([sum.0, sum.1]));
+        let line = json!({"since": self.since, "content": [content.0, content.1], "known": known,
+            "lists": self.lists});
+        let body = [line.to_string().as_bytes(), b"\n", text].concat();
+        let mut out = MAGIC.to_vec();
+        out.extend_from_slice(&(body.len() as u32).to_be_bytes());
+        out.extend_from_slice(&crc32fast::hash(&body).to_be_bytes());
+        out.extend_from_slice(&body);
+        out
     }
 
     /// What a file's bytes say; the words tell an operator why nothing is taken from them.
@@ -85,12 +88,12 @@
     }
 
     fn from_body(body: &[u8]) -> Option<Kept> {
-        let mut body: Value = serde_json::from_slice(body).ok()?;
+        let end = body.iter().position(|&b| b == b'\n')?;
+        let line: Value = serde_json::from_slice(&body[..end]).ok()?;
         let sum =
             |value: &Value| Some(Sum(u32::try_from(value.get(0)?.as_u64()?).ok()?, value.get(1)?.as_u64()?));
-        let (since, content, known) = (body["since"].as_u64()?, sum(&body["content"])?, sum(&body["known"]));
-        let lists = body["lists"].as_str()?.to_string();
-        let mut kept = Kept::new(body["configuration"].take(), since, lists)?;
+        let (since, content, known) = (line["since"].as_u64()?, sum(&line["content"])?, sum(&line["known"]));
+        let mut kept = Kept::new(body[end + 1..].to_vec(), since, line["lists"].as_str()?.to_string())?;
         // What the file itself said, the list that it knew included.
         kept.whole.content = content;
         kept.whole.fixed.extend(known.map(|sum| ("known".to_string(), sum)));
--- a/crates/courier/src/numbers.rs
+++ b/crates/courier/src/numbers.rs
@@ -40,7 +40,9 @@
         let mut after = Classes { named: HashMap::new(), ..self.clone() };
         let mut claimed: BTreeSet<usize> = BTreeSet::new();
         let mut moved = Vec::new();
-        for (name, class) in names.iter().zip(new) {
+        // Of two with one name the last counts, as at a start.
+        let last = |&(i, _): &(usize, (&String, _))| !names[i + 1..].contains(&names[i]);
+        for (_, (name, class)) in names.iter().zip(new).enumerate().filter(last) {
             let held = self.named.get(name.as_bytes()).copied();
             match held.filter(|&at| rules(&self.classes[at]) == rules(class) && claimed.insert(at)) {
                 Some(at) => after.put(at, name, class),
@@ -58,7 +60,7 @@
         }
         for at in (0..after.classes.len()).filter(|at| !claimed.contains(at)) {
             let held = &self.classes[at];
-            let same = names.iter().position(|name| name.as_bytes() == self.terms[at].class);
+            let same = names.iter().rposition(|name| name.as_bytes() == self.terms[at].class);
             let base = same.or_else(|| new.iter().position(|class| class.effect == held.effect));
             let (effect, by_zone, window, in_turn) = rules(held);
             let base = new[base.unwrap_or_default()].clone();
