--- a/crates/courier/tests/settings_exchange.rs
+++ b/crates/courier/tests/settings_exchange.rs
@@ -527,7 +527,8 @@
                         known.get_mut(&id).unwrap().1 += 1;
                     }
                     let kept = kept::load(&folder.path).map(|kept| String::from_utf8(kept.text).unwrap());
-                    assert!(kept.is_none_or(|kept| kept == now.to_string()));
+                    let said = now.to_string();
+                    assert!(kept.is_none_or(|kept| kept == said));
                     let (in_hand, ended) = (world.exchange.in_hand(), std::mem::take(&mut world.ends));
                     assert_eq!(world.exchange.counts.broken, 0);
                     ends += ended.len() as u64;
