The folder's list is ours whatever versions its courier has gone through; tests of fees and of kinds that nobody names

Need: a start that took a version and was killed before it wrote the list had the list passed over as another deployment's.

--- a/crates/courier/src/changes.rs
+++ b/crates/courier/src/changes.rs
@@ -11,7 +11,7 @@
 use crate::exchange::{Clock, Exchange, Shared, Versions};
 use crate::kept::{self, Kept};
 use crate::memory::deployment;
-use crate::version::{decide, Faults, Moment, Numbered, Stamp, Step, Whole};
+use crate::version::{decide, Faults, Moment, Numbered, Stamp, Step, Sum, Whole};
 
 /// A configuration that a running courier is offered. What comes back: whether its `discovery` is to be followed now,
 /// and where that is, or that nothing of it can be read; nothing if it is turned down.
@@ -27,9 +27,8 @@
     whole: Option<Whole>,
     /// The newest version that was ever in force here.
     newest: Option<Stamp>,
-    /// What a list in the folder was kept for by the process that held the version before, and is by this one.
-    lists_before: Option<String>,
-    lists: String,
+    /// What a list in the folder may be kept for: by this process, and before that by those whose versions it follows.
+    lists: Vec<Sum>,
     /// To be put on file before it is said to be in force.
     fresh: Option<Kept>,
     versions: Versions,
@@ -49,6 +48,16 @@
     format!("settings {number} are turned down: {}", Refused { file: None, faults })
 }
 
+/// Guards against a file that grows with each start.
+const MOST_LISTS: usize = 16;
+
+fn lists(config: &Config, before: Vec<Sum>) -> Vec<Sum> {
+    let mut lists = vec![Sum::of(&deployment(&config.decoded).into())];
+    lists.extend(before.into_iter().filter(|sum| *sum != lists[0]).collect::<Vec<_>>());
+    lists.truncate(MOST_LISTS);
+    lists
+}
+
 fn faults(read: &Result<Config, Refused>) -> Faults {
     read.as_ref().err().map(|refused| refused.faults.clone()).unwrap_or_default()
 }
@@ -75,27 +84,27 @@
             };
             let words = words(whole.as_ref(), faults);
             log::warn!("{words}");
-            let (lists, lists_before) = (deployment(&config.decoded), Some(kept.lists));
+            let lists = lists(&config, kept.lists);
             let in_force = newest.map(|stamp| (stamp.number, kept.since));
             let versions = Versions { in_force, turned_down: Some(words) };
             let whole = Some(kept.whole);
-            Ok(Start { config, held: Held { whole, newest, lists_before, lists, fresh: None, versions } })
+            Ok(Start { config, held: Held { whole, newest, lists, fresh: None, versions } })
         }
         step => {
             let config = read?;
             let now = Clock::new().now();
-            let lists = deployment(&config.decoded);
+            let before = kept.as_ref().filter(|_| config.version.is_some());
+            let lists = lists(&config, before.map(|kept| kept.lists.clone()).unwrap_or_default());
             let fresh = text.filter(|_| step == Step::Take);
             let fresh = fresh.and_then(|text| Kept::new(text, now, lists.clone()));
-            let since = kept.as_ref().filter(|_| step == Step::Known).map_or(now, |kept| kept.since);
-            let lists_before = kept.filter(|_| config.version.is_some()).map(|kept| kept.lists);
+            let since = kept.filter(|_| step == Step::Known).map_or(now, |kept| kept.since);
             if let (None, Some(stamp)) = (config.version, newest) {
                 log::warn!("settings without a version are taken; version {} was held before", stamp.number);
             }
             let versions =
                 Versions { in_force: config.version.map(|number| (number, since)), turned_down: None };
             let newest = whole.as_ref().and_then(Whole::stamp).or(newest);
-            Ok(Start { config, held: Held { whole, newest, lists_before, lists, fresh, versions } })
+            Ok(Start { config, held: Held { whole, newest, lists, fresh, versions } })
         }
     }
 }
@@ -200,7 +209,7 @@
 impl Held {
     /// Whether a list that was kept for this is ours, though our classes have changed since.
     pub fn has_kept_for(&self, deployment: &str) -> bool {
-        self.lists_before.as_deref().is_some_and(|before| before == deployment)
+        self.lists.contains(&Sum::of(&deployment.into()))
     }
 
     /// What an exchange runs by that was given this configuration; for who has no start of his own.
--- a/crates/courier/src/kept.rs
+++ b/crates/courier/src/kept.rs
@@ -27,16 +27,17 @@
     /// Since when, by the system's clock, in tenths of a millisecond.
     pub since: Time,
     pub whole: Whole,
-    /// What the list was kept for (`memory::deployment`) by the process that put this on file. Guards against a list
-    /// that is passed over as another deployment's because a class has changed meanwhile.
-    pub lists: String,
+    /// What the list in the folder may be kept for (`memory::deployment`), by the process that put this on file or by
+    /// one before, the latest first. Guards against a list that is passed over as another deployment's because a class
+    /// has changed meanwhile.
+    pub lists: Vec<Sum>,
     /// The file's text; without spaces, and without the list that it knew, where that is too long.
     pub text: Vec<u8>,
 }
 
 impl Kept {
     /// `None` where it has no number.
-    pub fn new(text: Vec<u8>, since: Time, lists: String) -> Option<Kept> {
+    pub fn new(text: Vec<u8>, since: Time, lists: Vec<Sum>) -> Option<Kept> {
         let whole = Whole::read(&text).filter(|whole| whole.stamp().is_some())?;
         Some(Kept { since, whole, lists, text })
     }
@@ -66,7 +67,7 @@
         let (content, known) = (self.whole.content, self.whole.fixed.get("known"));
         let known = known.map(|sum| json!([sum.0, sum.1]));
         let line = json!({"since": self.since, "content": [content.0, content.1], "known": known,
-            "lists": self.lists});
+            "lists": self.lists.iter().map(|sum| [sum.0.into(), sum.1]).collect::<Vec<[u64; 2]>>()});
         let body = [line.to_string().as_bytes(), b"\n", text].concat();
         let mut out = MAGIC.to_vec();
         out.extend_from_slice(&(body.len() as u32).to_be_bytes());
@@ -93,7 +94,8 @@
         let sum =
             |value: &Value| Some(Sum(u32::try_from(value.get(0)?.as_u64()?).ok()?, value.get(1)?.as_u64()?));
         let (since, content, known) = (line["since"].as_u64()?, sum(&line["content"])?, sum(&line["known"]));
-        let mut kept = Kept::new(body[end + 1..].to_vec(), since, line["lists"].as_str()?.to_string())?;
+        let lists = line["lists"].as_array()?.iter().filter_map(sum).collect();
+        let mut kept = Kept::new(body[end + 1..].to_vec(), since, lists)?;
         // What the file itself said, the list that it knew included.
         kept.whole.content = content;
         kept.whole.fixed.extend(known.map(|sum| ("known".to_string(), sum)));
--- a/crates/courier/tests/settings_exchange.rs
+++ b/crates/courier/tests/settings_exchange.rs
@@ -17,6 +17,7 @@
 use meadowhold_courier::journal::{Found, Journal, Terms, Verdict};
 use meadowhold_courier::kept::{self, Kept};
 use meadowhold_courier::numbers::Classes;
+use meadowhold_courier::version::Sum;
 use serde_json::{json, Value};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 
@@ -119,12 +120,20 @@
     }
 
     fn put(&mut self, id: &str, class: &str) -> Answer {
+        self.offer_to(id, class, 7)
+    }
+
+    fn put_to(&mut self, id: &str, class: &str, dest: u64) {
+        assert!(matches!(self.offer_to(id, class, dest), Answer::Taken(_)));
+    }
+
+    fn offer_to(&mut self, id: &str, class: &str, dest: u64) -> Answer {
         self.exchange.hand_in(Offer {
             id: bytes(id),
             key: bytes("5c0f"),
             item: bytes("0000"),
             class: bytes(class),
-            dest: 7,
+            dest,
             lifetime: Duration::from_secs(4),
             body: bytes("hello"),
         })
@@ -169,6 +178,19 @@
         }
     }
 
+    /// Messages in the longest call of the next turn; then all are served.
+    fn longest(&mut self) -> Option<usize> {
+        self.turn();
+        let calls = std::mem::take(&mut self.waiting);
+        for call in &calls {
+            for letter in self.exchange.begin(call, call.letters.clone()) {
+                self.exchange.seen(letter.serial, Seen::only(Outcome::Relayed));
+            }
+        }
+        self.play(SECOND, Outcome::Relayed);
+        calls.iter().map(|call| call.letters.len()).max()
+    }
+
     /// All that is sent for so long, each with this outcome; the ids in order.
     fn play(&mut self, time: Time, outcome: Outcome) -> Vec<String> {
         let (mut sent, until) = (Vec::new(), self.now + time);
@@ -295,28 +317,56 @@
     let name = ends[again[0].1 - 2].1;
     assert_eq!(name, zone, "a repeat stays where its key is known");
     for (dest, most) in [(8, 10), (9, 3)] {
-        for i in 0..20 {
-            let offer = Offer {
-                id: bytes(&format!("b{dest}-{i}")),
-                key: Bytes::new(),
-                item: bytes("0000"),
-                class: bytes("again"),
-                dest,
-                lifetime: Duration::from_secs(4),
-                body: bytes("hello"),
-            };
-            assert!(matches!(world.exchange.hand_in(offer), Answer::Taken(_)));
-        }
-        world.turn();
-        let longest = world.waiting.drain(..).map(|call| call.letters.len()).max();
-        assert_eq!(longest, Some(most), "destination {dest}");
+        (0..20).for_each(|i| world.put_to(&format!("b{dest}-{i}"), "again", dest));
+        assert_eq!(world.longest(), Some(most), "destination {dest}");
     }
-    // A kind whose endpoints would be limited otherwise needs a start.
+    // A kind that no settings name goes by the last that they name now.
+    world.exchange.listed(&list(4, &[("n5", "a", "odd", 10)]));
     second["version"] = json!(3);
+    second["settings"]["Kinds"] = json!(["new", "single", "many"]);
+    second["settings"]["FamilyInfo"]["KindBatch"] = json!([3, 1, 10]);
+    second["settings"]["FamilyInfo"]["OwnLimits"] = json!([false, true, false]);
+    world.change(&second);
+    world.exchange.listed(&list(5, &[("n5", "a", "odd", 10), ("n6", "a", "odd", 11)]));
+    for (dest, most) in [(10, 1), (11, 10)] {
+        (0..20).for_each(|i| world.put_to(&format!("c{dest}-{i}"), "again", dest));
+        assert_eq!(world.longest(), Some(most), "destination {dest}");
+    }
+    // A kind whose endpoints would be limited otherwise needs a start.
+    second["version"] = json!(4);
     second["settings"]["FamilyInfo"]["OwnLimits"] = json!([false, true, true]);
     assert!(!world.offer(second.to_string().as_bytes()));
 }
 
+#[test]
+fn fees_follow_their_zones_by_name() {
+    // Routes apart in two zones, of which one costs; the dear one changes with the version, not with its place.
+    let first = |number: u64, zones: &[&str], fees: &[f64]| {
+        let mut first = config(number, &three());
+        first["settings"]["Dcs"] = json!(zones);
+        first["settings"]["FamilyInfo"]["Carriage"] = json!(fees);
+        first
+    };
+    let rows =
+        [(["b", "a"], [0.9, 0.0], "e0"), (["b", "a"], [0.0, 0.9], "e1"), (["a", "b"], [0.0, 0.9], "e0")];
+    for (zones, fees, cheap) in rows {
+        let mut world = World::new(Folder::new(), &first(1, &["a", "b"], &[0.0, 0.0]), &ENDS, START);
+        world.change(&first(2, &zones, &fees));
+        let mut at = [0u32; 2];
+        for i in 0..40 {
+            world.takes(&format!("m{i}"), "again");
+            for (letter, endpoint) in world.begun(SECOND / 10) {
+                at[endpoint] += 1;
+                world.exchange.seen(letter.serial, Seen::only(Outcome::Relayed));
+            }
+            world.pass(SECOND / 5);
+        }
+        let [e0, e1] = at;
+        assert_eq!(if e0 > e1 { "e0" } else { "e1" }, cheap, "{at:?}");
+        assert!(e0.abs_diff(e1) > 30, "{at:?}");
+    }
+}
+
 #[test]
 fn text_that_is_cut_at_any_byte_changes_nothing() {
     let mut world = World::new(Folder::new(), &config(1, &three()), &ENDS, START);
@@ -343,7 +393,8 @@
 #[test]
 fn what_is_kept_is_read_whole_or_passed_over() {
     let folder = Folder::new();
-    let kept = Kept::new(config(7, &three()).to_string().into_bytes(), START, "ours".to_string()).unwrap();
+    let kept =
+        Kept::new(config(7, &three()).to_string().into_bytes(), START, vec![Sum(7, 9), Sum(8, 1)]).unwrap();
     kept::save(&folder.path, ALLOWANCE, &kept).unwrap();
     assert_eq!(kept::load(&folder.path), Some(kept.clone()));
     let whole = fs::read(folder.path.join("settings")).unwrap();
@@ -357,7 +408,8 @@
     // Too long for its part of the folder: the list that the file knew goes, what it said stays known.
     let mut long = config(8, &three());
     long["known"] = json!({"index": 1, "endpoints": vec![json!({"name": "e".repeat(400)}); 400]});
-    let long = Kept::new(serde_json::to_vec_pretty(&long).unwrap(), START, "ours".to_string()).unwrap();
+    let long =
+        Kept::new(serde_json::to_vec_pretty(&long).unwrap(), START, vec![Sum(7, 9), Sum(8, 1)]).unwrap();
     kept::save(&folder.path, ALLOWANCE, &long).unwrap();
     let found = kept::load(&folder.path).unwrap();
     assert_eq!(found.whole, long.whole);
@@ -367,7 +419,7 @@
     assert_eq!(kept::load(&folder.path), Some(found));
     let mut without = config(9, &three());
     without["version"] = Value::Null;
-    assert_eq!(Kept::new(without.to_string().into_bytes(), START, String::new()), None);
+    assert_eq!(Kept::new(without.to_string().into_bytes(), START, Vec::new()), None);
 }
 
 #[test]
