--- a/crates/rig/src/scale/day.rs
+++ b/crates/rig/src/scale/day.rs
@@ -54,6 +54,18 @@
     /// Whom couriers ask for the list.
     pub discovery: Discovery,
     pub mode: Mode,
+    pub lists: Lists,
+}
+
+/// What couriers are told of how lists come to them (`MembershipMode`).
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Lists {
+    /// To an agent beside them: after a failure they ask at once, and for all of it.
+    #[default]
+    Pushed,
+    /// Asks are priced: pauses grow, and a watch goes on from the version that is held.
+    Asked,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/rig/src/scale/run.rs
+++ b/crates/rig/src/scale/run.rs
@@ -17,7 +17,7 @@
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use super::books::{at_part, Books, Rule};
-use super::day::{Day, Discovery, Machine, Mode, Trouble, What, MOST_RUNNABLE, OVERRUN_S};
+use super::day::{Day, Discovery, Lists, Machine, Mode, Trouble, What, MOST_RUNNABLE, OVERRUN_S};
 use super::guard::{self, Guard};
 use super::hollow;
 use super::on_file::{Check, Fault};
@@ -178,7 +178,11 @@
         let members: Vec<String> = (0..day.members())
             .map(|courier| SocketAddr::from((address(courier), MEMBERS)).to_string())
             .collect();
-        let settings = settings(&day.of_messages(LONGEST_S));
+        let mut settings = settings(&day.of_messages(LONGEST_S));
+        settings["MembershipMode"] = match day.source.lists {
+            Lists::Pushed => json!("push"),
+            Lists::Asked => json!("ask"),
+        };
         let mut processes = Vec::new();
         for (number, place) in places.iter().enumerate() {
             let own = address(place.couriers.start);
