State of what was never called takes room for its listing alone

Need: of 300,000 destinations a courier calls few at any time, and each took 1 KB and more of the module's state, with a hole beside each unit ("2 x index") and each name twice in its door.

What was called keeps what it learnt: forgetting it would be a decision.

--- a/src/control.rs
+++ b/src/control.rs
@@ -4,7 +4,7 @@
 
 use crate::interface::SECOND;
 use crate::interface::{Action, Effect, Ended, Input, Life, Listed, News, Outcome, Settings, Taken, Time};
-use crate::state::{grow, seconds, Call, Dest, Endpoint, Key, Mail, Place, Saved, Unit};
+use crate::state::{grow, seconds, Call, Dest, Endpoint, Key, Mail, Place, Saved, Unit, Units};
 
 mod glance;
 
@@ -111,7 +111,7 @@
     mails: Vec<Mail>,
     calls: Vec<Call>,
     endpoints: Vec<Endpoint>,
-    units: Vec<Unit>,
+    units: Units,
     dests: Vec<Dest>,
     keys: Vec<Key>,
     open: usize,
@@ -275,7 +275,7 @@
             // A newcomer shares its destination's waits, unless routes are apart.
             let apart = self.set.kinds[kind].apart;
             let unit = if apart { 2 * endpoint + 1 } else { 2 * dest };
-            grow(&mut self.units, unit);
+            self.units.grow(unit);
             self.units[unit] = if apart { Unit::default() } else { std::mem::take(&mut self.units[unit]) };
             // Couriers start at different points of their share, not all with the cheapest route.
             self.units[unit].share = Saved { calls: 2.0 * self.chance.f64(), at: now };
@@ -837,7 +837,7 @@
         leaving.retain(|&endpoint| {
             let e = &self.endpoints[endpoint];
             if e.known && e.life == Life::Gone && e.out == 0 && self.now >= e.gone_at + self.set.cold {
-                self.dests[e.dest].endpoints.retain(|&other| other != endpoint);
+                self.dests[e.dest].endpoints.retain(|other| *other != endpoint);
                 self.endpoints[endpoint] = Endpoint { life: Life::Gone, ..Endpoint::default() };
                 out.push(Action::FreeEndpoint(endpoint));
                 return false;
--- a/src/door.rs
+++ b/src/door.rs
@@ -1,39 +1,52 @@
 //! The door: outside ids become small indices that are reused, and turn back into outside ids on the way out.
 
-use std::collections::HashMap;
-use std::hash::Hash;
+use std::borrow::Borrow;
+use std::hash::{BuildHasher, Hash, RandomState};
 
-/// Outside ids on one side, small indices on the other. Looked up only, never iterated over.
+use hashbrown::HashTable;
+
+/// Outside ids on one side, small indices on the other; each id is held once. Looked up only, never iterated over.
 #[derive(Debug)]
 pub struct Door<K> {
-    inside: HashMap<K, usize>,
+    /// Indices, by the hash of their ids.
+    inside: HashTable<u32>,
+    hasher: RandomState,
     outside: Vec<Option<K>>,
-    free: Vec<usize>,
+    free: Vec<u32>,
 }
 
 impl<K> Default for Door<K> {
     fn default() -> Self {
-        Door { inside: HashMap::new(), outside: Vec::new(), free: Vec::new() }
+        Door { inside: HashTable::new(), hasher: RandomState::new(), outside: Vec::new(), free: Vec::new() }
     }
 }
 
-impl<K: Clone + Eq + Hash> Door<K> {
+impl<K: Eq + Hash> Door<K> {
     /// The index of an id, a free one if it is new here.
     pub fn enter(&mut self, id: K) -> usize {
-        if let Some(&index) = self.inside.get(&id) {
+        if let Some(index) = self.find(&id) {
             return index;
         }
         let index = self.free.pop().unwrap_or_else(|| {
             self.outside.push(None);
-            self.outside.len() - 1
+            // More would not fit into any memory.
+            (self.outside.len() - 1) as u32
         });
-        self.outside[index] = Some(id.clone());
-        self.inside.insert(id, index);
-        index
+        let (hasher, outside) = (&self.hasher, &mut self.outside);
+        let hash = hasher.hash_one(&id);
+        outside[index as usize] = Some(id);
+        let hash_of = |&other: &u32| outside[other as usize].as_ref().map_or(0, |id| hasher.hash_one(id));
+        self.inside.insert_unique(hash, index, hash_of);
+        index as usize
     }
 
-    pub fn find(&self, id: &K) -> Option<usize> {
-        self.inside.get(id).copied()
+    /// By the id, or by what it can be lent as.
+    pub fn find<Q: Eq + Hash + ?Sized>(&self, id: &Q) -> Option<usize>
+    where
+        K: Borrow<Q>,
+    {
+        let is_it = |&index: &u32| self.outside[index as usize].as_ref().map(K::borrow) == Some(id);
+        self.inside.find(self.hasher.hash_one(id), is_it).map(|&index| index as usize)
     }
 
     pub fn outside(&self, index: usize) -> Option<&K> {
@@ -51,10 +64,12 @@
 
     /// The index may be given to another id from now on.
     pub fn leave(&mut self, index: usize) {
-        if let Some(id) = self.outside.get_mut(index).and_then(Option::take) {
-            self.inside.remove(&id);
-            self.free.push(index);
+        let Some(id) = self.outside.get_mut(index).and_then(Option::take) else { return };
+        if let Ok(entry) = self.inside.find_entry(self.hasher.hash_one(&id), |&other| other as usize == index)
+        {
+            entry.remove();
         }
+        self.free.push(index as u32);
     }
 }
 
@@ -71,5 +86,32 @@
         assert_eq!((door.find(&70), door.outside(0)), (None, None));
         assert_eq!([door.enter(5), door.enter(6)], [0, 2]);
         assert_eq!((door.outside(0), door.outside(9)), (Some(&5), None));
+        assert_eq!((door.len(), door.is_empty()), (3, false));
+    }
+
+    #[test]
+    fn it_holds_what_a_map_holds_over_many_comings_and_goings() {
+        let (mut door, mut known) = (Door::<Box<[u8]>>::default(), std::collections::BTreeMap::new());
+        let mut chance = fastrand::Rng::with_seed(7);
+        for _ in 0..40_000 {
+            let name = chance.u64(..3000).to_string().into_bytes();
+            assert_eq!(door.find(&name[..]), known.get(&name).copied());
+            if chance.bool() {
+                let index = door.enter(name.clone().into());
+                assert_eq!(
+                    (door.find(&name[..]), &door.outside(index).unwrap()[..]),
+                    (Some(index), &name[..])
+                );
+                known.insert(name, index);
+            } else if let Some(index) = known.remove(&name) {
+                door.leave(index);
+                assert_eq!((door.find(&name[..]), door.outside(index)), (None, None));
+            }
+            assert_eq!(door.len(), known.len());
+        }
+        let mut indices: Vec<usize> = known.into_values().collect();
+        indices.sort_unstable();
+        indices.dedup();
+        assert!(indices.len() == door.len() && indices.last() < Some(&3000));
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,10 @@
 //! What a courier keeps in mind, as plain types, and the arithmetic of what fades or is saved up. Nothing is
 //! decided here.
 
+use std::ops::{Deref, DerefMut, Index, IndexMut};
+
+use smallvec::SmallVec;
+
 use crate::control::Standing;
 use crate::interface::{Life, Time, SECOND};
 
@@ -12,6 +16,8 @@
 }
 
 impl Fading {
+    const NONE: Fading = Fading { count: 0.0, at: 0 };
+
     pub fn count(&mut self, now: Time, window: Time) {
         self.add(now, window, 1.0);
     }
@@ -35,6 +41,8 @@
 }
 
 impl Latency {
+    const NONE: Latency = Latency { mean: 0.0, deviation: 0.0, seen: false };
+
     /// `newest`: weight of this call.
     pub fn learn(&mut self, took: f64, newest: f64) {
         if !self.seen {
@@ -82,9 +90,21 @@
     pub late: bool,
 }
 
-/// What is limited and waits on its own: a destination, or an endpoint that is a route apart.
+/// What is limited and waits on its own: a destination, or an endpoint that is a route apart. What only calls teach is
+/// made when it is first written to, here and below: a courier never calls most of a long list.
 #[derive(Clone, Debug, Default)]
 pub struct Unit {
+    /// This courier's even share, in calls a second, of the limit that is listed or told; 0: not known.
+    pub even: f64,
+    /// Calls a second that this courier allows itself; 0: no pace is kept.
+    pub pace: f64,
+    /// What is left of this courier's even share of the limit.
+    pub share: Saved,
+    called: Option<Box<CalledUnit>>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct CalledUnit {
     /// Nothing is sent before this time: a told wait, or a back-off of our own.
     pub hold_until: Time,
     /// Until then only what is worth most goes, after a refusal.
@@ -96,14 +116,72 @@
     pub refused_at: Time,
     /// Notes that it is full, fading.
     pub full: Fading,
-    /// This courier's even share, in calls a second, of the limit that is listed or told; 0: not known.
-    pub even: f64,
-    /// Calls a second that this courier allows itself, and what it has saved up; 0: no pace is kept.
-    pub pace: f64,
+    /// What was saved up at the pace.
     pub saved: Saved,
     pub sent: Fading,
-    /// What is left of this courier's even share of the limit.
-    pub share: Saved,
+}
+
+/// Reads as `$fresh` until it is written to.
+macro_rules! made_when_written {
+    ($whole:ty, $called:ty, $fresh:expr) => {
+        impl Deref for $whole {
+            type Target = $called;
+
+            fn deref(&self) -> &$called {
+                static FRESH: $called = $fresh;
+                self.called.as_deref().unwrap_or(&FRESH)
+            }
+        }
+
+        impl DerefMut for $whole {
+            fn deref_mut(&mut self) -> &mut $called {
+                self.called.get_or_insert_default()
+            }
+        }
+    };
+}
+
+made_when_written!(
+    Unit,
+    CalledUnit,
+    CalledUnit {
+        hold_until: 0,
+        ease_until: 0,
+        refused: 0,
+        refused_since: 0,
+        refused_at: 0,
+        full: Fading::NONE,
+        saved: Saved::NONE,
+        sent: Fading::NONE,
+    }
+);
+
+/// Units by number: the even ones are destinations', the odd ones routes'. A list of their own for each: most couriers
+/// have one sort, and the other's numbers would take room for nothing.
+#[derive(Clone, Debug, Default)]
+pub struct Units([Vec<Unit>; 2]);
+
+impl Units {
+    pub fn grow(&mut self, unit: usize) {
+        grow(&mut self.0[unit % 2], unit / 2);
+    }
+}
+
+/// One that was never made reads as new.
+impl Index<usize> for Units {
+    type Output = Unit;
+
+    fn index(&self, unit: usize) -> &Unit {
+        static NEW: Unit = Unit { even: 0.0, pace: 0.0, share: Saved::NONE, called: None };
+        self.0[unit % 2].get(unit / 2).unwrap_or(&NEW)
+    }
+}
+
+impl IndexMut<usize> for Units {
+    fn index_mut(&mut self, unit: usize) -> &mut Unit {
+        self.grow(unit);
+        &mut self.0[unit % 2][unit / 2]
+    }
 }
 
 /// Calls saved up at a pace.
@@ -114,6 +192,8 @@
 }
 
 impl Saved {
+    const NONE: Saved = Saved { calls: 0.0, at: 0 };
+
     /// Saves up to `depth` calls, one at least; whether a call may go.
     pub fn refill(&mut self, now: Time, pace: f64, depth: f64) -> bool {
         self.add(now, pace * (now - self.at) as f64 / SECOND as f64, depth)
@@ -139,9 +219,15 @@
     pub gone_at: Time,
     pub standing: Standing,
     pub since: Time,
+    pub last_good: Time,
+    pub ramp: Saved,
+    pub called: Option<Box<CalledEndpoint>>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct CalledEndpoint {
     /// When it was last held to be well.
     pub ill_since: Time,
-    pub last_good: Time,
     pub bad_since_good: bool,
     /// The other couriers know that it is down.
     pub told: bool,
@@ -149,15 +235,38 @@
     pub errs: f64,
     pub trial_at: Time,
     pub trials: u32,
-    pub ramp: Saved,
     pub out: usize,
     pub late: usize,
     pub latency: Latency,
 }
 
+made_when_written!(
+    Endpoint,
+    CalledEndpoint,
+    CalledEndpoint {
+        ill_since: 0,
+        bad_since_good: false,
+        told: false,
+        errs: 0.0,
+        trial_at: 0,
+        trials: 0,
+        out: 0,
+        late: 0,
+        latency: Latency::NONE,
+    }
+);
+
 #[derive(Clone, Debug, Default)]
 pub struct Dest {
-    pub endpoints: Vec<usize>,
+    /// Two of them take no room of their own.
+    pub endpoints: SmallVec<[usize; 2]>,
+    /// This courier's even share, in calls a second, of the limits of its ready endpoints.
+    pub even: f64,
+    called: Option<Box<CalledDest>>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct CalledDest {
     /// Parked mails: first connects, and further ones in a line of their own.
     pub lines: [Vec<usize>; 2],
     pub out: usize,
@@ -165,12 +274,23 @@
     /// Arrivals over the time that a destination takes to warm up.
     pub steady: Fading,
     pub grown: usize,
-    /// This courier's even share, in calls a second, of the limits of its ready endpoints.
-    pub even: f64,
     pub latency: Latency,
 }
 
-impl Dest {
+made_when_written!(
+    Dest,
+    CalledDest,
+    CalledDest {
+        lines: [Vec::new(), Vec::new()],
+        out: 0,
+        arrivals: Fading::NONE,
+        steady: Fading::NONE,
+        grown: 0,
+        latency: Latency::NONE,
+    }
+);
+
+impl CalledDest {
     /// Parked mails of both lines.
     pub fn waiting(&self) -> usize {
         self.lines[0].len() + self.lines[1].len()
