--- a/crates/catalog/src/store.rs
+++ b/crates/catalog/src/store.rs
@@ -181,6 +181,10 @@
         self.step
     }
 
+    pub fn has(&self, name: &str) -> bool {
+        self.places.contains_key(name)
+    }
+
     pub fn entries(&self) -> usize {
         self.places.len()
     }
--- a/crates/courier/src/hollow.rs
+++ b/crates/courier/src/hollow.rs
@@ -16,10 +16,11 @@
 use tokio::time::{sleep, sleep_until, Instant};
 
 use crate::config::Config;
-use crate::discovery::{self, List, Listener};
+use crate::discovery::{self, Listener};
+use crate::entries::Update;
 use crate::exchange::{duration, Clock, IN_FORCE};
 use crate::members;
-use crate::memory::{self, Keeper};
+use crate::memory::{deployment, Keeper};
 
 /// A real courier writes its file at the end of a turn. Here that waits, so that those who share the process have
 /// their turns first: guards against a time in force that is the neighbours' writing.
@@ -49,12 +50,16 @@
 }
 
 impl Listener for Hollow {
-    fn listed(&mut self, list: &List) {
+    fn listed(&mut self, list: &Update) {
         self.index = list.index;
-        self.keeper.listed(list);
+        self.keeper.take_up(list);
         self.notify.notify_one();
     }
 
+    fn count_with(&self, changes: &Update) -> usize {
+        self.keeper.count_with(changes)
+    }
+
     fn hold(&mut self) {
         self.held = true;
     }
@@ -77,23 +82,22 @@
     stop: impl Future<Output = ()>,
     before: impl FnOnce(Rc<RefCell<Hollow>>) -> Rc<RefCell<L>>,
 ) -> io::Result<()> {
-    let Config { name, state, disk, known, decoded, peers, .. } = config;
+    let Config { name, state, disk, list, known, decoded, peers, .. } = config;
     let fleet = members::start(&name, peers.as_ref())?;
     fs::create_dir_all(&state)?;
     let clock = Clock::new();
-    let deployment = memory::deployment(&decoded);
-    let kept = memory::load(&state, disk, clock.now()).and_then(|kept| kept.of(&deployment));
-    let keeper = Keeper::new(&state, disk, deployment);
+    let mut keeper = Keeper::new(&state, disk, deployment(&decoded));
+    // As a real one: the configuration's version, and not the kept one.
+    let index = known.index;
+    let begun = keeper.recall(known, clock.now(), |_| false);
     let notify = Rc::new(Notify::new());
     let hollow = Hollow { name, clock, keeper, index: 0, in_force: 0, held: false, notify };
     let hollow = Rc::new(RefCell::new(hollow));
-    // As a real one: the configuration's version, and not the kept one.
-    let index = known.index;
     let (push, seed) = (!decoded.settings.ask_list, decoded.settings.seed);
-    hollow.borrow_mut().listed(&List { snapshot: true, ..memory::Memory::newer(kept, known) });
+    hollow.borrow_mut().listed(&begun);
     let mut parts = JoinSet::new();
     parts.spawn_local(drive(hollow.clone(), duration(decoded.settings.resolution)));
-    parts.spawn_local(discovery::follow(before(hollow), clock, discovery, index, push, seed));
+    parts.spawn_local(discovery::follow(before(hollow), clock, discovery, index, push, (list, seed)));
     if let Some(fleet) = &fleet {
         parts.spawn_local(fleet.clone().follow());
     }
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -9,10 +9,12 @@
 pub mod config;
 pub mod discovery;
 pub mod endpoints;
+pub mod entries;
 pub mod exchange;
 pub mod hollow;
 pub mod http;
 pub mod journal;
+pub mod kept;
 pub mod kept_settings;
 pub mod link;
 pub mod members;
@@ -21,6 +23,7 @@
 pub mod notices;
 pub mod numbers;
 pub mod platform;
+pub mod reader;
 pub mod relay;
 pub mod relays;
 pub mod resp;
@@ -86,7 +89,7 @@
     changes: mpsc::UnboundedReceiver<Change>,
     stop: impl Future<Output = ()>,
 ) -> io::Result<()> {
-    let Config { name, listen, state, sockets, disk, known, decoded, peers, relays, .. } = config;
+    let Config { name, listen, state, sockets, disk, known, decoded, peers, relays, list, .. } = config;
     let for_clients = sockets / 3;
     let limits = endpoints::Limits {
         connect: exchange::duration(decoded.settings.connect_timeout),
@@ -112,13 +115,6 @@
     let journal = Journal::open(&state, disk);
     let journal =
         journal.map_err(|e| io::Error::new(e.kind(), format!("the journal in {}: {e}", state.display())))?;
-    // The folder is ours from here on. What it keeps saves no question: the list is asked for as ever.
-    let kept = memory::load(&state, disk, exchange::Clock::new().now());
-    let kept = kept.and_then(|kept| {
-        let ours = held.has_kept_for(&kept.deployment);
-        let of = if ours { kept.deployment.clone() } else { memory::deployment(&decoded) };
-        kept.of(&of)
-    });
     let (orders, orders_in) = mpsc::unbounded_channel();
     let (notices, notices_in) = mpsc::unbounded_channel();
     let news = notes.is_some().then_some(news);
@@ -127,7 +123,7 @@
     // The configuration's version, not the kept one. Guards against a registry that has counted anew meanwhile:
     // its lists would be held to be from before.
     let index = known.index;
-    exchange.listed(&discovery::List { snapshot: true, ..memory::Memory::newer(kept, known) });
+    exchange.recall(known, |kept| held.has_kept_for(kept));
     changes::begin(&mut exchange, &mut held, &state, disk);
     let clock = exchange.clock;
     let shared: Shared = Rc::new(RefCell::new(exchange));
@@ -137,9 +133,13 @@
     parts.spawn_local(endpoints::run(shared.clone(), orders_in, limits));
     parts.spawn_local(notices::tell(shared.clone(), discovery.clone(), notices_in));
     match relays {
-        None => parts.spawn_local(discovery::follow(shared.clone(), clock, discovery, index, push, seed)),
+        None => {
+            let limits = (list, seed);
+            parts.spawn_local(discovery::follow(shared.clone(), clock, discovery, index, push, limits))
+        }
         Some(relays) => {
-            parts.spawn_local(relays::follow_for(shared.clone(), clock, name.clone(), relays, index, seed))
+            let limits = (list, seed);
+            parts.spawn_local(relays::follow_for(shared.clone(), clock, name.clone(), relays, index, limits))
         }
     };
     let clients = Rc::new(Cell::new(0));
--- a/crates/courier/src/relay.rs
+++ b/crates/courier/src/relay.rs
@@ -25,8 +25,9 @@
 use tokio::time::{sleep, timeout};
 
 use crate::discovery::{self, Entry};
+use crate::entries::Update;
 use crate::exchange::Clock;
-use crate::memory::{self, Kept, Memory};
+use crate::memory;
 use crate::relays::{self, Holder};
 use config::{Config, Source};
 use hub::Hub;
@@ -75,23 +76,22 @@
 /// Puts the list on file; on a thread of its own, since a long one takes a while.
 fn save(
     folder: &Path,
-    list: u64,
+    most: u64,
     mark: String,
     version: Version,
     texts: &[Bytes],
     now: Time,
 ) -> io::Result<()> {
-    let mut endpoints: Vec<Kept> = Vec::new();
+    let mut list = Update { index: version.index, whole: true, ..Update::default() };
     for text in texts.iter().filter(|text| !text.is_empty()) {
         // Each text of a partition begins with a comma.
         let mut entries = vec![b'['];
         entries.extend_from_slice(&text[1..]);
         entries.push(b']');
-        endpoints.extend(serde_json::from_slice::<Vec<Kept>>(&entries)?);
+        let entries: Vec<Entry> = serde_json::from_slice(&entries)?;
+        entries.iter().for_each(|entry| list.entries.push(&entry.into()));
     }
-    let memory =
-        Memory { saved_at: now, deployment: mark, index: version.index, endpoints, sights: Vec::new() };
-    memory::save(folder, allowance(list), &memory)
+    memory::save_list(folder, allowance(most), mark, &list, now)
 }
 
 struct Keeper {
@@ -169,12 +169,19 @@
     let source = match &config.source {
         Source::Agent(address) => {
             let (source, from) = watch::channel(*address);
-            parts.spawn_local(discovery::follow(hub.clone(), clock, from, 0, false, seed));
+            parts.spawn_local(discovery::follow(
+                hub.clone(),
+                clock,
+                from,
+                0,
+                false,
+                (config.bounds.read(), seed),
+            ));
             Some(source)
         }
         Source::Relays(relays) => {
             let (name, relays) = (config.name.clone(), relays.clone());
-            parts.spawn_local(relays::follow(hub.clone(), clock, name, relays, seed));
+            parts.spawn_local(relays::follow(hub.clone(), clock, name, relays, (config.bounds.read(), seed)));
             None
         }
     };
--- a/crates/courier/src/relay/config.rs
+++ b/crates/courier/src/relay/config.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 
 use crate::config::{self, many_addresses, one_address, Refused};
+use crate::reader::Limits;
 use crate::relays::MOST_RELAYS;
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -35,8 +36,8 @@
     /// Watches that are served at one time.
     #[garde(range(min = 1, max = 100_000))]
     pub followers: usize,
-    /// Entries of the list. `memory` reads no longer one back.
-    #[garde(range(min = 1, max = 65_536))]
+    /// Entries of the list.
+    #[garde(range(min = 1, max = 1_000_000))]
     pub entries: usize,
     /// Of all entries' texts, in megabytes.
     #[garde(range(min = 1, max = 1024))]
@@ -48,7 +49,7 @@
 
 impl Default for Bounds {
     fn default() -> Bounds {
-        Bounds { followers: 1024, entries: 65_536, list_mb: 32, window: 8192 }
+        Bounds { followers: 1024, entries: 700_000, list_mb: 128, window: 8192 }
     }
 }
 
@@ -57,6 +58,11 @@
         Held { entries: self.entries, bytes: self.list_mb << 20, window: self.window }
     }
 
+    /// What a list that comes may be.
+    pub fn read(&self) -> Limits {
+        Limits { entries: self.entries, bytes: self.list_mb << 20 }
+    }
+
     /// Bytes that the file may take: what is held, and some more for what stands round it.
     pub fn file(&self) -> u64 {
         (self.list_mb as u64 + 1) << 20
--- a/crates/courier/src/relay/hub.rs
+++ b/crates/courier/src/relay/hub.rs
@@ -12,7 +12,8 @@
 use meadowhold_catalog::versions::{Offer, Verdict, Version};
 use tokio::sync::watch;
 
-use crate::discovery::{Entry, List, Listener};
+use crate::discovery::{Entry, Listener};
+use crate::entries::{Listing, Update};
 use crate::exchange::Clock;
 use crate::memory::Kept;
 use crate::relays::{Held, Holder};
@@ -83,10 +84,10 @@
     refused: bool,
 }
 
-fn item(entry: &Entry) -> Item {
-    let text = serde_json::to_vec(&Kept::from(entry)).unwrap_or_default();
+fn item(entry: Listing) -> Item {
+    let text = serde_json::to_vec(&Kept::from(&entry)).unwrap_or_default();
     let gone = entry.life() == Life::Gone;
-    Item { name: entry.name.clone(), destination: entry.group, text: text.into(), gone }
+    Item { name: entry.name.to_string(), destination: entry.group, text: text.into(), gone }
 }
 
 impl Hub {
@@ -113,7 +114,7 @@
     /// Begins with what was on file.
     pub fn begin(&mut self, version: Version, entries: &[Entry], saved_at: Time) {
         self.epoch = self.epoch.max(version.epoch);
-        self.put(Offer { version, after: None }, entries);
+        self.put(Offer { version, after: None }, entries.iter().map(|entry| item(entry.into())).collect());
         (self.kept, self.taken_at) = (true, saved_at.min(self.taken_at));
     }
 
@@ -125,9 +126,9 @@
         }
     }
 
-    fn put(&mut self, offer: Offer, entries: &[Entry]) {
+    fn put(&mut self, offer: Offer, items: Vec<Item>) {
         let before = self.store.version();
-        match self.store.put(&offer, entries.iter().map(item).collect()) {
+        match self.store.put(&offer, items) {
             Verdict::Take => {
                 let now = self.clock.now();
                 if before != Some(offer.version) {
@@ -307,12 +308,17 @@
 }
 
 impl Listener for Hub {
-    fn listed(&mut self, list: &List) {
+    fn listed(&mut self, list: &Update) {
         let heard = self.heard.replace(list.index);
         let version = Version { epoch: self.epoch, index: list.index };
         // Changes of which nothing went before cannot be told from a part of them.
-        let after = if list.snapshot { None } else { Some(heard.unwrap_or(list.index)) };
-        self.put(Offer { version, after }, &list.endpoints);
+        let after = if list.whole { None } else { Some(heard.unwrap_or(list.index)) };
+        self.put(Offer { version, after }, list.entries.iter().map(item).collect());
+    }
+
+    fn count_with(&self, changes: &Update) -> usize {
+        let new = |entry: &Listing| entry.life() != Life::Gone && !self.store.has(entry.name);
+        self.store.entries() + changes.entries.iter().filter(new).count()
     }
 
     /// Nothing begins here.
--- a/crates/courier/src/relays.rs
+++ b/crates/courier/src/relays.rs
@@ -18,9 +18,11 @@
 use tokio::sync::watch;
 use tokio::time::sleep_until;
 
-use crate::discovery::{self, List, Listener};
+use crate::discovery::{self, Listener};
+use crate::entries::Update;
 use crate::exchange::{Clock, Exchange};
 use crate::platform::Connection;
+use crate::reader::Limits;
 
 /// Relays that a configuration may name.
 pub const MOST_RELAYS: usize = 64;
@@ -75,11 +77,11 @@
 }
 
 impl<L: Listener> Listener for Guard<L> {
-    fn listed(&mut self, list: &List) {
+    fn listed(&mut self, list: &Update) {
         let heard = self.heard.replace(list.index);
         let version = Version { epoch: self.epoch, index: list.index };
         // Changes of which nothing went before cannot be told from a part of them.
-        let after = if list.snapshot { None } else { Some(heard.unwrap_or(list.index)) };
+        let after = if list.whole { None } else { Some(heard.unwrap_or(list.index)) };
         match self.versions.put(&Offer { version, after }, Vec::new()) {
             Verdict::Take => self.inner.borrow_mut().listed(list),
             Verdict::AskWhole => self.wants_whole = true,
@@ -89,6 +91,10 @@
         }
     }
 
+    fn count_with(&self, changes: &Update) -> usize {
+        self.inner.borrow().count_with(changes)
+    }
+
     fn hold(&mut self) {
         self.inner.borrow_mut().hold();
     }
@@ -119,9 +125,9 @@
     name: String,
     relays: Vec<SocketAddr>,
     index: u64,
-    seed: u64,
+    limits: (Limits, u64),
 ) -> impl Future<Output = ()> {
-    follow(Rc::new(RefCell::new(Guard::new(exchange, index))), clock, name, relays, seed)
+    follow(Rc::new(RefCell::new(Guard::new(exchange, index))), clock, name, relays, limits)
 }
 
 /// Text as a word of a query.
@@ -269,7 +275,7 @@
     clock: Clock,
     name: String,
     relays: Vec<SocketAddr>,
-    seed: u64,
+    (limits, seed): (Limits, u64),
 ) {
     // Guards against couriers of one seed that would all draw the same.
     let seed = seed ^ u64::from(crc32fast::hash(name.as_bytes()));
@@ -307,7 +313,8 @@
         };
         if let Some(to) = to {
             let (_, from) = watch::channel(to);
-            following = Some(Box::pin(discovery::follow(holder.clone(), clock, from, 0, false, seed)));
+            following =
+                Some(Box::pin(discovery::follow(holder.clone(), clock, from, 0, false, (limits, seed))));
         }
     }
 }
--- a/crates/rig/src/scale/hollow.rs
+++ b/crates/rig/src/scale/hollow.rs
@@ -12,7 +12,8 @@
 
 use log::{LevelFilter, Log, Metadata, Record};
 use meadowhold_courier::config::Config;
-use meadowhold_courier::discovery::{List, Listener};
+use meadowhold_courier::discovery::Listener;
+use meadowhold_courier::entries::Update;
 use meadowhold_courier::exchange::IN_FORCE;
 use meadowhold_courier::hollow::serve;
 use serde::{Deserialize, Serialize};
@@ -105,12 +106,13 @@
 }
 
 impl<L: Listener> Listener for Spoilt<L> {
-    fn listed(&mut self, list: &List) {
+    fn listed(&mut self, list: &Update) {
         self.first = None;
         match self.how {
             // The first list is held as it is: there is no old one.
             Some(How::HoldsOld) if list.index > 1 => {
-                self.inner.borrow_mut().listed(&List { snapshot: false, endpoints: Vec::new(), ..*list });
+                let nothing = Update { index: list.index, ..Update::default() };
+                self.inner.borrow_mut().listed(&nothing);
             }
             _ => self.inner.borrow_mut().listed(list),
         }
@@ -119,6 +121,10 @@
         }
     }
 
+    fn count_with(&self, changes: &Update) -> usize {
+        self.inner.borrow().count_with(changes)
+    }
+
     fn hold(&mut self) {
         self.inner.borrow_mut().hold();
     }
