--- a/crates/courier/tests/settings.rs
+++ b/crates/courier/tests/settings.rs
@@ -13,8 +13,7 @@
 use std::time::{Duration, Instant};
 
 use common::{
-    answers, command, config, output, own_address, put, serve, settings, until, until_for, Client, Folder,
-    Platform,
+    answers, command, config, output, own_address, put, serve, settings, until_for, Client, Folder, Platform,
 };
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
