--- a/crates/rig/benches/slopes.rs
+++ b/crates/rig/benches/slopes.rs
@@ -1,6 +1,6 @@
 //! The slopes of one courier: `cargo bench -p meadowhold-rig --bench slopes -- --what list --out FILE.json`.
 //! Several `--binary [NAME=]PATH` are measured beside each other, size by size;
-//! without one, today's is built. Cargo runs it in crates/rig: paths begin there.
+//! without one, today's is built. `--sizes N,N,...` takes no others of each slope's sizes. Cargo runs it in crates/rig: paths begin there.
 #![forbid(unsafe_code)]
 
 use std::path::{Path, PathBuf};
@@ -31,6 +31,8 @@
 const RATE: usize = 400;
 const CLIENTS: usize = 4;
 const CHANGES_A_SECOND: u32 = 20;
+/// Room on file for a list of the whole world: a courier keeps it in 8 hundredths of this.
+const LISTS_MB: f64 = 1_000.0;
 /// A courier that wants a core for more of the time than this does not keep up.
 const FULL: f64 = 0.95;
 
@@ -53,6 +55,9 @@
             ("list-refused", "entries", "of a core while the list is refused"),
             ("memory", "destinations", "bytes resident, idle"),
             ("idle", "destinations", "of a core, idle"),
+            ("memory-most", "destinations", "bytes resident at the most, the list taken up"),
+            ("list-bytes", "entries", "bytes of the whole list, as sent"),
+            ("list-file", "entries", "bytes of the kept list on file"),
         ],
         sizes: &DESTINATIONS,
         measure: lists,
@@ -139,7 +144,9 @@
 fn lists(binary: &Path, destinations: usize, bound: Bound) -> Result<Vec<Seen>, Stopped> {
     let endpoint = Endpoint::new(&[]);
     let registry = Registry::new(destinations, endpoint.address)?;
-    let Listed { registry, courier, known } = listed(binary, bound, registry, destinations, (1_000, 200.0))?;
+    let Listed { registry, courier, known } =
+        listed(binary, bound, registry, destinations, (1_000, LISTS_MB))?;
+    let first_bytes = registry.asked().whole_bytes;
     // What is kept of a list is on file a second later.
     bound.sleep(Duration::from_secs(3))?;
     let (asked, resident, before) = (registry.asked(), courier.resident()?, courier.used()?);
@@ -151,12 +158,16 @@
     let bytes = (end.whole_bytes + end.watch_bytes - asked.whole_bytes - asked.watch_bytes) as f64 / seconds;
     let words = format!("{asks:.1} asks, {bytes:.0} bytes sent a second");
     let length = format!("{} bytes sent", asked.whole_bytes / asked.asks.max(1));
+    let kept = courier.kept_list().map(|bytes| (bytes as f64, String::new()));
     Ok(match known {
         Some(taken) => vec![
             Ok((taken, String::new())),
             none("taken whole"),
             Ok((resident as f64, String::new())),
             Ok((share, words)),
+            Ok((courier.most_resident()? as f64, String::new())),
+            Ok((first_bytes as f64, String::new())),
+            kept,
         ],
         None => {
             let refused = "the list is refused whole";
@@ -165,6 +176,9 @@
                 Ok((share, format!("{words}; {length} an ask"))),
                 none(refused),
                 none(refused),
+                none(refused),
+                none(refused),
+                none(refused),
             ]
         }
     })
@@ -173,7 +187,7 @@
 fn messages(binary: &Path, destinations: usize, bound: Bound) -> Result<Vec<Seen>, Stopped> {
     let endpoint = Endpoint::new(&[]);
     let registry = Registry::new(destinations, endpoint.address)?;
-    let held = listed(binary, bound, registry, destinations, (10_000, 200.0))?.sure()?;
+    let held = listed(binary, bound, registry, destinations, (10_000, LISTS_MB))?.sure()?;
     let listen = held.courier.listen;
     let delivered = || endpoint.calls.lock().map_or(0, |calls| calls.len());
     let (warm, end) = (Duration::from_secs(2), Duration::from_secs(2) + LOOK);
@@ -224,7 +238,7 @@
     let endpoint = Endpoint::new(&[]);
     let registry = Registry::new(destinations, endpoint.address)?;
     let Listed { registry, courier, .. } =
-        listed(binary, bound, registry, destinations, (1_000, 200.0))?.sure()?;
+        listed(binary, bound, registry, destinations, (1_000, LISTS_MB))?.sure()?;
     bound.sleep(Duration::from_secs(3))?;
     let before = courier.used()?;
     bound.sleep(LOOK / 2)?;
@@ -399,12 +413,13 @@
         binaries: &[(String, PathBuf)],
         command: &str,
         wanted: &dyn Fn(&str) -> bool,
+        sizes: &[usize],
     ) -> Vec<Slope> {
         let mut series: Vec<Vec<Series>> = binaries.iter().map(|_| Vec::new()).collect();
         let mut ended: Vec<bool> = vec![false; binaries.len()];
         series.iter_mut().for_each(|series| series.resize_with(self.slopes.len(), Series::default));
         let mut bounds: Vec<Duration> = vec![MOST_TIME; binaries.len()];
-        for &size in self.sizes {
+        for &size in self.sizes.iter().filter(|size| sizes.is_empty() || sizes.contains(size)) {
             for (place, (name, binary)) in binaries.iter().enumerate() {
                 if ended[place] {
                     continue;
@@ -494,6 +509,7 @@
         return Ok(());
     }
     let out: Option<PathBuf> = arguments.opt_value_from_str("--out").map_err(|e| e.to_string())?;
+    let sizes: Option<String> = arguments.opt_value_from_str("--sizes").map_err(|e| e.to_string())?;
     let texts: Vec<String> = arguments.values_from_str("--binary").map_err(|e| e.to_string())?;
     if let Some(rest) = arguments.finish().first() {
         return Err(format!("what is {}?", rest.to_string_lossy()));
@@ -502,6 +518,15 @@
     if let Some(unknown) = what.iter().find(|name| all_slopes().all(|slope| slope != **name)) {
         return Err(format!("no slope {unknown}; there are {}", all_slopes().collect::<Vec<_>>().join(",")));
     }
+    let sizes: Vec<usize> = sizes
+        .iter()
+        .flat_map(|sizes| sizes.split(','))
+        .map(|size| size.parse().map_err(|e| format!("--sizes {size}: {e}")))
+        .collect::<Result<_, String>>()?;
+    let known = |size: &usize| SWEEPS.iter().any(|sweep| sweep.sizes.contains(size));
+    if let Some(unknown) = sizes.iter().find(|size| !known(size)) {
+        return Err(format!("no slope has the size {unknown}"));
+    }
     let mut binaries: Vec<(String, PathBuf)> = texts.iter().map(|text| named(text)).collect();
     if binaries.is_empty() {
         let built =
@@ -510,11 +535,17 @@
     }
     heed_signals().map_err(|e| e.to_string())?;
     let wanted = |name: &str| what.is_empty() || what.contains(&name);
-    let which = if what.is_empty() { String::new() } else { format!(" -- --what {}", what.join(",")) };
-    let command = format!("cargo bench -p meadowhold-rig --bench slopes{which}");
+    let mut command = "cargo bench -p meadowhold-rig --bench slopes".to_string();
+    let joined = sizes.iter().map(usize::to_string).collect::<Vec<_>>().join(",");
+    for (flag, words) in [("--what", what.join(",")), ("--sizes", joined)] {
+        if !words.is_empty() {
+            let begin = if command.contains(" -- ") { "" } else { " --" };
+            command += &format!("{begin} {flag} {words}");
+        }
+    }
     let (machine, mut slopes) = (machine(), Vec::new());
     for sweep in SWEEPS.iter().filter(|sweep| sweep.slopes.iter().any(|slope| wanted(slope.0))) {
-        for slope in sweep.run(&binaries, &command, &wanted) {
+        for slope in sweep.run(&binaries, &command, &wanted, &sizes) {
             println!("{}", slope.table());
             slopes.push(slope);
         }
--- a/crates/rig/src/slopes.rs
+++ b/crates/rig/src/slopes.rs
@@ -271,8 +271,29 @@
     /// # Errors
     /// Where it has ended.
     pub fn resident(&self) -> Result<u64, Stopped> {
+        self.memory("VmRSS")
+    }
+
+    /// Bytes that were resident at the most since its start.
+    ///
+    /// # Errors
+    /// Where it has ended.
+    pub fn most_resident(&self) -> Result<u64, Stopped> {
+        self.memory("VmHWM")
+    }
+
+    fn memory(&self, name: &str) -> Result<u64, Stopped> {
         let status = fs::read_to_string(self.proc_file("status"))?;
-        bytes_of(&status, "VmRSS").ok_or_else(|| Stopped("no resident memory is told".to_string()))
+        bytes_of(&status, name).ok_or_else(|| Stopped("no resident memory is told".to_string()))
+    }
+
+    /// Bytes of the list that is kept for the next start.
+    ///
+    /// # Errors
+    /// Where none is kept.
+    pub fn kept_list(&self) -> Result<u64, Stopped> {
+        let file = fs::metadata(self.folder.path.join("state").join("memory"));
+        Ok(file.map_err(|e| Stopped(format!("no list is kept: {e}")))?.len())
     }
 
     /// Which file its journal is, and its bytes.
