--- a/crates/capacity/src/file.rs
+++ b/crates/capacity/src/file.rs
@@ -103,6 +103,11 @@
 }
 
 impl Fit {
+    /// Whether it says anything: one that is off by more than the values themselves does not.
+    pub fn usable(&self) -> bool {
+        self.residual <= 1.0
+    }
+
     pub fn at(&self, size: f64) -> f64 {
         match self.kind {
             Kind::Linear => self.slope * size + self.intercept.unwrap_or(0.0),
@@ -120,7 +125,7 @@
     pub of: String,
     pub standing: Standing,
     pub text: Option<Text>,
-    /// `FILE#NAME`: an entry of a file of slopes beside this one, in place of command, sizes and fit.
+    /// `FILE#NAME`, or `FILE#NAME@BINARY` where the file has several programs' entries: an entry of a file of slopes beside this one, in place of command, sizes and fit.
     pub from: Option<String>,
     pub command: String,
     /// The smallest and the largest size that were run.
@@ -128,6 +133,9 @@
     pub fit: Option<Fit>,
     /// What kept the run from a larger size.
     pub stopped_by: String,
+    /// The machine's load averages beside the runs, the smallest and the largest; from the file beside.
+    #[serde(skip)]
+    pub loads: Option<[f64; 2]>,
     /// Of an inferred slope.
     pub formula: Option<Formula>,
 }
@@ -251,6 +259,113 @@
     stopped_by: String,
 }
 
+/// A file of the bench of slopes: entries of several programs beside each other, and the machine they ran on.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Bench {
+    #[serde(rename = "machine")]
+    _machine: serde_json::Map<String, serde_json::Value>,
+    slopes: Vec<serde_json::Value>,
+}
+
+/// An entry of such a file: each field is known, so that one that comes to mean more is not passed over.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct BenchEntry {
+    name: String,
+    binary: String,
+    size_unit: String,
+    unit: String,
+    command: String,
+    points: Vec<BenchPoint>,
+    fit: Option<BenchFit>,
+    #[serde(rename = "other_fit")]
+    _other_fit: Option<BenchFit>,
+    #[serde(rename = "last_exponent")]
+    _last_exponent: Option<f64>,
+    largest: f64,
+    stopped_by: String,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct BenchPoint {
+    size: f64,
+    #[serde(rename = "value")]
+    _value: f64,
+    load: f64,
+    #[serde(rename = "seen", default)]
+    _seen: serde::de::IgnoredAny,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(tag = "kind", rename_all = "kebab-case", deny_unknown_fields)]
+enum BenchFit {
+    Linear { slope: f64, intercept: f64, residual: f64 },
+    Power { scale: f64, exponent: f64, residual: f64 },
+}
+
+impl From<BenchFit> for Fit {
+    fn from(fit: BenchFit) -> Fit {
+        match fit {
+            BenchFit::Linear { slope, intercept, residual } => {
+                Fit { kind: Kind::Linear, slope, intercept: Some(intercept), exponent: None, residual }
+            }
+            BenchFit::Power { scale, exponent, residual } => {
+                Fit { kind: Kind::Power, slope: scale, intercept: None, exponent: Some(exponent), residual }
+            }
+        }
+    }
+}
+
+/// What a slope takes from a file beside.
+struct Taken {
+    unit: String,
+    command: String,
+    sizes: [f64; 2],
+    fit: Option<Fit>,
+    stopped_by: String,
+    /// What a size counts, where the file says it.
+    of: Option<String>,
+    /// The machine's load averages, from the smallest to the largest, where the file says them.
+    loads: Option<[f64; 2]>,
+}
+
+/// From the least to the largest.
+fn range(values: impl Iterator<Item = f64>) -> [f64; 2] {
+    values.fold([f64::INFINITY, f64::NEG_INFINITY], |[from, to], value| [from.min(value), to.max(value)])
+}
+
+impl From<Entry> for Taken {
+    fn from(entry: Entry) -> Taken {
+        let least = entry.points.iter().map(|p| p.size).fold(entry.largest, f64::min);
+        Taken {
+            unit: entry.unit,
+            command: entry.command,
+            sizes: [least, entry.largest],
+            fit: entry.fit,
+            stopped_by: entry.stopped_by,
+            of: None,
+            loads: None,
+        }
+    }
+}
+
+impl From<BenchEntry> for Taken {
+    fn from(entry: BenchEntry) -> Taken {
+        let [least, _] = range(entry.points.iter().map(|p| p.size).chain([entry.largest]));
+        Taken {
+            unit: entry.unit,
+            command: entry.command,
+            sizes: [least, entry.largest],
+            fit: entry.fit.map(Fit::from),
+            stopped_by: entry.stopped_by,
+            of: Some(entry.size_unit),
+            loads: (!entry.points.is_empty()).then(|| range(entry.points.iter().map(|p| p.load))),
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, Deserialize)]
 struct Point {
     size: f64,
@@ -306,13 +421,16 @@
                 continue;
             }
             match entry(&from, beside) {
-                Ok(entry) => {
-                    let least = entry.points.iter().map(|p| p.size).fold(entry.largest, f64::min);
-                    slope.sizes = Some([least, entry.largest]);
-                    slope.unit = entry.unit;
-                    slope.command = entry.command;
-                    slope.fit = entry.fit;
-                    slope.stopped_by = entry.stopped_by;
+                Ok(taken) => {
+                    if let Some(of) = taken.of.filter(|of| *of != slope.of) {
+                        fault(format!("its sizes count {of:?}, and `of` says {:?}", slope.of));
+                    }
+                    slope.sizes = Some(taken.sizes);
+                    slope.unit = taken.unit;
+                    slope.command = taken.command;
+                    slope.fit = taken.fit;
+                    slope.stopped_by = taken.stopped_by;
+                    slope.loads = taken.loads;
                 }
                 Err(words) => fault(words),
             }
@@ -478,23 +596,48 @@
     }
 }
 
-/// The entry that `FILE#NAME` stands for.
-fn entry(from: &str, beside: &dyn Fn(&str) -> Result<String, String>) -> Result<Entry, String> {
-    let (file, name) = from.split_once('#').ok_or("name it as FILE#ENTRY")?;
+/// The entry that `FILE#NAME` or `FILE#NAME@BINARY` stands for.
+fn entry(from: &str, beside: &dyn Fn(&str) -> Result<String, String>) -> Result<Taken, String> {
+    let (file, wanted) = from.split_once('#').ok_or("name it as FILE#ENTRY")?;
     let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
     if !file.ends_with(".json") || !file.chars().all(plain) {
         return Err(format!("{file:?} is no name of a JSON file beside this one"));
     }
-    let text = beside(file)?;
-    // Each by itself: one entry that cannot be read is no fault of the others.
-    let entries: Vec<serde_json::Value> =
-        serde_json::from_str(&text).map_err(|error| format!("{file}: {error}"))?;
-    let names = |entry: &&serde_json::Value| entry.get("name").and_then(|n| n.as_str()) == Some(name);
-    let found = entries.iter().find(names).ok_or_else(|| format!("{file} has no entry {name:?}"))?;
-    let entry: Entry =
-        serde_json::from_value(found.clone()).map_err(|error| format!("{file}, entry {name:?}: {error}"))?;
+    let value: serde_json::Value =
+        serde_json::from_str(&beside(file)?).map_err(|error| format!("{file}: {error}"))?;
+    // Each entry by itself: one that cannot be read is no fault of the others.
+    let (entries, benched) = match value {
+        serde_json::Value::Array(entries) => (entries, false),
+        other => {
+            let bench: Bench = serde_json::from_value(other).map_err(|error| format!("{file}: {error}"))?;
+            (bench.slopes, true)
+        }
+    };
+    let (name, binary) = match wanted.split_once('@') {
+        Some((name, binary)) if benched => (name, Some(binary)),
+        _ => (wanted, None),
+    };
+    let said =
+        |entry: &serde_json::Value, key: &str| entry.get(key).and_then(|n| n.as_str()).map(str::to_string);
+    let named = |entry: &&serde_json::Value| {
+        said(entry, "name").as_deref() == Some(name)
+            && binary.is_none_or(|binary| said(entry, "binary").as_deref() == Some(binary))
+    };
+    let mut found = entries.iter().filter(named);
+    let (first, second) = (found.next(), found.next());
+    let first = first.ok_or_else(|| format!("{file} has no entry {wanted:?}"))?.clone();
+    if second.is_some() {
+        return Err(format!("{file} has several entries {wanted:?}; name one as FILE#ENTRY@BINARY"));
+    }
+    let fault = |error| format!("{file}, entry {wanted:?}: {error}");
+    if benched {
+        let entry: BenchEntry = serde_json::from_value(first).map_err(fault)?;
+        debug_assert!(entry.name == name && binary.is_none_or(|binary| entry.binary == binary));
+        return Ok(entry.into());
+    }
+    let entry: Entry = serde_json::from_value(first).map_err(fault)?;
     debug_assert_eq!(entry.name, name);
-    Ok(entry)
+    Ok(entry.into())
 }
 
 /// Reads a table over and over, without the key that could not be read last time, so that the next fault is found
--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -76,6 +76,7 @@
         Mark::Measured => "m",
         Mark::Inferred => "i",
         Mark::Far => "i!",
+        Mark::NoFit => "x",
         Mark::NotRun => "–",
     }
 }
@@ -134,6 +135,7 @@
             let value = match at {
                 None => "none".to_string(),
                 Some(Known { value: Some(value), .. }) => with_unit(*value, &of.unit),
+                Some(Known { mark: Mark::NoFit, .. }) => "no fit holds".to_string(),
                 Some(_) => "not run".to_string(),
             };
             let _ = writeln!(
@@ -194,7 +196,7 @@
     }
     let _ = writeln!(
         out,
-        "\nNot run, and so in no place of this order: {} cells and failures.",
+        "\nNot run or without a fit that holds, and so in no place of this order: {} cells and failures.",
         reckoned.not_run
     );
     out
@@ -229,10 +231,21 @@
                     format!("{} x {of} ^ {}", number(fit.slope), number(fit.exponent.unwrap_or(1.0)))
                 }
             };
+            if !fit.usable() {
+                let (words, told) = (cell(&slope.command), number(fit.residual));
+                return format!(
+                    "x: no fit holds | {told} | {} to {} {of} | {text} | `{words}`",
+                    number(from),
+                    number(to)
+                );
+            }
             let stopped =
                 if slope.stopped_by.is_empty() { String::new() } else { format!("; {}", slope.stopped_by) };
+            let loads = slope
+                .loads
+                .map_or(String::new(), |[from, to]| format!("; load {} to {}", number(from), number(to)));
             format!(
-                "m: {law} {unit} | {} | {} to {} {of}{} | {text} | `{}`",
+                "m: {law} {unit} | {} | {} to {} {of}{}{loads} | {text} | `{}`",
                 number(fit.residual),
                 number(from),
                 number(to),
--- a/crates/capacity/src/reckon.rs
+++ b/crates/capacity/src/reckon.rs
@@ -18,6 +18,8 @@
     Inferred,
     /// By a fit beyond ten times the largest size that was run.
     Far,
+    /// It was run, and no fit through what was measured says anything.
+    NoFit,
     NotRun,
 }
 
@@ -101,6 +103,11 @@
 fn slope_at(figures: &Figures, slope: &Slope, at: Known, through: &[&str]) -> Result<Known, String> {
     let mark = |mark| Known { value: None, mark, ..at.clone() };
     match (slope.standing, slope.fit, slope.sizes) {
+        (Standing::Measured, Some(fit), _) if !fit.usable() => {
+            let mut known = mark(Mark::NoFit.max(at.mark));
+            known.texts.extend(slope.text);
+            Ok(known)
+        }
         (Standing::Measured, Some(fit), Some([_, largest])) => {
             let stretch = at.value.map_or(0.0, |size| size / largest);
             let own = match stretch {
@@ -154,7 +161,7 @@
     pub figures: &'a Figures,
     pub cells: Vec<ReckonedCell>,
     pub short: Vec<Short>,
-    /// Cells and failures of which nothing was run.
+    /// Cells and failures of which nothing was run, or by which no fit holds.
     pub not_run: usize,
 }
 
--- a/crates/capacity/tests/page.rs
+++ b/crates/capacity/tests/page.rs
@@ -358,6 +358,106 @@
     assert!(found.iter().any(|f| f.words.contains("take command, sizes and fit out")), "{found:#?}");
 }
 
+/// A file as the bench of slopes writes it: two programs beside each other.
+const BENCHED: &str = r#"{"machine": {"cores": 8, "load_at_start": 3.5}, "slopes": [
+    {"name": "near", "binary": "old", "size_unit": "messages", "unit": "B", "command": "run both",
+     "points": [{"size": 10.0, "value": 25.0, "load": 2.0}, {"size": 1000.0, "value": 2005.0, "load": 30.5,
+                 "seen": "nothing"}],
+     "fit": {"kind": "linear", "slope": 2.0, "intercept": 5.0, "residual": 0.0},
+     "other_fit": null, "last_exponent": 0.95, "largest": 1000.0, "stopped_by": "time"},
+    {"name": "near", "binary": "new", "size_unit": "messages", "unit": "B", "command": "run both",
+     "points": [{"size": 1.0, "value": 3.0, "load": 1.0}, {"size": 100.0, "value": 300.0, "load": 1.0}],
+     "fit": {"kind": "power", "scale": 3.0, "exponent": 1.0, "residual": 0.25},
+     "other_fit": {"kind": "linear", "slope": 3.0, "intercept": 0.0, "residual": 0.3},
+     "last_exponent": 1.0, "largest": 100.0, "stopped_by": "the bench's largest size"}]}"#;
+
+const NEAR: &str = "command = \"run near\"\nsizes = [10, 1000]\n\
+    fit = { kind = \"linear\", slope = 2.0, intercept = 5.0, residual = 0.01 }\n";
+
+fn benched(json: &str, from: &str) -> Result<Figures, Vec<Fault>> {
+    assert!(SMALL.contains(NEAR));
+    let given = |name: &str| match name {
+        "bench.json" => Ok(json.to_string()),
+        _ => Err(format!("{name}: is not there")),
+    };
+    Figures::read(&SMALL.replace(NEAR, &format!("from = \"{from}\"\n")), &given)
+}
+
+#[test]
+fn a_slope_takes_its_figures_from_a_file_of_the_bench_by_program() {
+    let old = benched(BENCHED, "bench.json#near@old").unwrap();
+    let slope = &old.slope["near"];
+    assert_eq!((&slope.command[..], slope.sizes), ("run both", Some([10.0, 1000.0])));
+    assert_eq!((slope.loads, &slope.stopped_by[..]), (Some([2.0, 30.5]), "time"));
+    assert_eq!(Reckoned::of(&old).cells[0].known.as_ref().unwrap().value, Some(2005.0));
+    assert!(tables(&old).contains("10 to 1,000 messages; time; load 2 to 30.5"), "{}", tables(&old));
+    // A power law's scale is its value at size 1.
+    let new = benched(BENCHED, "bench.json#near@new").unwrap();
+    let reckoned = Reckoned::of(&new);
+    let known = reckoned.cells[0].known.as_ref().unwrap();
+    assert_eq!((known.value, known.mark), (Some(3000.0), Mark::Inferred));
+    // An only one needs no program's name.
+    let alone =
+        BENCHED.replace("\"name\": \"near\", \"binary\": \"new\"", "\"name\": \"far\", \"binary\": \"new\"");
+    assert_eq!(benched(&alone, "bench.json#near").unwrap().slope["near"].sizes, Some([10.0, 1000.0]));
+}
+
+#[test]
+fn a_file_of_the_bench_is_held_to_its_form() {
+    for (json, from, words) in [
+        (BENCHED.to_string(), "bench.json#near", "has several entries"),
+        (BENCHED.to_string(), "bench.json#near@none", "has no entry"),
+        (
+            BENCHED.replace("\"size_unit\": \"messages\"", "\"size_unit\": \"entries\""),
+            "bench.json#near@old",
+            "count",
+        ),
+        (
+            BENCHED.replace("\"load\": 2.0}", "\"load\": 2.0, \"by\": 1}"),
+            "bench.json#near@old",
+            "unknown field `by`",
+        ),
+        (BENCHED.replace("\"load\": 2.0}", "\"note\": 2.0}"), "bench.json#near@old", "unknown field `note`"),
+        (BENCHED.replace("\"intercept\": 5.0, ", ""), "bench.json#near@old", "missing field `intercept`"),
+        (BENCHED.replace("\"scale\": 3.0", "\"slope\": 3.0"), "bench.json#near@new", "`slope`"),
+        (BENCHED.replace("\"kind\": \"power\"", "\"kind\": \"square\""), "bench.json#near@new", "`square`"),
+        (BENCHED.replace("\"largest\": 1000.0, ", ""), "bench.json#near@old", "missing field `largest`"),
+        (BENCHED.replace("\"machine\"", "\"machines\""), "bench.json#near@old", "unknown field `machines`"),
+        (
+            BENCHED.replace("{\"cores\": 8, \"load_at_start\": 3.5}", "8"),
+            "bench.json#near@old",
+            "invalid type",
+        ),
+    ] {
+        let found = benched(&json, from).expect_err(words);
+        assert!(
+            found.iter().any(|f| f.key == "slope.near.from" && f.words.contains(words)),
+            "{words}: {found:#?}"
+        );
+    }
+    // A fault of one entry is none of the others.
+    let other = BENCHED.replace("\"scale\": 3.0, ", "");
+    assert!(benched(&other, "bench.json#near@old").is_ok());
+    assert!(benched(&other, "bench.json#near@new").is_err());
+}
+
+#[test]
+fn a_fit_that_is_off_by_more_than_the_values_gives_no_value() {
+    for (residual, value, mark) in
+        [("1.0", Some(2005.0), Mark::Measured), ("1.01", None, Mark::NoFit), ("187.0", None, Mark::NoFit)]
+    {
+        let figures = small(&SMALL.replacen("residual = 0.01", &format!("residual = {residual}"), 1));
+        let reckoned = Reckoned::of(&figures);
+        let known = reckoned.cells[0].known.as_ref().unwrap();
+        assert_eq!((known.value, known.mark), (value, mark), "{residual}");
+        let page = tables(&figures).replace("  ", " ");
+        let row = "| courier | state | no fit holds | x, before | 500 B | | a table |";
+        assert_eq!(page.contains(row), value.is_none(), "{page}");
+        assert_eq!(page.contains("| x: no fit holds | "), value.is_none(), "{page}");
+        assert_eq!(reckoned.not_run, if value.is_none() { 4 } else { 2 });
+    }
+}
+
 #[test]
 fn what_is_said_not_to_be_run_has_no_figures_and_an_inferred_slope_its_formula() {
     let text = SMALL
