--- a/crates/capacity/src/file.rs
+++ b/crates/capacity/src/file.rs
@@ -136,6 +136,9 @@
     /// The machine's load averages beside the runs, the smallest and the largest; from the file beside.
     #[serde(skip)]
     pub loads: Option<[f64; 2]>,
+    /// Size and value of each run; from the file beside.
+    #[serde(skip)]
+    pub points: Vec<[f64; 2]>,
     /// Of an inferred slope.
     pub formula: Option<Formula>,
 }
@@ -291,8 +294,7 @@
 #[serde(deny_unknown_fields)]
 struct BenchPoint {
     size: f64,
-    #[serde(rename = "value")]
-    _value: f64,
+    value: f64,
     load: f64,
     #[serde(rename = "seen", default)]
     _seen: serde::de::IgnoredAny,
@@ -323,6 +325,7 @@
     unit: String,
     command: String,
     sizes: [f64; 2],
+    points: Vec<[f64; 2]>,
     fit: Option<Fit>,
     stopped_by: String,
     /// What a size counts, where the file says it.
@@ -343,6 +346,7 @@
             unit: entry.unit,
             command: entry.command,
             sizes: [least, entry.largest],
+            points: entry.points.iter().map(|p| [p.size, p.value]).collect(),
             fit: entry.fit,
             stopped_by: entry.stopped_by,
             of: None,
@@ -358,6 +362,7 @@
             unit: entry.unit,
             command: entry.command,
             sizes: [least, entry.largest],
+            points: entry.points.iter().map(|p| [p.size, p.value]).collect(),
             fit: entry.fit.map(Fit::from),
             stopped_by: entry.stopped_by,
             of: Some(entry.size_unit),
@@ -369,6 +374,7 @@
 #[derive(Clone, Copy, Debug, Deserialize)]
 struct Point {
     size: f64,
+    value: f64,
 }
 
 impl Figures {
@@ -426,6 +432,7 @@
                         fault(format!("its sizes count {of:?}, and `of` says {:?}", slope.of));
                     }
                     slope.sizes = Some(taken.sizes);
+                    slope.points = taken.points;
                     slope.unit = taken.unit;
                     slope.command = taken.command;
                     slope.fit = taken.fit;
@@ -538,6 +545,12 @@
 }
 
 impl Slope {
+    /// What was measured at this very size, in the mean.
+    pub fn measured_at(&self, size: f64) -> Option<f64> {
+        let values: Vec<f64> = self.points.iter().filter(|p| p[0] == size).map(|p| p[1]).collect();
+        (!values.is_empty()).then(|| values.iter().sum::<f64>() / values.len() as f64)
+    }
+
     fn check(&self, fault: &mut dyn FnMut(&str, String)) {
         if self.what.is_empty() || self.of.is_empty() {
             fault("", "say what it is of (`what`), and what its size counts (`of`)".to_string());
--- a/crates/capacity/src/reckon.rs
+++ b/crates/capacity/src/reckon.rs
@@ -12,7 +12,7 @@
 pub enum Mark {
     /// From the target's own figures.
     Target,
-    /// Within the sizes that were run.
+    /// At a size that was run, or by a fit within the sizes that were.
     Measured,
     /// By a formula, or by a fit beyond the largest size that was run.
     Inferred,
@@ -103,7 +103,10 @@
 fn slope_at(figures: &Figures, slope: &Slope, at: Known, through: &[&str]) -> Result<Known, String> {
     let mark = |mark| Known { value: None, mark, ..at.clone() };
     match (slope.standing, slope.fit, slope.sizes) {
-        (Standing::Measured, Some(fit), _) if !fit.usable() => {
+        // Without a fit that holds, what was measured at that very size is still that.
+        (Standing::Measured, Some(fit), _)
+            if !fit.usable() && at.value.is_none_or(|size| slope.measured_at(size).is_none()) =>
+        {
             let mut known = mark(Mark::NoFit.max(at.mark));
             known.texts.extend(slope.text);
             Ok(known)
@@ -115,7 +118,7 @@
                 stretch if stretch <= FAR => Mark::Inferred,
                 _ => Mark::Far,
             };
-            let value = at.value.map(|size| fit.at(size));
+            let value = at.value.map(|size| slope.measured_at(size).unwrap_or_else(|| fit.at(size)));
             let mut texts = at.texts.clone();
             texts.extend(slope.text);
             Ok(Known { value, mark: own.max(at.mark), texts, stretch: stretch.max(at.stretch) })
--- a/crates/capacity/tests/page.rs
+++ b/crates/capacity/tests/page.rs
@@ -64,6 +64,7 @@
             let slope = other.slope.get_mut(name).unwrap();
             let Some(fit) = &mut slope.fit else { continue };
             (fit.slope, fit.intercept) = (1.3 * fit.slope, fit.intercept.map(|intercept| 1.3 * intercept));
+            slope.points.iter_mut().for_each(|point| point[1] *= 1.3);
             changed += 1;
             assert_ne!(before, without_slopes(&other), "{name}");
         }
@@ -402,6 +403,30 @@
     assert_eq!(benched(&alone, "bench.json#near").unwrap().slope["near"].sizes, Some([10.0, 1000.0]));
 }
 
+#[test]
+fn a_size_that_was_run_has_the_value_of_its_run_and_no_other() {
+    // Off the fit, and twice at one size: their mean.
+    let twice = BENCHED.replace(
+        "\"seen\": \"nothing\"}]",
+        "\"seen\": \"nothing\"}, {\"size\": 1000.0, \"value\": 4005.0, \"load\": 1.0}]",
+    );
+    for (json, residual, size, value, mark) in [
+        (BENCHED, "0.0", 1000.0, Some(2005.0), Mark::Measured),
+        (&twice, "0.0", 1000.0, Some(3005.0), Mark::Measured),
+        (&twice, "0.0", 500.0, Some(1005.0), Mark::Measured),
+        (&twice, "0.0", 2000.0, Some(4005.0), Mark::Inferred),
+        (&twice, "1.5", 1000.0, Some(3005.0), Mark::Measured),
+        (&twice, "1.5", 500.0, None, Mark::NoFit),
+    ] {
+        let json = json.replace("\"residual\": 0.0}", &format!("\"residual\": {residual}}}"));
+        let mut figures = benched(&json, "bench.json#near@old").unwrap();
+        figures.target.get_mut("messages").unwrap().value = size;
+        let reckoned = Reckoned::of(&figures);
+        let known = reckoned.cells[0].known.as_ref().unwrap();
+        assert_eq!((known.value, known.mark), (value, mark), "{residual} at {size}");
+    }
+}
+
 #[test]
 fn a_file_of_the_bench_is_held_to_its_form() {
     for (json, from, words) in [
