--- a/crates/capacity/benches/turn.rs
+++ b/crates/capacity/benches/turn.rs
@@ -1,6 +1,7 @@
-//! What one turn of the decisions costs in processor time, by the destinations that are known and by the messages that
-//! are held: `cargo bench -p meadowhold-capacity --bench turn -- --out FILE.json`. The decisions alone, in simulated
-//! time, without sockets, journal or doors; Cargo runs it in crates/capacity: paths begin there.
+//! What one turn of the decisions costs in processor time, by the destinations that are known and by the
+//! messages that are held: `cargo bench -p meadowhold-capacity --bench turn -- --out FILE.json`. The decisions
+//! alone, in simulated time, without sockets, journal or doors; Cargo runs it in crates/capacity: paths begin
+//! there.
 #![forbid(unsafe_code)]
 
 use std::path::PathBuf;
--- a/crates/rig/benches/slopes.rs
+++ b/crates/rig/benches/slopes.rs
@@ -1,6 +1,7 @@
 //! The slopes of one courier: `cargo bench -p meadowhold-rig --bench slopes -- --what list --out FILE.json`.
 //! Several `--binary [NAME=]PATH` are measured beside each other, size by size;
-//! without one, today's is built. `--sizes N,N,...` takes no others of each slope's sizes. Cargo runs it in crates/rig: paths begin there.
+//! without one, today's is built. `--sizes N,N,...` takes no others of each slope's sizes.
+//! Cargo runs it in crates/rig: paths begin there.
 #![forbid(unsafe_code)]
 
 use std::path::{Path, PathBuf};
