--- a/crates/courier/tests/relay.rs
+++ b/crates/courier/tests/relay.rs
@@ -951,7 +951,7 @@
 fn every_fault_of_a_relays_file_is_told_in_one_message() {
     let folder = Folder::new();
     let config = json!({"listen": "here", "source": "127.0.0.1:1", "relays": ["127.0.0.1:2", "there"],
-        "partitions": 5000, "epoch": "x", "bounds": {"followers": 0, "entries": 70000}, "odd": 1});
+        "partitions": 5000, "epoch": "x", "bounds": {"followers": 0, "entries": 1_000_001}, "odd": 1});
     let (success, words) = output(Relay::command(&folder, &config));
     assert!(!success && words.lines().count() == 1, "{words}");
     for place in
