--- a/crates/courier/src/hollow.rs
+++ b/crates/courier/src/hollow.rs
@@ -21,6 +21,7 @@
 use crate::exchange::{duration, Clock, IN_FORCE};
 use crate::members;
 use crate::memory::{deployment, Keeper};
+use crate::relays::{self, Guard};
 
 /// A real courier writes its file at the end of a turn. Here that waits, so that those who share the process have
 /// their turns first: guards against a time in force that is the neighbours' writing.
@@ -82,7 +83,7 @@
     stop: impl Future<Output = ()>,
     before: impl FnOnce(Rc<RefCell<Hollow>>) -> Rc<RefCell<L>>,
 ) -> io::Result<()> {
-    let Config { name, state, disk, list, known, decoded, peers, .. } = config;
+    let Config { name, state, disk, list, known, decoded, peers, relays, .. } = config;
     let fleet = members::start(&name, peers.as_ref())?;
     fs::create_dir_all(&state)?;
     let clock = Clock::new();
@@ -91,13 +92,20 @@
     let index = known.index;
     let begun = keeper.recall(known, clock.now(), |_| false);
     let notify = Rc::new(Notify::new());
-    let hollow = Hollow { name, clock, keeper, index: 0, in_force: 0, held: false, notify };
+    let hollow = Hollow { name: name.clone(), clock, keeper, index: 0, in_force: 0, held: false, notify };
     let hollow = Rc::new(RefCell::new(hollow));
     let (push, seed) = (!decoded.settings.ask_list, decoded.settings.seed);
     hollow.borrow_mut().listed(&begun);
     let mut parts = JoinSet::new();
     parts.spawn_local(drive(hollow.clone(), duration(decoded.settings.resolution)));
-    parts.spawn_local(discovery::follow(before(hollow), clock, discovery, index, push, (list, seed)));
+    let (listener, limits) = (before(hollow), (list, seed));
+    match relays {
+        None => parts.spawn_local(discovery::follow(listener, clock, discovery, index, push, limits)),
+        Some(relays) => {
+            let guard = Rc::new(RefCell::new(Guard::new(listener, index)));
+            parts.spawn_local(relays::follow(guard, clock, name, relays, limits))
+        }
+    };
     if let Some(fleet) = &fleet {
         parts.spawn_local(fleet.clone().follow());
     }
--- a/crates/rig/src/relay.rs
+++ b/crates/rig/src/relay.rs
@@ -66,6 +66,10 @@
     }
 }
 
+/// Looks at what goes back over a connection, before it is passed on; made anew for each.
+pub type Look = Arc<dyn Fn() -> Looking + Send + Sync>;
+pub type Looking = Box<dyn FnMut(&[u8]) + Send>;
+
 /// A relay of TCP connections from its own address to another. It ends when it is dropped.
 pub struct Relay {
     pub address: SocketAddr,
@@ -81,11 +85,25 @@
     /// # Errors
     /// Where no port can be had.
     pub async fn start(at: IpAddr, from: IpAddr, to: SocketAddr, seed: u64) -> io::Result<Relay> {
+        Relay::with(at, from, to, seed, None).await
+    }
+
+    /// The same, with a look at each answer.
+    ///
+    /// # Errors
+    /// Where no port can be had.
+    pub async fn with(
+        at: IpAddr,
+        from: IpAddr,
+        to: SocketAddr,
+        seed: u64,
+        look: Option<Look>,
+    ) -> io::Result<Relay> {
         let listener = TcpListener::bind((at, 0)).await?;
         let address = listener.local_addr()?;
         let (knob, knob_in) = watch::channel(Knob::Well);
         let (mut task, passed) = (JoinSet::new(), Arc::new(Passed::default()));
-        let way = (from, to, passed.clone());
+        let way = (from, to, passed.clone(), look);
         task.spawn(listen(address, listener, knob_in, way, Rng::with_seed(seed)));
         Ok(Relay { address, passed, knob, _task: task })
     }
@@ -95,8 +113,8 @@
     }
 }
 
-/// From which address, to where, and what counts it.
-type Onwards = (IpAddr, SocketAddr, Arc<Passed>);
+/// From which address, to where, what counts it, and what looks at it.
+type Onwards = (IpAddr, SocketAddr, Arc<Passed>, Option<Look>);
 
 async fn listen(
     address: SocketAddr,
@@ -138,7 +156,7 @@
 async fn pass_on(
     mut near: TcpStream,
     mut knob: watch::Receiver<Knob>,
-    (from, to, passed): Onwards,
+    (from, to, passed, look): Onwards,
     chance: Rng,
 ) {
     let both_ways = async {
@@ -158,8 +176,8 @@
         let (far_in, far_out) = far.split();
         let (there, back) = (chance.clone(), Rng::with_seed(chance.clone().u64(..)));
         let both = tokio::try_join!(
-            pump(near_in, far_out, (Way::Request, &passed), knob.clone(), there),
-            pump(far_in, near_out, (Way::Answer, &passed), knob.clone(), back)
+            pump(near_in, far_out, (Way::Request, &passed, None), knob.clone(), there),
+            pump(far_in, near_out, (Way::Answer, &passed, look.map(|look| look())), knob.clone(), back)
         );
         if both.is_err() {
             reset(&far);
@@ -179,7 +197,7 @@
 async fn pump(
     mut from: impl AsyncRead + Unpin,
     mut to: impl AsyncWrite + Unpin,
-    (way, passed): (Way, &Passed),
+    (way, passed, mut look): (Way, &Passed, Option<Looking>),
     mut knob: watch::Receiver<Knob>,
     mut chance: Rng,
 ) -> io::Result<()> {
@@ -203,6 +221,9 @@
         if read == 0 {
             return to.shutdown().await;
         }
+        if let Some(look) = &mut look {
+            look(&buffer[..read]);
+        }
         match now {
             Knob::Slow(by) => sleep(by).await,
             Knob::Reset(broken_way, share) if broken_way == way && chance.f64() < share => {
--- a/crates/rig/src/scale/books.rs
+++ b/crates/rig/src/scale/books.rs
@@ -51,6 +51,8 @@
     made: Vec<u64>,
     /// Lists and changes that went to each process, by version.
     sent: Vec<BTreeMap<u64, u64>>,
+    /// The highest version that went to each relay.
+    relays: Vec<u64>,
     pub broken: Vec<Broken>,
 }
 
@@ -72,7 +74,12 @@
             processes.iter().map(|&process| Courier { process, calm: Some(0), ..Courier::default() });
         let many = processes.iter().max().map_or(0, |most| most + 1);
         let sent = vec![BTreeMap::new(); many];
-        Books { couriers: couriers.collect(), made: Vec::new(), sent, broken: Vec::new() }
+        Books { couriers: couriers.collect(), made: Vec::new(), sent, relays: Vec::new(), broken: Vec::new() }
+    }
+
+    /// With so many relays between the source and the couriers.
+    pub fn with_relays(self, relays: usize) -> Books {
+        Books { relays: vec![0; relays], ..self }
     }
 
     /// Another version, which is returned.
@@ -92,6 +99,26 @@
         }
     }
 
+    /// The source tells a relay.
+    pub fn sent_to_relay(&mut self, relay: usize, version: u64) {
+        if let Some(most) = self.relays.get_mut(relay) {
+            *most = version.max(*most);
+        }
+    }
+
+    /// A relay tells a courier of a process, before the first byte of it gets there. Guards against a relay that makes
+    /// versions up: couriers that believe it would seem to speak in time.
+    pub fn passed_on(&mut self, relay: usize, process: usize, version: u64) {
+        let most = self.relays.get(relay).copied().unwrap_or(0);
+        if version > most {
+            let words = format!(
+                "relay {relay} tells process {process} version {version}, and was told {most} at most"
+            );
+            self.broken.push(Broken { rule: Rule::NotTooEarly, words });
+        }
+        self.sent(process, version);
+    }
+
     pub fn said(&mut self, courier: usize, version: u64, at: u64) {
         let Some(this) = self.couriers.get_mut(courier) else { return };
         this.said.push((version, at));
@@ -104,7 +131,7 @@
         // because another was told: no more can have it than it was sent to.
         let say = self.couriers.iter().filter(|c| c.process == process && c.most >= version).count() as u64;
         let sent: u64 = self.sent[process].range(version..).map(|(_, count)| count).sum();
-        if say > sent {
+        if say > sent || version > self.last() {
             let words = format!(
                 "courier {courier} says at {:.3} s that version {version} is in force: {say} of its process do, and \
                  it was sent {sent} times",
--- a/crates/rig/src/scale/books/tests.rs
+++ b/crates/rig/src/scale/books/tests.rs
@@ -117,3 +117,41 @@
     }
     assert_eq!((at_part(&[], 0.5), at_part(&[7], 0.5), at_part(&[7, 9], 0.99)), (None, Some(7), Some(9)));
 }
+
+#[test]
+fn behind_relays_nobody_says_what_its_process_was_not_told() {
+    let books = || {
+        let mut books = Books::new(&[0, 0, 1]).with_relays(2);
+        books.made(0);
+        books
+    };
+    // Told to a relay as (relay, version), passed on as (relay, process, version), said as (courier, version).
+    type Rows = &'static [(
+        &'static [(usize, u64)],
+        &'static [(usize, usize, u64)],
+        &'static [(usize, u64)],
+        usize,
+    )];
+    let rows: Rows = &[
+        (&[(0, 1)], &[(0, 1, 1)], &[(2, 1)], 0),
+        // By whichever relay, and again after a move to another.
+        (&[(0, 1), (1, 1)], &[(0, 0, 1), (1, 0, 1), (0, 1, 1)], &[(0, 1), (1, 1), (2, 1)], 0),
+        // It stands at a relay, and was not passed on; to another process it was.
+        (&[(0, 1), (1, 1)], &[], &[(2, 1)], 1),
+        (&[(0, 1)], &[(0, 0, 1)], &[(2, 1)], 1),
+        (&[(0, 1)], &[(0, 0, 1)], &[(0, 1), (1, 1)], 1),
+        // A relay that was told nothing, or less.
+        (&[(0, 1)], &[(1, 1, 1)], &[(2, 1)], 1),
+        (&[(0, 1)], &[(0, 1, 2)], &[], 1),
+        // One that makes a version up, and a courier that believes it.
+        (&[(0, 1)], &[(0, 1, 2)], &[(2, 2)], 2),
+        (&[(0, 2)], &[(0, 1, 2)], &[(2, 2)], 1),
+    ];
+    for (told, passed_on, said, many) in rows {
+        let mut books = books();
+        told.iter().for_each(|&(relay, version)| books.sent_to_relay(relay, version));
+        passed_on.iter().for_each(|&(relay, process, version)| books.passed_on(relay, process, version));
+        said.iter().for_each(|&(courier, version)| books.said(courier, version, S));
+        assert_eq!(breaks(&books, Rule::NotTooEarly), *many, "{told:?} {passed_on:?} {said:?}");
+    }
+}
--- a/crates/rig/src/scale/day.rs
+++ b/crates/rig/src/scale/day.rs
@@ -41,7 +41,10 @@
     /// The endpoints that real couriers call.
     pub live: day::Endpoints,
     pub courier: day::Courier,
+    /// `limits.list_entries` of each courier; none: as they come.
+    pub list_entries: Option<usize>,
     pub source: Source,
+    pub relays: Relays,
     pub rules: Rules,
     /// For tests of this run: couriers that are wrong on purpose.
     pub wrong: Vec<Wrong>,
@@ -51,8 +54,6 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Source {
-    /// Whom couriers ask for the list.
-    pub discovery: Discovery,
     pub mode: Mode,
     pub lists: Lists,
 }
@@ -68,12 +69,11 @@
     Asked,
 }
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Discovery {
-    /// The list service itself, each over a link of its process.
-    #[default]
-    Source,
+/// Relays between the source and the couriers, each a process of its own; none: couriers ask the source.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Relays {
+    pub count: usize,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -124,7 +124,7 @@
 #[serde(default, deny_unknown_fields)]
 pub struct Trouble {
     pub what: Option<What>,
-    /// The number of the zone, rack, region or process; nothing to `source`.
+    /// The number of the zone, rack, region, process or relay; nothing to `source`.
     pub which: usize,
     pub for_s: f64,
     /// Slow links: milliseconds for each piece.
@@ -153,6 +153,10 @@
     Silent,
     /// The source is gone: refused and reset, for all.
     Source,
+    /// SIGKILL to a relay, started again; SIGSTOP to one, and SIGCONT. No courier counts as befallen: those that
+    /// follow it are to have each change in time at another.
+    Relay,
+    RelayStop,
 }
 
 impl What {
@@ -166,6 +170,8 @@
             What::Slow => "slow",
             What::Silent => "silent",
             What::Source => "source",
+            What::Relay => "relay",
+            What::RelayStop => "relay-stop",
         }
     }
 }
@@ -192,7 +198,9 @@
             messages: day::Mails { rate: 40.0, clients: 1, ..day::Mails::default() },
             live: day::Endpoints { destinations: 4, ..day::Endpoints::default() },
             courier: day::Courier::default(),
+            list_entries: None,
             source: Source::default(),
+            relays: Relays::default(),
             rules: Rules::default(),
             wrong: Vec::new(),
             trouble: Vec::new(),
@@ -244,13 +252,19 @@
 pub const MOST_PROCESSES: usize = 200;
 /// Bytes of an entry: in a courier's memory, on file, and what a member takes; and what a courier takes without any.
 /// Above what was measured (`docs/scale.md`), for they decide what may be started.
-const ENTRY_HELD: u64 = 560;
-const ENTRY_FILED: u64 = 150;
+const ENTRY_HELD: u64 = 300;
+const ENTRY_FILED: u64 = 110;
+const ENTRY_RELAYED: u64 = 2000;
 const MEMBER_HELD: u64 = 500;
 const HOLLOW: u64 = 600_000;
 const REAL: u64 = 16_000_000;
-/// Descriptors: of a hollow courier, and of one in the run's own process, whose link has four ends there.
+const RELAY: u64 = 24_000_000;
+/// Relays that a run may have; each process of couriers has a link to each.
+pub const MOST_RELAYS: usize = 16;
+/// Descriptors: of a hollow courier, and of one in the run's own process, whose link has four ends there. With relays
+/// there is an ask beside each watch, and for a moment a try at another relay.
 const DESCRIPTORS: usize = 6;
+const RELAYED: usize = 10;
 
 impl Day {
     /// Reads a file's text; all faults that can be told at once.
@@ -310,6 +324,7 @@
                 What::Rack => place.rack == trouble.which,
                 What::Region => place.region == trouble.which,
                 What::Source => true,
+                What::Relay | What::RelayStop => false,
                 What::Kill | What::Stop | What::Slow | What::Silent => number == trouble.which,
             };
             hit.then_some(number)
@@ -317,11 +332,19 @@
         places.iter().enumerate().filter_map(hit).collect()
     }
 
-    /// Bytes that all couriers are expected to take.
+    fn befalls_something(&self, trouble: &Trouble) -> bool {
+        match trouble.what {
+            Some(What::Relay | What::RelayStop) => trouble.which < self.relays.count,
+            _ => !self.befallen(trouble).is_empty(),
+        }
+    }
+
+    /// Bytes that all couriers and relays are expected to take.
     pub fn memory(&self) -> u64 {
         let (entries, members) = (self.entries() as u64, self.members() as u64);
         let each = entries * ENTRY_HELD + members * MEMBER_HELD;
-        self.hollow() as u64 * (HOLLOW + each) + self.real as u64 * (REAL + 2 * each)
+        let relays = self.relays.count as u64 * (RELAY + entries * ENTRY_RELAYED);
+        self.hollow() as u64 * (HOLLOW + each) + self.real as u64 * (REAL + 2 * each) + relays
     }
 
     /// What this machine cannot bear, to be asked before anything is started.
@@ -340,8 +363,9 @@
         let words = "MB of memory, half of the machine's at most";
         most("couriers", words, memory / mb, machine.memory / 2 / mb);
         most("destinations", "MB on disk, half of what is free at most", filed / mb, machine.disk / 2 / mb);
+        let each = if self.relays.count > 0 { RELAYED } else { DESCRIPTORS };
         let largest = self.places().iter().map(|place| place.couriers.len()).max().unwrap_or(0);
-        let needed = (DESCRIPTORS * largest.max(self.couriers) + 256) as u64;
+        let needed = (each * largest.max(self.couriers) + 256) as u64;
         most("couriers", "descriptors of a process", needed, machine.descriptors);
         faults
     }
@@ -361,7 +385,9 @@
         bound("real", self.real as f64, 1.0, self.couriers.clamp(1, 150) as f64);
         // One more than the real ones where there are hollow ones; the run itself and its guard count too.
         let least = self.real + usize::from(self.hollow() > 0);
-        bound("processes", self.processes as f64, least as f64, (MOST_PROCESSES - 2) as f64);
+        bound("relays.count", self.relays.count as f64, 0.0, MOST_RELAYS as f64);
+        let left = (MOST_PROCESSES - 2).saturating_sub(self.relays.count.min(MOST_RELAYS));
+        bound("processes", self.processes as f64, least as f64, left as f64);
         bound("members", self.members() as f64, 0.0, self.couriers as f64);
         bound("start_gap_s", self.start_gap_s, 0.0, 60.0);
         bound("zones", self.zones as f64, 1.0, 100.0);
@@ -415,9 +441,9 @@
         }
         for (i, t) in self.trouble.iter().enumerate() {
             if t.what.is_none() {
-                let words = "is not set; give zone, rack, region, kill, stop, slow, silent or source";
+                let words = "is not set; give zone, rack, region, kill, stop, slow, silent, source, relay or relay-stop";
                 fault(&format!("trouble.{i}.what"), words.to_string());
-            } else if self.befallen(t).is_empty() {
+            } else if !self.befalls_something(t) {
                 fault(&format!("trouble.{i}.which"), format!("there is nothing in {}", t.which));
             }
         }
--- a/crates/rig/src/scale/hollow.rs
+++ b/crates/rig/src/scale/hollow.rs
@@ -108,6 +108,10 @@
 impl<L: Listener> Listener for Spoilt<L> {
     fn listed(&mut self, list: &Update) {
         self.first = None;
+        if self.how == Some(How::Mute) {
+            // One that is held for good never has a turn. Where lists are asked for nothing else holds it.
+            self.inner.borrow_mut().hold();
+        }
         match self.how {
             // The first list is held as it is: there is no old one.
             Some(How::HoldsOld) if list.index > 1 => {
@@ -130,7 +134,6 @@
     }
 
     fn release(&mut self) {
-        // One that is held for good never has a turn.
         if self.how != Some(How::Mute) {
             self.inner.borrow_mut().release();
         }
--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -11,5 +11,7 @@
 pub mod report;
 pub mod run;
 pub mod series;
+pub mod sorter;
 pub mod source;
 pub mod sums;
+pub mod versions;
--- a/crates/rig/src/scale/on_file.rs
+++ b/crates/rig/src/scale/on_file.rs
@@ -1,8 +1,10 @@
-//! What couriers hold, read from outside: the file that each keeps its list in, held against what the source has.
+//! What couriers hold, read from outside: the file that each keeps its list in, held against what the source has. A short
+//! list stands there whole, to a long one changes are appended, each up to a commit.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::path::Path;
 
+use meadowhold_courier::entries::{packed, Listing};
 use serde::Deserialize;
 
 use super::source::Expected;
@@ -37,11 +39,32 @@
     version: u64,
     expected: BTreeMap<String, Expected>,
     right: Vec<u8>,
+    /// The same, by number.
+    numbers: HashMap<String, usize>,
+    by_number: Vec<Expected>,
+}
+
+/// What a file begins with to which changes are appended. A record of it: bytes of its body and a checksum that goes on
+/// from the record before, each of four bytes, highest first, its kind, and the body.
+const APPENDED: &[u8] = b"meadowhold list 1\n";
+const RECORD: usize = 9;
+
+/// The next record's kind, body and checksum, and what follows it.
+fn record(rest: &[u8], before: u32) -> Option<(u8, &[u8], u32, &[u8])> {
+    let (head, after) = rest.split_at_checked(RECORD)?;
+    let number = |at: usize| head[at..at + 4].iter().fold(0, |number, &byte| number << 8 | u32::from(byte));
+    let (body, after) = after.split_at_checked(number(0) as usize)?;
+    let mut hasher = crc32fast::Hasher::new_with_initial(before);
+    [&head[..4], &head[8..], body].into_iter().for_each(|part| hasher.update(part));
+    let checksum = hasher.finalize();
+    (checksum == number(4)).then_some((head[8], body, checksum, after))
 }
 
 impl Check {
     pub fn new(version: u64, expected: BTreeMap<String, Expected>) -> Check {
-        Check { version, expected, right: Vec::new() }
+        let numbers = expected.keys().enumerate().map(|(number, name)| (name.clone(), number)).collect();
+        let by_number = expected.values().cloned().collect();
+        Check { version, expected, right: Vec::new(), numbers, by_number }
     }
 
     /// # Errors
@@ -54,6 +77,9 @@
     /// # Errors
     /// What is wrong with a file of these bytes: a line, eight bytes of length and checksum, and an object.
     pub fn bytes(&mut self, bytes: &[u8]) -> Result<(), Fault> {
+        if let Some(records) = bytes.strip_prefix(APPENDED) {
+            return self.records(records);
+        }
         let unread = |words: &str| Fault::Unread(words.to_string());
         let line = bytes.iter().position(|&b| b == b'\n').ok_or_else(|| unread("it has no first line"))?;
         let (header, body) =
@@ -78,6 +104,60 @@
         Ok(())
     }
 
+    /// A file to which changes are appended: what it holds once each of them is taken.
+    fn records(&self, records: &[u8]) -> Result<(), Fault> {
+        let unread = |words: &str| Fault::Unread(words.to_string());
+        // By number, where it is held; those that the source does not list have none.
+        let mut held: Vec<Option<Listing>> = vec![None; self.by_number.len()];
+        let mut strange: BTreeMap<&str, ()> = BTreeMap::new();
+        let (mut rest, mut at, mut version, mut open) = (records, 0, 0, false);
+        while !rest.is_empty() {
+            let (kind, body, checksum, after) = record(rest, at).ok_or_else(|| unread("it is cut short"))?;
+            (rest, at, open) = (after, checksum, kind != b'C');
+            match kind {
+                b'B' => {}
+                b'C' => {
+                    let commit = postcard::from_bytes::<(u64, u64, u64)>(body);
+                    version = commit.map_err(|e| unread(&e.to_string()))?.1;
+                }
+                b'E' => {
+                    for (entry, _) in packed(body) {
+                        let entry = entry.ok_or_else(|| unread("an entry cannot be read"))?;
+                        let gone = entry.status() == "DELETED";
+                        match self.numbers.get(entry.name) {
+                            Some(&number) => held[number] = (!gone).then_some(entry),
+                            None if gone => drop(strange.remove(entry.name)),
+                            None => drop(strange.insert(entry.name, ())),
+                        }
+                    }
+                }
+                _ => return Err(unread("it has a record of no known kind")),
+            }
+        }
+        if open {
+            return Err(unread("its last changes are not committed"));
+        }
+        if version != self.version {
+            return Err(Fault::Version(version));
+        }
+        if let Some((name, ())) = strange.first_key_value() {
+            return Err(Fault::Entries(format!("{name}, which is not listed")));
+        }
+        for (held, expected) in held.iter().zip(&self.by_number) {
+            let Some(held) = held else {
+                return Err(Fault::Entries(format!("no entry where the source has {expected:?}")));
+            };
+            let values = (held.group, held.status(), held.weight, held.since_ms);
+            if values != (expected.group, expected.status, expected.weight, expected.since_ms) {
+                let name = held.name;
+                return Err(Fault::Entries(format!(
+                    "{name} as {values:?} where the source has {expected:?}"
+                )));
+            }
+        }
+        Ok(())
+    }
+
     fn entries(&self, rest: &[u8]) -> Result<(), Fault> {
         let mut lists = serde_json::Deserializer::from_slice(rest).into_iter::<Vec<Kept>>();
         let kept = match lists.next() {
@@ -109,6 +189,12 @@
 
 #[cfg(test)]
 mod tests {
+    use meadowhold_courier::discovery::{Entry, List};
+    use meadowhold_courier::memory::Keeper;
+
+    /// In the keeper's unit of time.
+    const SECOND: u64 = 10_000;
+
     use super::*;
 
     fn file(index: u64, entries: &str) -> Vec<u8> {
@@ -158,4 +244,63 @@
             }
         }
     }
+
+    /// As a courier's keeper writes it: a list of 300, then changes, each on file before the next.
+    fn appended(changes: &[(u64, &str, &str, f64)]) -> Vec<u8> {
+        let folder = tempfile::tempdir().unwrap();
+        let mut keeper = Keeper::new(folder.path(), 10_000_000, "d".to_string());
+        let entry = |name: &str, status: &str, weight| Entry {
+            name: name.to_string(),
+            address: "x".to_string(),
+            zone: "a".to_string(),
+            kind: "hook".to_string(),
+            group: 1,
+            status: status.to_string(),
+            weight,
+            since_ms: 0,
+        };
+        let endpoints = (0..300).map(|n| entry(&format!("d{n}"), "SERVING", 2.5)).collect();
+        keeper.listed(&List { index: 1, snapshot: true, endpoints });
+        keeper.save(10 * SECOND);
+        for &(index, name, status, weight) in changes {
+            keeper.listed(&List { index, snapshot: false, endpoints: vec![entry(name, status, weight)] });
+            keeper.save(index * 20 * SECOND);
+        }
+        std::fs::read(folder.path().join("memory")).unwrap()
+    }
+
+    #[test]
+    fn a_file_with_changes_is_right_only_with_each_of_them_whole() {
+        let expected = |status, weight| Expected { group: 1, status, weight, since_ms: 0 };
+        let mut listed: BTreeMap<String, Expected> =
+            (0..300).map(|n| (format!("d{n}"), expected("SERVING", 2.5))).collect();
+        listed.insert("d7".to_string(), expected("DRAINING", 1.0));
+        listed.remove("d8");
+        listed.insert("new".to_string(), expected("SERVING", 4.0));
+        let mut check = Check::new(4, listed);
+        let changes = [(2, "d7", "DRAINING", 1.0), (3, "d8", "DELETED", 2.5), (4, "new", "SERVING", 4.0)];
+        let right = appended(&changes);
+        assert!(right.starts_with(APPENDED));
+        assert_eq!(check.bytes(&right), Ok(()));
+        assert_eq!(check.bytes(&appended(&changes[..2])), Err(Fault::Version(3)));
+        let wrong = [
+            // One left out, one with another value, one that is not listed, one gone that is.
+            vec![changes[0], (4, "new", "SERVING", 4.0)],
+            vec![changes[0], changes[1], (4, "new", "SERVING", 4.5)],
+            vec![changes[0], changes[1], (3, "other", "SERVING", 1.0), changes[2]],
+            vec![changes[0], changes[1], (3, "d9", "DELETED", 1.0), changes[2]],
+        ];
+        for changes in wrong {
+            assert!(matches!(check.bytes(&appended(&changes)), Err(Fault::Entries(_))), "{changes:?}");
+        }
+        for cut in 0..right.len() {
+            assert!(check.bytes(&right[..cut]).is_err(), "cut at {cut}");
+        }
+        let mut chance = fastrand::Rng::with_seed(5);
+        for _ in 0..200 {
+            let (mut spoilt, at) = (right.clone(), chance.usize(APPENDED.len()..right.len()));
+            spoilt[at] ^= 1 << chance.u8(..8);
+            assert!(check.bytes(&spoilt).is_err(), "another byte at {at}");
+        }
+    }
 }
--- a/crates/rig/src/scale/process.rs
+++ b/crates/rig/src/scale/process.rs
@@ -58,6 +58,13 @@
     command
 }
 
+/// A relay's process; its file names its folder.
+pub fn relay(program: &Path, config: &Path) -> Command {
+    let mut command = Command::new(program);
+    command.arg("relay").arg(config).env_clear().env("RUST_LOG", "info");
+    command
+}
+
 impl Process {
     pub fn new(
         place: Place,
@@ -138,12 +145,15 @@
 fn refuses<'a>(log: impl Iterator<Item = &'a str>) -> Refuses {
     let mut refuses = Refuses::default();
     for line in log {
-        let Some((_, words)) = line.split_once(" cannot be followed: ") else { continue };
-        let for_good = ["the list has too many entries", "a list is too long"];
-        if for_good.iter().any(|known| words.contains(known)) {
+        // Whole words of a limit, in a line of their own.
+        let for_good = ["the list has more than ", "the list is longer than "];
+        if let Some(at) = for_good.iter().find_map(|words| line.find(words)) {
+            let words = line[at..].split_once(": ").map_or(&line[at..], |(words, _)| words);
             refuses.for_good = Some(words.to_string());
+            refuses.last = Some(words.to_string());
+        } else if let Some((_, words)) = line.split_once(" cannot be followed: ") {
+            refuses.last = Some(words.to_string());
         }
-        refuses.last = Some(words.to_string());
     }
     refuses
 }
@@ -206,20 +216,22 @@
 
     #[test]
     fn why_a_list_is_not_followed_is_read_whichever_try_it_was() {
-        let line = |words: &str| format!("[WARN meadowhold_courier::discovery] the list {words}");
-        let long = "the list has too many entries at line 1 column 9";
+        let line = |words: &str| format!("[WARN meadowhold_courier::discovery] {words}");
+        let long = "the list has more than 8192 entries (limits.list_entries)";
+        let heavy = "the list is longer than 4 MB (limits.list_mb)";
+        let silent = "discovery is silent";
         let rows = [
             (vec![], None, None),
-            (vec![line("cannot be followed: discovery is silent")], None, Some("discovery is silent")),
-            (vec![line(&format!("cannot be followed: {long}"))], Some(long), Some(long)),
+            (vec![line("the list cannot be followed: discovery is silent")], None, Some(silent)),
+            (vec![line(&format!("{long}: the list that is held stays in force"))], Some(long), Some(long)),
             (
                 vec![
-                    line("cannot be followed: discovery is silent"),
-                    line("still cannot be followed: a list is too long"),
-                    line("still cannot be followed: discovery is silent"),
+                    line("the list cannot be followed: discovery is silent"),
+                    line(&format!("still {heavy}")),
+                    line("the list still cannot be followed: discovery is silent"),
                 ],
-                Some("a list is too long"),
-                Some("discovery is silent"),
+                Some(heavy),
+                Some(silent),
             ),
         ];
         for (log, for_good, last) in rows {
--- a/crates/rig/src/scale/report.rs
+++ b/crates/rig/src/scale/report.rs
@@ -55,6 +55,9 @@
     pub back_real_s: Option<f64>,
     pub hollow: Each,
     pub real: Each,
+    /// One relay: what it takes, and bytes a second from those who follow it and to them.
+    pub relay: Each,
+    pub followed: [f64; 2],
     /// Parts of a core: the source's thread, and the run's whole process with source, relays and stand-ins.
     pub source_core: f64,
     pub run_core: f64,
@@ -136,6 +139,7 @@
     pub couriers: usize,
     pub real: usize,
     pub processes: usize,
+    pub relays: usize,
     pub entries: usize,
     /// The machine's load on the average of a minute, before and at the end.
     pub load: [f64; 2],
@@ -157,6 +161,7 @@
             couriers: day.couriers,
             real: day.real,
             processes: day.places().len(),
+            relays: day.relays.count,
             entries: day.entries(),
             load: [super::gauge::load(); 2],
             ..Report::default()
@@ -228,7 +233,7 @@
         }
         writeln!(
             f,
-            "\nfor each courier: core in hundredths, resident MB, bytes a second to and from the source"
+            "\nfor each courier: core in hundredths, resident MB, bytes a second to and from whom the list comes"
         )?;
         writeln!(
             f,
@@ -255,6 +260,29 @@
                 phase.datagrams
             )?;
         }
+        if self.relays > 0 {
+            writeln!(
+                f,
+                "\nfor each of {} relays: core in hundredths, resident MB, bytes a second to and from the source, and to \
+                 and from all who follow it",
+                self.relays
+            )?;
+            writeln!(
+                f,
+                "{:<10} {:>8} {:>8} {:>8} {:>8} {:>10} {:>8}",
+                "phase", "relay", "MB", "to", "from", "to all", "from all"
+            )?;
+            for Phase { name, relay, followed: [from, to], .. } in &self.phases {
+                writeln!(
+                    f,
+                    "{name:<10} {:>8.3} {:>8.2} {:>8.1} {:>8.1} {to:>10.1} {from:>8.1}",
+                    relay.core * 100.0,
+                    relay.resident / 1e6,
+                    relay.to_source,
+                    relay.from_source
+                )?;
+            }
+        }
         let m = &self.messages;
         writeln!(f)?;
         if let Some(each) = self.membership.each() {
--- a/crates/rig/src/scale/run.rs
+++ b/crates/rig/src/scale/run.rs
@@ -17,19 +17,21 @@
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use super::books::{at_part, Books, Rule};
-use super::day::{Day, Discovery, Lists, Machine, Mode, Trouble, What, MOST_RUNNABLE, OVERRUN_S};
+use super::day::{Day, Lists, Machine, Mode, Place, Trouble, What, MOST_RUNNABLE, OVERRUN_S};
 use super::guard::{self, Guard};
 use super::hollow;
 use super::on_file::{Check, Fault};
 use super::process::{self, name, Process};
 use super::report::{InForce, Messages, Phase, Report};
+use super::sorter::Sorter;
 use super::source::{Follower, Setup, Source};
-use super::sums::{each, Gauge, Sums};
+use super::sums::{each, followed, Gauge, Sums};
+use super::versions::Versions;
 use crate::client;
 use crate::endpoint::{Endpoint, Numbers};
 use crate::judge::{judge, Left};
 use crate::record::{lock, Hand, Process as Happened, Record, Seen};
-use crate::relay::{Knob, Relay};
+use crate::relay::{Knob, Look, Relay};
 use crate::run::{open, settings, Net, TERM_LASTS};
 use crate::schedule::Schedule;
 
@@ -37,12 +39,17 @@
 const CLIENTS: u16 = 6379;
 const NOTES: u16 = 6380;
 const MEMBERS: u16 = 7946;
+/// Where relays listen for those who follow the list.
+const FOLLOWERS: u16 = 8600;
 /// Rows of the run's network; those of real couriers, their relays and endpoints are as a day's.
 const ROW_REAL: u8 = 1;
 const ROW_RELAYS: u8 = 2;
 const ROW_ENDPOINTS: u8 = 3;
 const ROW_SOURCE: u8 = 4;
 const ROW_LINKS: u8 = 5;
+/// Relays, and from where their links connect to the source.
+const ROW_TIER: u8 = 6;
+const ROW_TIER_LINKS: u8 = 7;
 const ROW_HOLLOW: u8 = 16;
 const A_ROW: usize = 250;
 const POLL: Duration = Duration::from_millis(20);
@@ -68,9 +75,13 @@
     books: Arc<Mutex<Books>>,
     source: Source,
     _endpoints: Vec<Endpoint>,
-    /// To the source, by process.
+    /// To the source, by process; those of relays come after those of couriers.
     links: Vec<Relay>,
+    /// To each relay, by process of couriers.
+    to_relays: Vec<Vec<Relay>>,
     _to_endpoints: Vec<Relay>,
+    _sorters: Vec<Sorter>,
+    /// Of couriers, and after them the relays.
     processes: Vec<Arc<tokio::sync::Mutex<Process>>>,
     ids: Mutex<Vec<Option<u32>>>,
     gauge: Mutex<Gauge>,
@@ -124,7 +135,8 @@
         for (number, place) in places.iter().enumerate() {
             place.couriers.clone().for_each(|courier| of[courier] = number);
         }
-        let books = Arc::new(Mutex::new(Books::new(&of)));
+        let relays = day.relays.count;
+        let books = Arc::new(Mutex::new(Books::new(&of).with_relays(relays)));
         let address = |courier: usize| match courier.checked_sub(day.real) {
             None => net.ip(ROW_REAL, courier),
             Some(hollow) => net.ip(ROW_HOLLOW + (hollow / A_ROW) as u8, hollow % A_ROW),
@@ -134,14 +146,21 @@
             true => net.ip(ROW_REAL, number),
             false => net.ip(ROW_LINKS, number),
         };
-        let follower = |number| Follower { process: number, real: places[number].real.then_some(number) };
+        let follower = |number: usize| {
+            let real = places[number].real.then_some(number);
+            (link(number), Follower { process: number, real, relay: None })
+        };
+        let of_relay = |relay: usize| {
+            let process = places.len() + relay;
+            (net.ip(ROW_TIER_LINKS, relay), Follower { process, real: None, relay: Some(relay) })
+        };
         let source = Source::start(Setup {
             at: net.ip(ROW_SOURCE, 0),
             destinations: day.destinations,
             live: (day.live.destinations, day.live.each),
             rate: day.live.rate,
             untouched: day.source.mode == Mode::Untouched,
-            followers: (0..places.len()).map(|number| (link(number), follower(number))).collect(),
+            followers: (0..places.len()).map(follower).chain((0..relays).map(of_relay)).collect(),
             books: books.clone(),
             record: record.clone(),
         })?;
@@ -155,23 +174,44 @@
             let endpoint = Endpoint::start(number, at, &day.live, record, numbers, by_address.clone(), seed);
             endpoints.push(endpoint.await?);
         }
-        let (mut links, mut to_endpoints) = (Vec::new(), Vec::new());
+        let relay_at = |relay: usize| SocketAddr::from((net.ip(ROW_TIER, relay), FOLLOWERS));
+        let (mut links, mut to_relays, mut to_endpoints) = (Vec::new(), Vec::new(), Vec::new());
+        let mut finds = Vec::new();
         for (number, place) in places.iter().enumerate() {
             let (near, seed) = (net.ip(ROW_RELAYS, number), seed ^ (number as u64) << 16);
-            let next = match day.source.discovery {
-                Discovery::Source => source.at,
-            };
-            links.push(Relay::start(near, link(number), next, seed).await?);
+            links.push(Relay::start(near, link(number), source.at, seed).await?);
+            let mut own = Vec::new();
+            for relay in 0..relays {
+                let (seed, look) = (seed ^ (relay as u64 + 2) << 8, watched(&books, relay, number));
+                own.push(Relay::with(near, link(number), relay_at(relay), seed, Some(look)).await?);
+            }
+            to_relays.push(own);
             if place.real {
-                let mut finds = Vec::new();
+                let mut own = Vec::new();
                 for endpoint in &endpoints {
                     let relay = Relay::start(near, link(number), endpoint.address, seed ^ 1).await?;
-                    finds.push(relay.address);
+                    own.push(relay.address);
                     to_endpoints.push(relay);
                 }
-                source.finds(finds);
+                finds.push(own.clone());
+                source.finds(own);
             }
         }
+        let mut sorters = Vec::new();
+        if relays > 0 {
+            let schedule = Schedule::draw(&day.of_messages(LONGEST_S), seed);
+            let couriers: Vec<usize> = schedule.mails.iter().map(|mail| mail.courier).collect();
+            let couriers = Arc::new(couriers);
+            for number in 0..endpoints.len() {
+                let links = finds.iter().map(|own| own[number]).collect();
+                sorters.push(Sorter::start(net.ip(ROW_ENDPOINTS, number), links, couriers.clone()).await?);
+            }
+            source.all_find(sorters.iter().map(|sorter| sorter.address).collect());
+        }
+        for relay in 0..relays {
+            let (near, from) = (net.ip(ROW_TIER, relay), net.ip(ROW_TIER_LINKS, relay));
+            links.push(Relay::start(near, from, source.at, seed ^ (relay as u64 + 1) << 32).await?);
+        }
 
         let guard = Guard::start(&programs.rig, folder.path().to_path_buf())?;
         let guard = Arc::new(tokio::sync::Mutex::new(guard));
@@ -192,6 +232,13 @@
                 "limits": {"sockets": day.courier.sockets, "disk_mb": day.disk_mb()}, "settings": settings,
                 "peers": {"listen": listen(NOTES), "others": [],
                     "members": {"listen": listen(MEMBERS), "others": members}}});
+            if let Some(entries) = day.list_entries {
+                config["limits"]["list_entries"] = json!(entries);
+            }
+            if relays > 0 {
+                let at = |link: &Relay| link.address.to_string();
+                config["relays"] = json!(to_relays[number].iter().map(at).collect::<Vec<_>>());
+            }
             let (path, folder) = (process::file(folder.path(), number), folder.path().to_path_buf());
             let (record, books, guard) = (record.clone(), books.clone(), guard.clone());
             if place.real {
@@ -221,7 +268,23 @@
             };
             processes.push(Process::new(place.clone(), command, books, record, guard));
         }
-        let gauge = Gauge::new(links.iter().map(|link| link.passed.clone()).collect(), source.thread);
+        for relay in 0..relays {
+            let (number, folder) = (places.len() + relay, folder.path());
+            let path = process::file(folder, number);
+            let config = json!({"name": format!("r{relay}"), "listen": relay_at(relay).to_string(),
+                "source": links[number].address.to_string(), "state": folder.join(format!("r{relay}")),
+                "bounds": {"followers": 2 * day.couriers}});
+            std::fs::write(&path, config.to_string())?;
+            let program = programs.courier.clone();
+            let command = move || process::relay(&program, &path);
+            let place = Place { real: false, couriers: 0..0, zone: 0, region: 0, rack: 0 };
+            processes.push(Process::new(place, command, books.clone(), record.clone(), guard.clone()));
+        }
+        let passed = |link: &Relay| link.passed.clone();
+        let mut by_process: Vec<Vec<_>> = links.iter().map(|link| vec![passed(link)]).collect();
+        by_process.iter_mut().zip(&to_relays).for_each(|(all, own)| all.extend(own.iter().map(passed)));
+        let followers = (0..relays).map(|relay| to_relays.iter().map(|own| passed(&own[relay])).collect());
+        let gauge = Gauge::new(by_process, followers.collect(), source.thread);
         let clients = (0..day.real).map(|real| SocketAddr::from((address(real), CLIENTS))).collect();
         let ids = Mutex::new(vec![None; processes.len()]);
         let processes = processes.into_iter().map(|one| Arc::new(tokio::sync::Mutex::new(one))).collect();
@@ -234,7 +297,9 @@
             source,
             _endpoints: endpoints,
             links,
+            to_relays,
             _to_endpoints: to_endpoints,
+            _sorters: sorters,
             processes,
             ids,
             gauge: Mutex::new(gauge),
@@ -352,8 +417,13 @@
     async fn play(self: Arc<Self>, stage: Arc<Mutex<String>>) -> Result<Report, String> {
         let day = &self.day;
         let mut report = Report::new(day, self.seed);
-        let mut starts = JoinSet::new();
-        for number in 0..self.processes.len() {
+        let (mut starts, couriers) = (JoinSet::new(), self.to_relays.len());
+        // Relays first, so that they are there when the first courier asks.
+        for number in couriers..self.processes.len() {
+            let mut one = self.processes[number].lock().await;
+            self.start(number, &mut one).await?;
+        }
+        for number in 0..couriers {
             let world = self.clone();
             let gap = seconds(self.day.start_gap_s).mul_f64(number as f64);
             starts.spawn(async move {
@@ -506,6 +576,7 @@
         for (number, place) in day.places().iter().enumerate() {
             if place.real { &mut real } else { &mut hollow }.push(number);
         }
+        let relays: Vec<usize> = (self.to_relays.len()..self.processes.len()).collect();
         let span = (to.at - from.at) as f64 / 1e6;
         Phase {
             name: name.to_string(),
@@ -518,6 +589,8 @@
             hollow: each(&from, &to, &hollow, day.hollow()),
             real: each(&from, &to, &real, day.real),
             source_core: (to.source_s - from.source_s) / span,
+            relay: each(&from, &to, &relays, relays.len()),
+            followed: followed(&from, &to),
             run_core: (to.own_s - from.own_s) / span,
             datagrams: (to.datagrams - from.datagrams) as f64 / span / day.couriers as f64,
         }
@@ -549,15 +622,27 @@
             Some(What::Silent) => Some(Knob::Silent),
             _ => None,
         };
+        let couriers_end = self.to_relays.len();
         if let Some(knob) = knob {
-            processes.iter().for_each(|&number| self.links[number].set(knob));
+            // The source's own trouble leaves the links to relays as they are.
+            let alone = what == Some(What::Source);
+            let relays = (couriers_end..self.links.len()).filter(|_| alone);
+            let numbers: Vec<usize> = processes.iter().copied().chain(relays).collect();
+            let set = |knob| {
+                numbers.iter().for_each(|&number| self.links[number].set(knob));
+                let to_relays =
+                    processes.iter().filter(|_| !alone).flat_map(|&number| &self.to_relays[number]);
+                to_relays.for_each(|link| link.set(knob));
+            };
+            set(knob);
             sleep(lasts).await;
-            processes.iter().for_each(|&number| self.links[number].set(Knob::Well));
+            set(Knob::Well);
             return self.calm(couriers);
         }
         let mut each = JoinSet::new();
-        for &number in processes {
-            let (world, stops) = (self.clone(), what == Some(What::Stop));
+        let relay = matches!(what, Some(What::Relay | What::RelayStop)).then(|| couriers_end + trouble.which);
+        for number in processes.iter().copied().chain(relay) {
+            let (world, stops) = (self.clone(), matches!(what, Some(What::Stop | What::RelayStop)));
             each.spawn(async move {
                 let mut one = world.processes[number].lock().await;
                 let (real, couriers) = (one.place.real, one.place.couriers.clone().collect::<Vec<_>>());
@@ -672,7 +757,8 @@
                 if real {
                     left.faults.push((number, fault));
                 } else {
-                    self.breaks(Rule::Sound, format!("process {number} of hollow couriers: {fault}"));
+                    let of = if number < self.to_relays.len() { "hollow couriers" } else { "a relay" };
+                    self.breaks(Rule::Sound, format!("process {number} of {of}: {fault}"));
                 }
             }
         }
@@ -694,6 +780,17 @@
     }
 }
 
+/// Notes each version that a relay tells a courier of a process.
+fn watched(books: &Arc<Mutex<Books>>, relay: usize, process: usize) -> Look {
+    let books = books.clone();
+    Arc::new(move || {
+        let (books, mut versions) = (books.clone(), Versions::default());
+        Box::new(move |piece: &[u8]| {
+            versions.read(piece, |version| lock(&books).passed_on(relay, process, version));
+        })
+    })
+}
+
 fn seconds(value: f64) -> Duration {
     Duration::from_secs_f64(value)
 }
--- /dev/null
+++ b/crates/rig/src/scale/sorter.rs
@@ -0,0 +1,103 @@
+//! An endpoint as a list through relays names it: one address for all real couriers. Each call is passed on over the
+//! link of the courier to which the message was handed in, so that the endpoint sees whose it is as ever.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::io::{copy_bidirectional, AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::record::Hand;
+use crate::relay;
+
+/// Of a first call that names no message: it is dropped.
+const MOST: usize = 256 << 10;
+
+/// Ends when it is dropped.
+pub struct Sorter {
+    pub address: SocketAddr,
+    _task: JoinSet<()>,
+}
+
+impl Sorter {
+    /// `links`: to the endpoint, by courier; `couriers`: to which each message is handed in.
+    ///
+    /// # Errors
+    /// Where no port can be had.
+    pub async fn start(at: IpAddr, links: Vec<SocketAddr>, couriers: Arc<Vec<usize>>) -> io::Result<Sorter> {
+        let listener = TcpListener::bind((at, 0)).await?;
+        let (address, links, mut task) = (listener.local_addr()?, Arc::new(links), JoinSet::new());
+        task.spawn(async move {
+            let mut open = JoinSet::new();
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => match accepted {
+                        Ok((stream, _)) => drop(open.spawn(pass_on(stream, links.clone(), couriers.clone()))),
+                        Err(_) => sleep(Duration::from_millis(10)).await,
+                    },
+                    Some(_) = open.join_next() => {}
+                }
+            }
+        });
+        Ok(Sorter { address, _task: task })
+    }
+}
+
+async fn pass_on(mut near: TcpStream, links: Arc<Vec<SocketAddr>>, couriers: Arc<Vec<usize>>) {
+    let both = async {
+        let mut first = Vec::new();
+        let link = loop {
+            let read = near.read_buf(&mut first).await?;
+            let message = message(&first).and_then(|message| couriers.get(message as usize));
+            match message.and_then(|&courier| links.get(courier)) {
+                Some(&link) => break link,
+                None if read == 0 => return Ok(()),
+                None if first.len() > MOST => return Err(io::Error::other("a call names no message")),
+                None => {}
+            }
+        };
+        let mut far = TcpStream::connect(link).await?;
+        near.set_nodelay(true)?;
+        far.set_nodelay(true)?;
+        far.write_all(&first).await?;
+        let both = copy_bidirectional(&mut near, &mut far).await;
+        if both.is_err() {
+            relay::reset(&far);
+        }
+        both.map(drop)
+    };
+    if both.await.is_err() {
+        relay::reset(&near);
+    }
+}
+
+/// The first message that a call names: in its head, or in the body of a batch.
+fn message(call: &[u8]) -> Option<u32> {
+    let text = String::from_utf8_lossy(call);
+    let mark = if text.starts_with("POST /hook/batch ") { "\"id\":\"" } else { "x-request-id: " };
+    let at = text.to_ascii_lowercase().find(mark)? + mark.len();
+    Hand::read(text.get(at..at + 16)?).map(|hand| hand.mail)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_first_message_of_a_call_is_found_in_its_head_or_batch_and_nowhere_else() {
+        let rows = [
+            ("POST /hook HTTP/1.1\r\nX-Request-Id: 0000001200000001\r\n\r\n", Some(0x12)),
+            ("POST /hook HTTP/1.1\r\nX-Request-Id: 00000012000", None),
+            ("POST /hook/batch HTTP/1.1\r\n\r\n[{\"id\":\"0000000a00000002\",\"key\":1}", Some(10)),
+            ("POST /hook/batch HTTP/1.1\r\nX-Request-Id: 0000001200000001\r\n\r\n[", None),
+            ("", None),
+        ];
+        for (call, found) in rows {
+            assert_eq!(message(call.as_bytes()), found, "{call}");
+        }
+    }
+}
--- a/crates/rig/src/scale/source.rs
+++ b/crates/rig/src/scale/source.rs
@@ -66,8 +66,9 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Follower {
     pub process: usize,
-    /// A real courier's number.
+    /// A real courier's number, or a relay's.
     pub real: Option<usize>,
+    pub relay: Option<usize>,
 }
 
 /// What the source is made of.
@@ -98,6 +99,8 @@
     version: watch::Sender<u64>,
     /// Where each real courier finds the endpoints.
     places: Mutex<Vec<Vec<SocketAddr>>>,
+    /// Where all find them, by relays.
+    shared: Mutex<Vec<SocketAddr>>,
     /// What is listed where nobody stands.
     nowhere: SocketAddr,
 }
@@ -128,7 +131,8 @@
         let version = lock(&setup.books).made(setup.record.now());
         let truth = Mutex::new(Truth { version, entries, texts: HashMap::new() });
         let (version, nowhere) = (watch::Sender::new(version), SocketAddr::from((setup.at, 9)));
-        let inner = Arc::new(Inner { setup, truth, version, places: Mutex::default(), nowhere });
+        let (places, shared) = (Mutex::default(), Mutex::default());
+        let inner = Arc::new(Inner { setup, truth, version, places, shared, nowhere });
         let (end, mut end_in) = watch::channel(false);
         let (ready, ready_in) = mpsc::channel();
         let of_thread = inner.clone();
@@ -159,6 +163,11 @@
         lock(&self.inner.places).push(places);
     }
 
+    /// Where all find the endpoints who are told one list.
+    pub fn all_find(&self, places: Vec<SocketAddr>) {
+        *lock(&self.inner.shared) = places;
+    }
+
     /// Changes one entry, drawn among those at which nobody stands: its rate, whether it drains, or whether it is
     /// listed at all. The new version, if there is anything to change.
     pub fn change(&self, chance: &mut Rng) -> Option<u64> {
@@ -249,7 +258,7 @@
         });
         let Some(after) = after else {
             let (version, text) = self.told(follower, None);
-            lock(&self.setup.books).sent(follower.process, version);
+            self.sent(follower, version);
             return Response::new(Full::new(text).boxed());
         };
         let (lines, body) = Channel::new(4);
@@ -257,6 +266,14 @@
         Response::new(body.boxed())
     }
 
+    fn sent(&self, follower: Follower, version: u64) {
+        let mut books = lock(&self.setup.books);
+        match follower.relay {
+            Some(relay) => books.sent_to_relay(relay, version),
+            None => books.sent(follower.process, version),
+        }
+    }
+
     /// The present version and its text, for who has heard up to `after`; `None`: all of it.
     fn told(&self, follower: Follower, after: Option<u64>) -> (u64, Bytes) {
         let mut truth = lock(&self.truth);
@@ -273,7 +290,7 @@
         if let Some(text) = truth.texts.get(&after) {
             return (version, text.clone());
         }
-        let text = self.text(&truth, &[], after);
+        let text = self.text(&truth, &lock(&self.shared), after);
         truth.texts.insert(after, text.clone());
         (version, text)
     }
@@ -311,7 +328,7 @@
                 // One that knows another truth, or none, is told all of it.
                 let known = Some(after).filter(|&after| after > 0 && after < now && !self.setup.untouched);
                 let (told, text) = self.told(follower, known);
-                lock(&self.setup.books).sent(follower.process, told);
+                self.sent(follower, told);
                 if lines.send_data(text).await.is_err() {
                     return;
                 }
--- a/crates/rig/src/scale/sums.rs
+++ b/crates/rig/src/scale/sums.rs
@@ -15,8 +15,10 @@
     /// Seconds of processor time, of all that a place's processes have taken one after the other.
     pub processor_s: Vec<f64>,
     pub resident: Vec<u64>,
-    /// Bytes to and from the source.
+    /// Bytes to and from whom the list comes, the source or relays.
     pub passed: Vec<[u64; 2]>,
+    /// Bytes from and to those who follow a relay, by relay.
+    pub followed: Vec<[u64; 2]>,
     pub source_s: f64,
     pub own_s: f64,
     pub own_resident: u64,
@@ -27,21 +29,24 @@
 /// Keeps the sums over processes that are ended and started anew.
 pub struct Gauge {
     last: Vec<Option<(u32, Taken)>>,
-    links: Vec<Arc<Passed>>,
+    /// By process, and by relay those of its followers.
+    links: Vec<Vec<Arc<Passed>>>,
+    followers: Vec<Vec<Arc<Passed>>>,
     source: i32,
     pub sums: Sums,
 }
 
 impl Gauge {
-    pub fn new(links: Vec<Arc<Passed>>, source: i32) -> Gauge {
+    pub fn new(links: Vec<Vec<Arc<Passed>>>, followers: Vec<Vec<Arc<Passed>>>, source: i32) -> Gauge {
         let many = links.len();
         let sums = Sums {
             processor_s: vec![0.0; many],
             resident: vec![0; many],
             passed: vec![[0; 2]; many],
+            followed: vec![[0; 2]; followers.len()],
             ..Sums::default()
         };
-        Gauge { last: vec![None; many], links, source, sums }
+        Gauge { last: vec![None; many], links, followers, source, sums }
     }
 
     /// Looks at each process anew; `ids` are those that run now. What one took between the last look and its end is
@@ -52,9 +57,14 @@
             let now = id.and_then(|id| Some((id, gauge::of_process(id)?)));
             self.put(number, now);
         }
-        for (passed, link) in self.sums.passed.iter_mut().zip(&self.links) {
-            *passed = link.both();
-        }
+        let of = |links: &Vec<Arc<Passed>>| {
+            links
+                .iter()
+                .map(|link| link.both())
+                .fold([0; 2], |sum, both| [sum[0] + both[0], sum[1] + both[1]])
+        };
+        self.sums.passed = self.links.iter().map(of).collect();
+        self.sums.followed = self.followers.iter().map(of).collect();
         self.sums.source_s =
             gauge::of_thread(self.source).map_or(self.sums.source_s, |taken| taken.processor_s);
         let own = gauge::of_self();
@@ -75,13 +85,13 @@
         self.last[number] = now;
     }
 
-    /// Bytes that couriers, and this process, hold.
+    /// Bytes that couriers, relays, and this process hold.
     pub fn resident(&self) -> u64 {
         self.sums.resident.iter().sum::<u64>() + self.sums.own_resident
     }
 }
 
-/// What one courier of a role takes.
+/// What one courier of a role, or a relay, takes.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Each {
     pub couriers: usize,
@@ -110,13 +120,28 @@
     }
 }
 
+/// Bytes a second of one relay, from its followers and to them.
+pub fn followed(from: &Sums, to: &Sums) -> [f64; 2] {
+    let seconds = (to.at.saturating_sub(from.at)) as f64 / 1e6;
+    let many = to.followed.len();
+    let bytes = |way: usize| {
+        let all = to.followed.iter().zip(&from.followed).map(|(to, from)| (to[way] - from[way]) as f64);
+        if many > 0 && seconds > 0.0 {
+            all.sum::<f64>() / seconds / many as f64
+        } else {
+            0.0
+        }
+    };
+    [bytes(0), bytes(1)]
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
 
     #[test]
     fn what_a_courier_takes_is_counted_over_an_end_and_a_new_start() {
-        let mut gauge = Gauge::new(vec![Arc::default(), Arc::default()], 0);
+        let mut gauge = Gauge::new(vec![Vec::new(), Vec::new()], Vec::new(), 0);
         let taken = |processor_s, resident| Taken { processor_s, resident, started: 0 };
         gauge.put(0, Some((5, taken(1.0, 100))));
         gauge.put(1, Some((6, taken(2.0, 300))));
--- a/crates/rig/tests/scale.rs
+++ b/crates/rig/tests/scale.rs
@@ -23,12 +23,16 @@
     })
 }
 
-fn small() -> PathBuf {
-    Path::new(env!("CARGO_MANIFEST_DIR")).join("days/scale-small.toml")
+fn file(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("days").join(name)
+}
+
+fn read(name: &str) -> Day {
+    Day::read(&fs::read_to_string(file(name)).unwrap()).unwrap()
 }
 
 fn day() -> Day {
-    Day::read(&fs::read_to_string(small()).unwrap()).unwrap()
+    read("scale-small.toml")
 }
 
 /// The small day without troubles, and with couriers that are wrong.
@@ -74,6 +78,63 @@
     assert!(report.messages.taken > 100 && report.messages.delivered > 100, "{report}");
 }
 
+#[test]
+fn behind_relays_each_trouble_is_got_over_and_every_change_is_in_force_and_on_file_at_all() {
+    let day = read("scale-relays-small.toml");
+    let report = report(&day);
+    assert!(report.kept(), "{report}");
+    let befallen: Vec<(&str, usize)> =
+        report.phases.iter().map(|phase| (phase.name.as_str(), phase.befallen)).collect();
+    // A relay's trouble is no excuse to any courier.
+    let expected =
+        [("rest", 0), ("changes", 0), ("relay", 0), ("zone", 21), ("relay-stop", 0), ("source", 43)];
+    assert_eq!(befallen, expected);
+    assert!(report.phases[2..].iter().all(|phase| phase.changes > 0));
+    // Relays are measured apart, and what they pass on is more than what comes to them.
+    for phase in &report.phases {
+        assert!(phase.relay.couriers == 3 && phase.relay.resident > 1e6, "{phase:?}");
+        let [asked, told] = phase.followed;
+        assert!(asked > 0.0 && told > phase.relay.from_source, "{phase:?}");
+    }
+    // Nothing of the list comes to couriers but by relays: what the links count at both ends is the same.
+    let changes = report.phase("changes").unwrap();
+    let couriers = changes.hollow.from_source * 40.0 + changes.real.from_source * 3.0;
+    let relays = changes.followed[1] * 3.0;
+    assert!((couriers - relays).abs() <= relays / 1000.0, "{couriers} {relays}");
+    // Who lost its relay had the list anew from another, whole; at rest and with changes nobody has.
+    let per_phase = |name: &str| report.phase(name).map(|p| p.hollow.from_source * p.seconds).unwrap();
+    assert!(per_phase("relay") > 5.0 * per_phase("changes"), "{report}");
+    assert_eq!((report.messages.starts, report.membership.nodes), (4, 43));
+    assert!(report.messages.taken > 100 && report.messages.delivered > 100, "{report}");
+}
+
+#[test]
+fn couriers_that_are_wrong_fail_the_run_behind_relays_too() {
+    let mut day = Day { relays: read("scale-relays-small.toml").relays, ..calm(&[]) };
+    day.destinations = 400;
+    day.wrong = [(17, How::HoldsOld), (18, How::TooEarly), (30, How::Mute)]
+        .map(|(courier, how)| Wrong { courier, how })
+        .to_vec();
+    day.rules.start_s = 6.0;
+    let report = report(&day);
+    let words = |rule: Rule| {
+        let broken = report.broken.iter().filter(move |broken| broken.rule == rule);
+        broken.map(|broken| broken.words.as_str()).collect::<Vec<_>>()
+    };
+    // Each by its own rule, and nobody else by any.
+    for (rule, own) in [
+        (Rule::HoldsWhatItSays, "1 couriers, such as 17"),
+        (Rule::NotTooEarly, "courier 18 says"),
+        (Rule::InForceInTime, "30"),
+    ] {
+        let words = words(rule);
+        assert!(!words.is_empty(), "{rule:?}: {report}");
+        let once = |words: &&str| words.contains(own) || words.contains("is not in force at 1 couriers");
+        assert!(words.iter().all(once), "{rule:?}: {report}");
+    }
+    assert_eq!(report.breaks(Rule::Sound), 0, "{report}");
+}
+
 #[test]
 fn untouched_the_whole_list_is_told_at_each_change() {
     let mut day = calm(&[]);
@@ -118,12 +179,12 @@
 #[test]
 fn a_list_that_couriers_refuse_is_told_with_its_size() {
     let mut day = calm(&[]);
-    // The reader takes 8,192 entries.
     day.destinations = 9000;
+    day.list_entries = Some(8192);
     let report = report(&day);
     let words = report.refused.as_deref().unwrap_or_default();
     assert!(
-        words.starts_with("the list is refused at 9002 entries: the list has too many entries"),
+        words.starts_with("the list is refused at 9002 entries: the list has more than 8192 entries"),
         "{report}"
     );
     assert!(!report.kept() && report.phases.is_empty(), "{report}");
@@ -154,6 +215,17 @@
         assert!(words.contains(fault), "{fault} in {words}");
     }
     assert_eq!(words.matches("meadowhold-rig: ").count(), 1, "{words}");
+    let text = "processes = 190\n[relays]\ncount = 9\n[[trouble]]\nwhat = \"relay\"\nwhich = 9\n\
+        [[trouble]]\nwhat = \"relay-stop\"\nwhich = 8\n";
+    fs::write(&file, text).unwrap();
+    let words = fails(&["scale", file.to_str().unwrap()]);
+    for fault in [
+        "line 1, processes: 190 is out of bounds; give 21 to 189",
+        "line 6, trouble.0.which: there is nothing in 9",
+    ] {
+        assert!(words.contains(fault), "{fault} in {words}");
+    }
+    assert!(!words.contains("trouble.1"), "{words}");
     let rows: [(&[&str], &str); 5] = [
         (&["scale", "nowhere.toml"], "nowhere.toml cannot be read"),
         (&["scale", "--points", "100,many"], "--points"),
@@ -245,18 +317,21 @@
 #[test]
 fn nothing_outlives_a_run_that_is_called_off_or_killed() {
     programs();
-    for signal in ["-TERM", "-INT", "-KILL"] {
+    // Two processes of hollow couriers, three real ones, and the guard; and three relays.
+    let days = [("scale-small.toml", 6), ("scale-relays-small.toml", 9)];
+    for (signal, (day, many)) in
+        ["-TERM", "-INT", "-KILL"].map(|signal| days.map(|day| (signal, day))).concat()
+    {
         let folders = tempfile::tempdir().unwrap();
         let mut command = Command::new(RIG);
         // It asks for the courier's program beside its own, where the other build has put it.
-        command.arg("scale").arg(small()).arg("--folder").arg(folders.path());
+        command.arg("scale").arg(file(day)).arg("--folder").arg(folders.path());
         command.arg("--out").arg(folders.path().join("out.json")).stdout(Stdio::null()).stderr(Stdio::null());
         let mut running = Running(command.spawn().unwrap());
         let id = running.0.id();
-        // Two processes of hollow couriers, three real ones, and the guard.
-        until("all processes", || children(id).len() == 6 || running.0.try_wait().unwrap().is_some());
+        until("all processes", || children(id).len() == many || running.0.try_wait().unwrap().is_some());
         let started = children(id);
-        assert_eq!(started.len(), 6, "{signal}");
+        assert_eq!(started.len(), many, "{signal} {day}");
         assert!(Command::new("kill").args([signal, &id.to_string()]).status().unwrap().success());
         until("the run's end", || running.0.try_wait().unwrap().is_some());
         until("the end of what it had started", || !started.iter().any(runs));
