--- a/crates/rig/src/scale/series.rs
+++ b/crates/rig/src/scale/series.rs
@@ -4,16 +4,30 @@
 
 use serde::Serialize;
 
-use super::report::Report;
+use super::report::{Phase, Report};
 use crate::fit::{Fit, Point};
 
 /// How one figure grows.
 #[derive(Clone, Debug, Serialize)]
 pub struct Slope {
     pub name: String,
+    /// Of a value; sizes are couriers.
+    pub unit: String,
     pub points: Vec<Point>,
     /// Of the logarithms: `value = scale x couriers ^ exponent`; none, with the reason, where no line can be put through.
+    #[serde(serialize_with = "plainly")]
     pub fit: Result<Fit, String>,
+    /// The largest size that has a value, and why there is none beyond.
+    pub largest: f64,
+    pub stopped_by: String,
+}
+
+/// A fit as it is; in the place of one the reason why there is none.
+fn plainly<S: serde::Serializer>(fit: &Result<Fit, String>, to: S) -> Result<S::Ok, S::Error> {
+    match fit {
+        Ok(fit) => fit.serialize(to),
+        Err(words) => words.serialize(to),
+    }
 }
 
 #[derive(Clone, Debug, Serialize)]
@@ -25,25 +39,42 @@
 type Figure = fn(&Report) -> Option<f64>;
 
 /// What is fitted; phases that were not run have no figure.
-const FIGURES: [(&str, Figure); 8] = [
-    ("core of a hollow courier at rest", |r| Some(r.phase("rest")?.hollow.core)),
-    ("core of a hollow courier with changes", |r| Some(r.phase("changes")?.hollow.core)),
-    ("core of a real courier with changes", |r| Some(r.phase("changes")?.real.core)),
-    ("resident bytes of a hollow courier", |r| Some(r.phase("changes")?.hollow.resident)),
-    ("bytes a second from the source to a hollow one", |r| Some(r.phase("changes")?.hollow.from_source)),
-    ("datagrams a second of a courier at rest", |r| Some(r.phase("rest")?.datagrams)),
-    ("core of the source with changes", |r| Some(r.phase("changes")?.source_core)),
-    ("seconds until in force at the last", |r| r.phase("changes")?.in_force.last_s),
+const FIGURES: [(&str, &str, Figure); 13] = [
+    ("core of a hollow courier at rest", "of a core", |r| Some(r.phase("rest")?.hollow.core)),
+    ("core of a hollow courier with changes", "of a core", |r| Some(r.phase("changes")?.hollow.core)),
+    ("core of a real courier with changes", "of a core", |r| Some(r.phase("changes")?.real.core)),
+    ("resident bytes of a hollow courier", "bytes", |r| Some(r.phase("changes")?.hollow.resident)),
+    ("bytes a second to a hollow courier", "bytes a second", |r| {
+        Some(r.phase("changes")?.hollow.from_source)
+    }),
+    ("datagrams a second of a courier at rest", "a second", |r| Some(r.phase("rest")?.datagrams)),
+    ("core of the source with changes", "of a core", |r| Some(r.phase("changes")?.source_core)),
+    ("seconds until in force at the last", "s", |r| r.phase("changes")?.in_force.last_s),
+    ("core of a relay at rest", "of a core", |r| of_relay(r, "rest", |p| p.relay.core)),
+    ("core of a relay with changes", "of a core", |r| of_relay(r, "changes", |p| p.relay.core)),
+    ("resident bytes of a relay", "bytes", |r| of_relay(r, "changes", |p| p.relay.resident)),
+    ("bytes a second to a relay", "bytes a second", |r| of_relay(r, "changes", |p| p.relay.from_source)),
+    ("bytes a second from a relay", "bytes a second", |r| of_relay(r, "changes", |p| p.followed[1])),
 ];
 
+fn of_relay(report: &Report, phase: &str, figure: fn(&Phase) -> f64) -> Option<f64> {
+    report.phase(phase).filter(|_| report.relays > 0).map(figure)
+}
+
 impl Series {
     pub fn new(reports: Vec<Report>) -> Series {
-        let slopes = FIGURES.iter().map(|(name, figure)| {
+        let slopes = FIGURES.iter().map(|(name, unit, figure)| {
             let points =
                 reports.iter().filter_map(|report| Some(Point::new(report.couriers as f64, figure(report)?)));
             let points: Vec<Point> = points.collect();
             let fit = Fit::power(&points).map_err(|e| e.to_string());
-            Slope { name: name.to_string(), points, fit }
+            let last = points.last().map_or(0.0, |point| point.size);
+            let beyond = reports.iter().find(|report| report.couriers as f64 > last);
+            let stopped_by = beyond.map_or("the largest size that was asked for".to_string(), |report| {
+                report.refused.clone().unwrap_or(format!("no figure at {}", report.couriers))
+            });
+            let (name, unit) = (name.to_string(), unit.to_string());
+            Slope { name, unit, points, fit, largest: last, stopped_by }
         });
         Series { slopes: slopes.collect(), reports }
     }
@@ -56,7 +87,7 @@
 impl fmt::Display for Series {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         writeln!(f, "grows with the couriers' number to the power of")?;
-        for slope in &self.slopes {
+        for slope in self.slopes.iter().filter(|slope| !slope.points.is_empty()) {
             let values: Vec<String> =
                 slope.points.iter().map(|point| format!("{}: {:.4e}", point.size, point.value)).collect();
             match &slope.fit {
@@ -75,7 +106,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::scale::report::Phase;
 
     fn report(couriers: usize, phases: &[(&str, f64)]) -> Report {
         let phase = |&(name, core): &(&str, f64)| {
@@ -90,7 +120,7 @@
     fn figures_are_fitted_over_the_sizes_that_have_them() {
         let sizes = [100, 300, 650];
         let reports = sizes.map(|n| report(n, &[("rest", 1e-4 * n as f64), ("changes", 5e-4)]));
-        let refused = report(1300, &[]);
+        let refused = Report { refused: Some("too long".to_string()), ..report(1300, &[]) };
         let series = Series::new([reports.to_vec(), vec![refused]].concat());
         let exponent = |name: &str| {
             let slope = series.slopes.iter().find(|slope| slope.name == name).unwrap();
@@ -102,6 +132,12 @@
         };
         assert_eq!(exponent("core of a hollow courier at rest"), Some(1.0));
         assert_eq!(exponent("core of a hollow courier with changes"), Some(0.0));
+        assert_eq!((series.slopes[0].largest, series.slopes[0].stopped_by.as_str()), (650.0, "too long"));
+        // Without relays they have no figure.
+        let mut of_relays = series.slopes.iter().filter(|slope| slope.name.contains("relay"));
+        assert!(of_relays.clone().count() == 5 && of_relays.all(|slope| slope.points.is_empty()));
+        let json = serde_json::to_value(&series).unwrap();
+        assert_eq!(json["slopes"][0]["fit"]["kind"], "power", "{json}");
         // What was 0 throughout has no exponent, and is said so.
         assert_eq!(exponent("core of the source with changes"), None);
         assert!(series.to_string().contains("no fit: a point at or below 0 has no logarithm"), "{series}");
