--- a/src/control.rs
+++ b/src/control.rs
@@ -142,7 +142,7 @@
 
     /// From here on decisions go by these settings. What is out or taken on stays, also beyond them.
     fn keep_to(&mut self, set: Settings) {
-        // Guards against what a raised limit would let go at once: so far the old one saved it up and grew it.
+        // Guards against what a raised limit would let go at once: the old one saved it up and grew it.
         let _ = (0..self.endpoints.len()).filter(|&e| self.endpoints[e].known && self.free(e)).count();
         for dest in (0..self.dests.len()).filter(|_| set.slots > self.set.slots) {
             self.dests[dest].grown = self.dests[dest].grown.min(self.cap(dest));
