What is heard of a list by versions, and how many entries changes add, are said once

A relay's hub and a courier's guard made the same offer of a list by three fields each: now Heard. Exchange, keeper and hub counted alike what changes add: now Update::added. Hollow couriers follow relays by the same call as real ones.

--- a/crates/courier/src/entries.rs
+++ b/crates/courier/src/entries.rs
@@ -154,6 +154,13 @@
     pub entries: Entries,
 }
 
+impl Update {
+    /// How many more are listed with this than are now; `has`: whether one of this name is.
+    pub fn added(&self, has: impl Fn(&str) -> bool) -> usize {
+        self.entries.iter().filter(|entry| entry.life() != Life::Gone && !has(entry.name)).count()
+    }
+}
+
 impl From<&List> for Update {
     fn from(list: &List) -> Update {
         let mut entries = Entries::default();
--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -1167,9 +1167,7 @@
     }
 
     fn count_with(&self, changes: &Update) -> usize {
-        let new = |name: &str| self.endpoints.find(name.as_bytes()).is_none();
-        let added = changes.entries.iter().filter(|entry| entry.life() != Life::Gone && new(entry.name));
-        self.endpoints.len() + added.count()
+        self.endpoints.len() + changes.added(|name| self.endpoints.find(name.as_bytes()).is_some())
     }
 
     fn hold(&mut self) {
@@ -1194,8 +1192,7 @@
             () = notify.notified() => {}
             () = sleep_until(due) => {}
         }
-        let earliest = shared.borrow().earliest_turn();
-        let earliest = clock.instant(earliest);
+        let earliest = clock.instant(shared.borrow().earliest_turn());
         tokio::time::sleep_until(earliest.into()).await;
         shared.borrow_mut().turn();
     }
--- a/crates/courier/src/hollow.rs
+++ b/crates/courier/src/hollow.rs
@@ -21,7 +21,7 @@
 use crate::exchange::{duration, Clock, IN_FORCE};
 use crate::members;
 use crate::memory::{deployment, Keeper};
-use crate::relays::{self, Guard};
+use crate::relays;
 
 /// A real courier writes its file at the end of a turn. Here that waits, so that those who share the process have
 /// their turns first: guards against a time in force that is the neighbours' writing.
@@ -101,10 +101,7 @@
     let (listener, limits) = (before(hollow), (list, seed));
     match relays {
         None => parts.spawn_local(discovery::follow(listener, clock, discovery, index, push, limits)),
-        Some(relays) => {
-            let guard = Rc::new(RefCell::new(Guard::new(listener, index)));
-            parts.spawn_local(relays::follow(guard, clock, name, relays, limits))
-        }
+        Some(relays) => parts.spawn_local(relays::follow_for(listener, clock, name, relays, index, limits)),
     };
     if let Some(fleet) = &fleet {
         parts.spawn_local(fleet.clone().follow());
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -132,13 +132,10 @@
     parts.spawn_local(exchange::drive(shared.clone()));
     parts.spawn_local(endpoints::run(shared.clone(), orders_in, limits));
     parts.spawn_local(notices::tell(shared.clone(), discovery.clone(), notices_in));
+    let limits = (list, seed);
     match relays {
-        None => {
-            let limits = (list, seed);
-            parts.spawn_local(discovery::follow(shared.clone(), clock, discovery, index, push, limits))
-        }
+        None => parts.spawn_local(discovery::follow(shared.clone(), clock, discovery, index, push, limits)),
         Some(relays) => {
-            let limits = (list, seed);
             parts.spawn_local(relays::follow_for(shared.clone(), clock, name.clone(), relays, index, limits))
         }
     };
--- a/crates/courier/src/memory.rs
+++ b/crates/courier/src/memory.rs
@@ -8,7 +8,7 @@
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 
-use meadowhold::interface::{Life, Time, SECOND};
+use meadowhold::interface::{Time, SECOND};
 use meadowhold_settings::Decoded;
 use meadowhold_start::recall::Sight;
 use serde::{Deserialize, Serialize};
@@ -369,8 +369,7 @@
 
     /// Entries that it would hold with these changes.
     pub fn count_with(&self, changes: &Update) -> usize {
-        let added = |entry: &Listing| entry.life() != Life::Gone && !self.table.has(entry.name);
-        self.table.len() + changes.entries.iter().filter(added).count()
+        self.table.len() + changes.added(|name| self.table.has(name))
     }
 
     fn save_whole(&mut self, now: Time) -> io::Result<()> {
--- a/crates/courier/src/relay/hub.rs
+++ b/crates/courier/src/relay/hub.rs
@@ -16,7 +16,7 @@
 use crate::entries::{Listing, Update};
 use crate::exchange::Clock;
 use crate::memory::Kept;
-use crate::relays::{Held, Holder};
+use crate::relays::{Heard, Held, Holder};
 
 use super::config::Bounds;
 
@@ -66,10 +66,7 @@
     pub clock: Clock,
     /// Told of each step; watches wait on it.
     pub step: watch::Sender<u64>,
-    /// What lists that come are of, and no lower one than was held.
-    epoch: u64,
-    heard: Option<u64>,
-    wants_whole: bool,
+    heard: Heard,
     /// The list is from the file still.
     kept: bool,
     pub taken_at: Time,
@@ -96,9 +93,7 @@
             store: Store::new(partitions, bounds.held()),
             clock,
             step: watch::Sender::new(0),
-            epoch: 0,
-            heard: None,
-            wants_whole: false,
+            heard: Heard::default(),
             kept: false,
             taken_at: clock.now(),
             stated: BTreeMap::new(),
@@ -113,16 +108,17 @@
 
     /// Begins with what was on file.
     pub fn begin(&mut self, version: Version, entries: &[Entry], saved_at: Time) {
-        self.epoch = self.epoch.max(version.epoch);
+        self.heard.epoch = self.heard.epoch.max(version.epoch);
         self.put(Offer { version, after: None }, entries.iter().map(|entry| item(entry.into())).collect());
         (self.kept, self.taken_at) = (true, saved_at.min(self.taken_at));
     }
 
     /// Lists that come are of this epoch from here on, unless a newer one was held.
     pub fn raise(&mut self, epoch: u64) {
-        if epoch > self.epoch {
+        if epoch > self.heard.epoch {
             // What comes next must be whole.
-            (self.epoch, self.heard, self.wants_whole) = (epoch, None, true);
+            self.heard.comes(epoch);
+            self.heard.wants_whole = true;
         }
     }
 
@@ -142,7 +138,7 @@
                 self.lines.clear();
                 self.step.send_replace(self.store.step());
             }
-            Verdict::AskWhole => self.wants_whole = true,
+            Verdict::AskWhole => self.heard.wants_whole = true,
             // One line for as long as it lasts.
             Verdict::Pass => self.refuse(format!(
                 "the source tells {:?}, from before {before:?}; if it counts anew, raise epoch",
@@ -309,16 +305,12 @@
 
 impl Listener for Hub {
     fn listed(&mut self, list: &Update) {
-        let heard = self.heard.replace(list.index);
-        let version = Version { epoch: self.epoch, index: list.index };
-        // Changes of which nothing went before cannot be told from a part of them.
-        let after = if list.whole { None } else { Some(heard.unwrap_or(list.index)) };
-        self.put(Offer { version, after }, list.entries.iter().map(item).collect());
+        let offer = self.heard.offer(list);
+        self.put(offer, list.entries.iter().map(item).collect());
     }
 
     fn count_with(&self, changes: &Update) -> usize {
-        let new = |entry: &Listing| entry.life() != Life::Gone && !self.store.has(entry.name);
-        self.store.entries() + changes.entries.iter().filter(new).count()
+        self.store.entries() + changes.added(|name| self.store.has(name))
     }
 
     /// Nothing begins here.
@@ -333,10 +325,10 @@
     }
 
     fn comes(&mut self, epoch: u64) {
-        (self.epoch, self.heard, self.wants_whole) = (epoch, None, false);
+        self.heard.comes(epoch);
     }
 
     fn wants_whole(&mut self) -> bool {
-        std::mem::take(&mut self.wants_whole)
+        std::mem::take(&mut self.heard.wants_whole)
     }
 }
--- a/crates/courier/src/relays.rs
+++ b/crates/courier/src/relays.rs
@@ -20,7 +20,7 @@
 
 use crate::discovery::{self, Listener};
 use crate::entries::Update;
-use crate::exchange::{Clock, Exchange};
+use crate::exchange::Clock;
 use crate::platform::Connection;
 use crate::reader::Limits;
 
@@ -58,34 +58,54 @@
     fn wants_whole(&mut self) -> bool;
 }
 
+/// What was heard of the list since it comes from where it does, for whoever holds it by versions.
+#[derive(Debug, Default)]
+pub struct Heard {
+    pub epoch: u64,
+    /// The version last heard from there.
+    index: Option<u64>,
+    pub wants_whole: bool,
+}
+
+impl Heard {
+    /// Lists come from elsewhere, or under another epoch.
+    pub fn comes(&mut self, epoch: u64) {
+        *self = Heard { epoch, index: None, wants_whole: false };
+    }
+
+    /// What a list offers that has come.
+    pub fn offer(&mut self, list: &Update) -> Offer {
+        let heard = self.index.replace(list.index);
+        let version = Version { epoch: self.epoch, index: list.index };
+        // Changes of which nothing went before cannot be told from a part of them.
+        let after = if list.whole { None } else { Some(heard.unwrap_or(list.index)) };
+        Offer { version, after }
+    }
+}
+
 /// Stands before a courier's exchange, and passes on what is no older than what was held.
 pub struct Guard<L> {
     inner: Rc<RefCell<L>>,
     versions: Versions,
-    epoch: u64,
-    /// The version last heard from the present relay.
-    heard: Option<u64>,
-    wants_whole: bool,
+    heard: Heard,
 }
 
 impl<L: Listener> Guard<L> {
     /// `index`: the version held at the start, 0: none.
     pub fn new(inner: Rc<RefCell<L>>, index: u64) -> Guard<L> {
         let held = (index > 0).then_some(Version { epoch: 0, index });
-        Guard { inner, versions: Versions::new(held), epoch: 0, heard: None, wants_whole: false }
+        Guard { inner, versions: Versions::new(held), heard: Heard::default() }
     }
 }
 
 impl<L: Listener> Listener for Guard<L> {
     fn listed(&mut self, list: &Update) {
-        let heard = self.heard.replace(list.index);
-        let version = Version { epoch: self.epoch, index: list.index };
-        // Changes of which nothing went before cannot be told from a part of them.
-        let after = if list.whole { None } else { Some(heard.unwrap_or(list.index)) };
-        match self.versions.put(&Offer { version, after }, Vec::new()) {
+        let offer = self.heard.offer(list);
+        match self.versions.put(&offer, Vec::new()) {
             Verdict::Take => self.inner.borrow_mut().listed(list),
-            Verdict::AskWhole => self.wants_whole = true,
+            Verdict::AskWhole => self.heard.wants_whole = true,
             Verdict::Pass | Verdict::TurnDown(_) => {
+                let version = offer.version;
                 log::debug!("a relay's list {version:?} is from before {:?}", self.versions.held());
             }
         }
@@ -110,24 +130,24 @@
     }
 
     fn comes(&mut self, epoch: u64) {
-        (self.epoch, self.heard, self.wants_whole) = (epoch, None, false);
+        self.heard.comes(epoch);
     }
 
     fn wants_whole(&mut self) -> bool {
-        std::mem::take(&mut self.wants_whole)
+        std::mem::take(&mut self.heard.wants_whole)
     }
 }
 
-/// A courier follows the list at these relays; `index` is that of the list it begins with.
-pub fn follow_for(
-    exchange: Rc<RefCell<Exchange>>,
+/// A courier's listener follows the list at these relays; `index` is that of the list it begins with.
+pub fn follow_for<L: Listener + 'static>(
+    listener: Rc<RefCell<L>>,
     clock: Clock,
     name: String,
     relays: Vec<SocketAddr>,
     index: u64,
     limits: (Limits, u64),
 ) -> impl Future<Output = ()> {
-    follow(Rc::new(RefCell::new(Guard::new(exchange, index))), clock, name, relays, limits)
+    follow(Rc::new(RefCell::new(Guard::new(listener, index))), clock, name, relays, limits)
 }
 
 /// Text as a word of a query.
