A relay whose watch speaks is kept, and a move goes on from the held content

Couriers behind relays took the whole list (39 MB at 300,004 entries) when an answer came 0.8 s late, went in a circle between relays after one stall of 3 s, and heard of changes minutes late. Cause: a late ask counted as a lost relay though its watch or list was heard, and each relay found again was followed from version 0, the same one too.

What is heard of the list within 2.5 s now proves that the relay lives. A courier reckons the content hash of what it holds and names it in its watch; a relay goes on from the step at which it held just that, and tells the whole otherwise. The index alone would not do: a relay may have told the first part of a version with a gap.

--- a/crates/catalog/src/choice.rs
+++ b/crates/catalog/src/choice.rs
@@ -59,6 +59,8 @@
     Said(Version),
     /// It was refused, broke off, or holds nothing.
     Failed,
+    /// `Due` or `Failed` of the relay that is followed, while its list or watch is heard: it lives.
+    Unanswered,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -119,6 +121,11 @@
         self.state
     }
 
+    /// The relay that is followed is the one that was asked.
+    pub fn is_checked(&self) -> bool {
+        matches!(self.state, State::Checked(_))
+    }
+
     /// The relay that is followed, by its index among those given.
     pub fn followed(&self) -> Option<usize> {
         match self.state {
@@ -129,7 +136,7 @@
 
     /// `held`: the version that the follower holds; `chance` is evenly spread from 0 to 1.
     pub fn put(&mut self, now: Time, input: Input, held: Option<Version>, chance: f64) -> Effect {
-        use Input::{Due, Failed, Said};
+        use Input::{Due, Failed, Said, Unanswered};
         use State::{Asked, Checked, Following, Rest, Trying};
         if input == Due && now < self.at {
             return Effect::Nothing;
@@ -151,7 +158,7 @@
                 self.next(now, chance);
                 Effect::Nothing
             }
-            (Asked(_), Failed | Due) => {
+            (Asked(_), Failed | Unanswered | Due) => {
                 self.lenient = false;
                 self.next(now, chance);
                 Effect::Nothing
@@ -169,14 +176,12 @@
             }
             (Checked(r), Said(version)) => {
                 self.elsewhere = self.elsewhere.filter(|&(newest, _)| version < newest);
-                let since = is_behind(version).then(|| self.behind_since.unwrap_or(now));
-                self.behind_since = since;
-                let since = since.or(self.elsewhere.map(|(_, since)| since));
-                if since.is_some_and(|since| now >= since + BEHIND) && self.order.len() > 1 {
-                    self.lose(r, now, chance);
-                } else {
-                    (self.state, self.at) = (Following(r), now + every(chance));
-                }
+                self.behind_since = is_behind(version).then(|| self.behind_since.unwrap_or(now));
+                self.keep_unless_behind(r, now, chance);
+                Effect::Nothing
+            }
+            (Checked(r), Unanswered) => {
+                self.keep_unless_behind(r, now, chance);
                 Effect::Nothing
             }
             (Checked(r), Failed | Due) => {
@@ -187,7 +192,7 @@
                 self.follow(better, now, chance);
                 Effect::Follow(self.order[better])
             }
-            (Trying(r, _), Said(_) | Failed | Due) => {
+            (Trying(r, _), Said(_) | Failed | Unanswered | Due) => {
                 if let Said(version) = input {
                     let newer = held.is_none_or(|held| version > held);
                     self.elsewhere = self.elsewhere.or(newer.then_some((version, now)));
@@ -196,7 +201,17 @@
                 Effect::Nothing
             }
             // Of an ask that was given up.
-            (Rest(_) | Following(_), Said(_) | Failed) => Effect::Nothing,
+            (Rest(_) | Following(_), Said(_) | Failed | Unanswered) => Effect::Nothing,
+        }
+    }
+
+    /// The relay that is followed lives: it is kept, unless it has lacked for `BEHIND` what is known elsewhere.
+    fn keep_unless_behind(&mut self, rank: usize, now: Time, chance: f64) {
+        let since = self.behind_since.or(self.elsewhere.map(|(_, since)| since));
+        if since.is_some_and(|since| now >= since + BEHIND) && self.order.len() > 1 {
+            self.lose(rank, now, chance);
+        } else {
+            (self.state, self.at) = (State::Following(rank), now + every(chance));
         }
     }
 
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 pub mod choice;
+pub mod content;
 pub mod store;
 pub mod versions;
 
--- a/crates/catalog/src/store.rs
+++ b/crates/catalog/src/store.rs
@@ -8,6 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::content::entry_hash;
 use crate::versions::{self, Fault, Glance, Offer, Verdict, Version, Versions};
 
 /// A destination's partition, the same in each process and release.
@@ -108,11 +109,6 @@
     }
 }
 
-fn entry_hash(name: &str, text: &[u8]) -> u64 {
-    // The name's length too: guards against a name and a text that share their bytes otherwise.
-    xxh3_64(text) ^ xxh3_64(name.as_bytes()).rotate_left(17) ^ name.len() as u64
-}
-
 /// One entry that changed; the text of one that is gone, of the others the partition's counts.
 #[derive(Clone, Debug)]
 struct Change {
@@ -136,6 +132,15 @@
     pub texts: Arc<[Bytes]>,
 }
 
+/// What was held after one step.
+#[derive(Clone, Copy, Debug)]
+struct Step {
+    step: u64,
+    index: u64,
+    /// Of all content.
+    hash: u64,
+}
+
 pub struct Store {
     bounds: Bounds,
     versions: Versions,
@@ -146,8 +151,8 @@
     /// Counts what was taken: two pieces of one version are two steps.
     step: u64,
     changes: VecDeque<Change>,
-    /// The first step at which each index of this epoch was held, as far back as changes are known.
-    steps: VecDeque<(u64, u64)>,
+    /// The steps of this epoch, as far back as changes are known; one index has several where it came in pieces.
+    steps: VecDeque<Step>,
     /// Indexes up to this were held under an older epoch too: whoever names one may mean another list.
     doubtful: u64,
     whole: Option<Whole>,
@@ -260,9 +265,8 @@
             self.changes.clear();
             self.steps.clear();
         }
-        if self.steps.back().is_none_or(|&(_, index)| index != offer.version.index) {
-            self.steps.push_back((self.step, offer.version.index));
-        }
+        let (step, index, hash) = (self.step, offer.version.index, self.hash());
+        self.steps.push_back(Step { step, index, hash });
         self.forget();
         (self.whole, self.bytes) = (None, self.parts.iter().map(|part| part.text.len()).sum());
         self.folds.clear();
@@ -306,7 +310,7 @@
         while self.changes.len() > self.bounds.window {
             let Some(oldest) = self.changes.pop_front() else { return };
             // Positions before it have lost a change.
-            while self.steps.front().is_some_and(|&(step, _)| step < oldest.step) {
+            while self.steps.front().is_some_and(|held| held.step < oldest.step) {
                 self.steps.pop_front();
             }
         }
@@ -324,12 +328,18 @@
         }
         // This very one: guards against a difference from another version, in which what had changed and is
         // as it was would be missing.
-        self.steps.iter().rev().find(|(_, at)| *at == index).map(|&(step, _)| step)
+        self.steps.iter().find(|held| held.index == index).map(|held| held.step)
+    }
+
+    /// The same for one who says which content it holds under this index: the step after which just that was held
+    /// here. `None`: the whole, since a difference from other content would leave something out.
+    pub fn position_of(&self, index: u64, hash: u64) -> Option<u64> {
+        self.steps.iter().rev().find(|held| held.index == index && held.hash == hash).map(|held| held.step)
     }
 
     /// What changed after a step, each entry once as it is now, of these partitions (`None`: all).
     pub fn since(&mut self, step: u64, of: Option<&HashSet<u32>>) -> Option<Fold> {
-        let first = self.steps.front()?.0;
+        let first = self.steps.front()?.step;
         if step < first {
             return None;
         }
@@ -375,7 +385,10 @@
         let entries: usize = self.parts.iter().map(Part::entries).sum();
         entries == self.places.len()
             && self.changes.len() <= self.bounds.window
-            && self.steps.back().is_some_and(|last| self.version().is_some_and(|held| held.index == last.1))
+            && self
+                .steps
+                .back()
+                .is_some_and(|last| self.version().is_some_and(|held| held.index == last.index))
     }
 }
 
--- a/crates/catalog/tests/versions.rs
+++ b/crates/catalog/tests/versions.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, HashSet};
 
 use bytes::Bytes;
+use meadowhold_catalog::content::ContentHash;
 use meadowhold_catalog::store::{partition, Bounds, Item, Store};
 use meadowhold_catalog::versions::{faults, Glance, Offer, Verdict, Version, Versions, MOST_FAULTS};
 use proptest::prelude::*;
@@ -223,8 +224,9 @@
                 followers.clear();
             }
             for (step, index, content) in &mut followers {
-                // On an open watch, by its step; and one that comes anew, by its index.
-                for from in [Some(*step), store.position(*index)] {
+                // On an open watch, by its step; and one that comes anew, by its index, or by its content too.
+                let by_content = store.position_of(*index, hash_of(content));
+                for from in [Some(*step), store.position(*index), by_content] {
                     let mut now = content.clone();
                     match from.and_then(|from| store.since(from, None)) {
                         Some(fold) => for one in split(std::str::from_utf8(&fold.text).unwrap()) {
@@ -421,3 +423,9 @@
     let of: HashSet<u32> = (0..PARTITIONS).filter(|&p| p != partition(3, PARTITIONS)).collect();
     assert_eq!(store.since(step, Some(&of)).unwrap().entries, 0);
 }
+
+fn hash_of(content: &BTreeMap<String, String>) -> u64 {
+    let mut hash = ContentHash::default();
+    content.iter().for_each(|(name, text)| hash.insert(name, text.as_bytes()));
+    hash.value()
+}
--- a/crates/courier/src/discovery.rs
+++ b/crates/courier/src/discovery.rs
@@ -1,7 +1,7 @@
 //! Follows the list of endpoints: the whole list, then a watch on its changes. When to ask, and when what was
 //! asked is broken, is the clock's to say (`told`).
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::future::Future;
 use std::io;
@@ -11,7 +11,8 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, StatusCode};
-use meadowhold::interface::Life;
+use meadowhold::interface::{Life, Time};
+use meadowhold_catalog::content::Content;
 use serde::de::Error as _;
 use serde::de::{SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer};
@@ -23,7 +24,7 @@
 use crate::exchange::Clock;
 use crate::platform::Connection;
 use crate::reader::{Fault, Limits, Reader};
-use crate::told::{Ask, Effect, Held, Input, Told, Verdict};
+use crate::told::{Ask, Effect, Held, Input, Told, Verdict, SILENCE};
 
 /// A list of which more than this has come may take its time: shorter ones have the time of any ask.
 const SHORT: usize = 4 << 20;
@@ -111,6 +112,35 @@
     fn hold(&mut self);
 
     fn release(&mut self);
+
+    /// The content that is held, where it is known; a source that checks it tells only what has changed since.
+    fn held_content(&self) -> Option<Content> {
+        None
+    }
+}
+
+/// When something of a list was heard last, for whoever wants to know whether its source lives.
+#[derive(Clone, Default)]
+pub struct LastHeard(Rc<Cell<Option<Time>>>);
+
+impl LastHeard {
+    /// Whether the list or watch that is out was heard within the time in which a healthy one says something.
+    pub fn is_recent(&self, now: Time) -> bool {
+        self.0.get().is_some_and(|at| now < at + SILENCE)
+    }
+
+    fn note(&self, now: Time, input: Input, effect: Effect) {
+        match input {
+            Input::Head | Input::More | Input::Word | Input::Taken | Input::Older | Input::Gap => {
+                self.0.set(Some(now));
+            }
+            Input::Ended | Input::Refused | Input::Unreadable | Input::TooLong | Input::Moved => {
+                self.0.set(None);
+            }
+            Input::Due if effect == Effect::Drop => self.0.set(None),
+            Input::Due => {}
+        }
+    }
 }
 
 /// What comes of an ask.
@@ -143,6 +173,9 @@
 
 struct Follower<L> {
     listener: Rc<RefCell<L>>,
+    /// The source is a relay: which list is taken is the listener's to say.
+    is_relay: bool,
+    last_heard: LastHeard,
     address: watch::Receiver<SocketAddr>,
     clock: Clock,
     told: Told,
@@ -166,7 +199,7 @@
         (self.asked, self.first) = (what, true);
         let path = match what {
             Ask::Whole => "/catalog/members".to_string(),
-            Ask::Watch => format!("/catalog/members?watch=1&after={}", self.held.index),
+            Ask::Watch => self.watch_path(),
         };
         let address = *self.address.borrow();
         let (out, events) = mpsc::channel(1);
@@ -177,6 +210,17 @@
         });
     }
 
+    /// A relay is told what is held under the index, where just that is known.
+    fn watch_path(&self) -> String {
+        let index = self.held.index;
+        let path = format!("/catalog/members?watch=1&after={index}");
+        let content = self.listener.borrow().held_content();
+        match content.filter(|content| self.is_relay && content.index == index) {
+            Some(content) => format!("{path}&hash={:016x}", content.hash),
+            None => path,
+        }
+    }
+
     fn drop_ask(&mut self) {
         self.task = JoinSet::new();
         self.events = None;
@@ -192,6 +236,11 @@
             return Err(self.limits.too_many());
         }
         let first = std::mem::take(&mut self.first);
+        if whole && self.is_relay {
+            // Guards against an older list that the listener never hears of: it would take what changed since that
+            // list for what changed since its own.
+            self.held = Held::new(0);
+        }
         let verdict = self.held.judge(now, list.index, whole, list.entries.len(), first);
         match verdict {
             Verdict::Take | Verdict::TakeAndAsk => self.listener.borrow_mut().listed(list),
@@ -292,7 +341,9 @@
             if input == Input::Moved {
                 self.held.moved(now);
             }
-            match self.told.put(now, input, self.chance.f64()) {
+            let effect = self.told.put(now, input, self.chance.f64());
+            self.last_heard.note(now, input, effect);
+            match effect {
                 Effect::Nothing => {}
                 Effect::Begin(what) => self.begin(what),
                 Effect::Drop => self.drop_ask(),
@@ -348,12 +399,43 @@
     if !told.may_begin() {
         listener.borrow_mut().hold();
     }
-    let follower = Follower {
+    follower(listener, clock, address, (told, Held::new(index)), (limits, seed)).run()
+}
+
+/// Follows the list at a relay: from the content that is held, where the relay checks it, or else from the whole list.
+/// What is heard is noted in `last_heard`.
+pub fn follow_relay<L: Listener>(
+    listener: Rc<RefCell<L>>,
+    clock: Clock,
+    address: watch::Receiver<SocketAddr>,
+    from: Option<Content>,
+    last_heard: LastHeard,
+    limits: (Limits, u64),
+) -> impl Future<Output = ()> {
+    let now = clock.now();
+    let start = match from {
+        Some(content) => (Told::resuming(now), Held::new(content.index)),
+        None => (Told::new(false, now), Held::new(0)),
+    };
+    let follower = follower(listener, clock, address, start, limits);
+    Follower { is_relay: true, last_heard, ..follower }.run()
+}
+
+fn follower<L: Listener>(
+    listener: Rc<RefCell<L>>,
+    clock: Clock,
+    address: watch::Receiver<SocketAddr>,
+    (told, held): (Told, Held),
+    (limits, seed): (Limits, u64),
+) -> Follower<L> {
+    Follower {
         listener,
+        is_relay: false,
+        last_heard: LastHeard::default(),
         address,
         clock,
         told,
-        held: Held::new(index),
+        held,
         chance: fastrand::Rng::with_seed(seed),
         limits,
         reader: Reader::new(limits),
@@ -362,8 +444,7 @@
         first: true,
         task: JoinSet::new(),
         events: None,
-    };
-    follower.run()
+    }
 }
 
 /// Done when another address has been given.
--- a/crates/courier/src/memory.rs
+++ b/crates/courier/src/memory.rs
@@ -62,6 +62,13 @@
     pub since_ms: u64,
 }
 
+impl Kept {
+    /// As relays tell it, and as its content hash is reckoned.
+    pub fn text(&self) -> Vec<u8> {
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+}
+
 /// What was known of the endpoint of this name: the fields of `Sight`.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct Seen {
--- a/crates/courier/src/relay/hub.rs
+++ b/crates/courier/src/relay/hub.rs
@@ -8,6 +8,7 @@
 
 use bytes::{Bytes, BytesMut};
 use meadowhold::interface::{Life, Time, SECOND};
+use meadowhold_catalog::content::Content;
 use meadowhold_catalog::store::{Item, Store, Whole};
 use meadowhold_catalog::versions::{Offer, Verdict, Version};
 use tokio::sync::watch;
@@ -82,7 +83,7 @@
 }
 
 fn item(entry: Listing) -> Item {
-    let text = serde_json::to_vec(&Kept::from(&entry)).unwrap_or_default();
+    let text = Kept::from(&entry).text();
     let gone = entry.life() == Life::Gone;
     Item { name: entry.name.to_string(), destination: entry.group, text: text.into(), gone }
 }
@@ -117,7 +118,7 @@
     pub fn raise(&mut self, epoch: u64) {
         if epoch > self.heard.epoch {
             // What comes next must be whole.
-            self.heard.comes(epoch);
+            self.heard.comes(epoch, None);
             self.heard.wants_whole = true;
         }
     }
@@ -160,7 +161,14 @@
     pub fn held(&self) -> Option<Held> {
         let Version { epoch, index } = self.store.version()?;
         let age_ms = self.age() / 10;
-        Some(Held { epoch, index, hash: format!("{:016x}", self.store.hash()), kept: self.kept, age_ms })
+        Some(Held {
+            epoch,
+            index,
+            hash: format!("{:016x}", self.store.hash()),
+            kept: self.kept,
+            age_ms,
+            resumes: true,
+        })
     }
 
     /// How long ago what is held was taken up; by the file's time if it comes from there.
@@ -317,6 +325,11 @@
     fn hold(&mut self) {}
 
     fn release(&mut self) {}
+
+    fn held_content(&self) -> Option<Content> {
+        let version = self.store.version()?;
+        Some(Content { index: version.index, hash: self.store.hash() })
+    }
 }
 
 impl Holder for Hub {
@@ -324,8 +337,8 @@
         self.store.version()
     }
 
-    fn comes(&mut self, epoch: u64) {
-        self.heard.comes(epoch);
+    fn comes(&mut self, epoch: u64, after: Option<u64>) {
+        self.heard.comes(epoch, after);
     }
 
     fn wants_whole(&mut self) -> bool {
--- a/crates/courier/src/relay/serve.rs
+++ b/crates/courier/src/relay/serve.rs
@@ -155,6 +155,11 @@
     query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
 }
 
+/// The content hash of a query, as it is written there: in hexadecimal digits.
+fn content_hash(query: &str) -> Option<u64> {
+    u64::from_str_radix(word(query, "hash")?, 16).ok()
+}
+
 fn number(query: &str, name: &str) -> Option<u64> {
     word(query, name)?.parse().ok()
 }
@@ -245,7 +250,13 @@
         let mut watches = watches.borrow_mut();
         // Those that have ended.
         while watches.try_join_next().is_some() {}
-        watches.spawn_local(watch(Open { hub: hub.clone(), id }, after, of, lines));
+        // Who says what it holds is told only what has changed since, or else all of it.
+        let position = match content_hash(query) {
+            Some(hash) => held.store.position_of(after, hash),
+            None => held.store.position(after),
+        };
+        let open = Open { hub: hub.clone(), id };
+        watches.spawn_local(watch(open, (after, position), of, lines));
         Response::new(body.boxed())
     } else {
         let Some((pieces, _)) = held.whole(of.as_ref()) else { return plain(StatusCode::NOT_FOUND, "") };
@@ -267,10 +278,11 @@
     }
 }
 
-async fn watch(open: Open, after: u64, of: Option<HashSet<u32>>, mut lines: Sender<Bytes>) {
+/// `after`: the index that the follower holds, and the step at which it was held here. As the agent does: who is up to
+/// date is told nothing, who knows another truth all of it.
+async fn watch(open: Open, after: (u64, Option<u64>), of: Option<HashSet<u32>>, mut lines: Sender<Bytes>) {
     let mut steps = open.hub.borrow().step.subscribe();
-    // As the agent does: who is up to date is told nothing, who knows another truth all of it.
-    let (mut at, mut index, mut first) = (open.hub.borrow().store.position(after), after, true);
+    let ((mut index, mut at), mut first) = (after, true);
     loop {
         steps.borrow_and_update();
         let (next, step) = {
--- a/crates/courier/src/relays.rs
+++ b/crates/courier/src/relays.rs
@@ -1,6 +1,7 @@
 //! Follows the list at one of several relays: which one, the catalog's `choice` says; that no older list is
 //! taken than was held, its `versions`. The list itself is followed by `discovery` as ever; beside it goes an
-//! ask a second, by which the relay hears what is held here, and says what it holds.
+//! ask a second, by which the relay hears what is held here, and says what it holds. A list that is heard proves that
+//! its relay lives, whatever becomes of the asks; and a move to another relay goes on from the held content.
 
 use std::cell::RefCell;
 use std::fmt::Write;
@@ -12,15 +13,18 @@
 
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, StatusCode};
+use meadowhold::interface::Life;
 use meadowhold_catalog::choice::{order, Choice, Effect, Input};
+use meadowhold_catalog::content::{Content, ContentHash};
 use meadowhold_catalog::versions::{Offer, Verdict, Version, Versions};
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time::sleep_until;
 
-use crate::discovery::{self, Listener};
+use crate::discovery::{self, LastHeard, Listener};
 use crate::entries::Update;
 use crate::exchange::Clock;
+use crate::memory::Kept;
 use crate::platform::Connection;
 use crate::reader::Limits;
 
@@ -44,6 +48,10 @@
     /// Milliseconds since this version was taken up.
     #[serde(default)]
     pub age_ms: u64,
+    /// Its watches check the content hash that a follower names: they tell what has changed since just that content
+    /// was held there, and otherwise all of it.
+    #[serde(default)]
+    pub resumes: bool,
 }
 
 /// Who holds a list that comes by relays.
@@ -51,8 +59,8 @@
     /// The version that is held.
     fn held(&self) -> Option<Version>;
 
-    /// From here on lists come from another relay, or under another epoch.
-    fn comes(&mut self, epoch: u64);
+    /// From here on lists come from another relay, or under another epoch: what changes after this index, or whole.
+    fn comes(&mut self, epoch: u64, after: Option<u64>);
 
     /// Whether something is missing that only a whole list brings; asked once.
     fn wants_whole(&mut self) -> bool;
@@ -68,9 +76,9 @@
 }
 
 impl Heard {
-    /// Lists come from elsewhere, or under another epoch.
-    pub fn comes(&mut self, epoch: u64) {
-        *self = Heard { epoch, index: None, wants_whole: false };
+    /// Lists come from elsewhere, or under another epoch: what changes after this index, or whole.
+    pub fn comes(&mut self, epoch: u64, after: Option<u64>) {
+        *self = Heard { epoch, index: after, wants_whole: false };
     }
 
     /// What a list offers that has come.
@@ -88,13 +96,30 @@
     inner: Rc<RefCell<L>>,
     versions: Versions,
     heard: Heard,
+    content: ContentHash,
+    /// A whole list was taken, so that the content hash is that of all that is held.
+    is_whole: bool,
 }
 
 impl<L: Listener> Guard<L> {
     /// `index`: the version held at the start, 0: none.
     pub fn new(inner: Rc<RefCell<L>>, index: u64) -> Guard<L> {
         let held = (index > 0).then_some(Version { epoch: 0, index });
-        Guard { inner, versions: Versions::new(held), heard: Heard::default() }
+        let (heard, content) = (Heard::default(), ContentHash::default());
+        Guard { inner, versions: Versions::new(held), heard, content, is_whole: false }
+    }
+
+    fn note_content(&mut self, list: &Update) {
+        if list.whole {
+            self.content.clear();
+            self.is_whole = true;
+        }
+        for entry in list.entries.iter() {
+            match entry.life() {
+                Life::Gone => self.content.remove(entry.name),
+                Life::Ready | Life::Draining => self.content.insert(entry.name, &Kept::from(&entry).text()),
+            }
+        }
     }
 }
 
@@ -102,7 +127,10 @@
     fn listed(&mut self, list: &Update) {
         let offer = self.heard.offer(list);
         match self.versions.put(&offer, Vec::new()) {
-            Verdict::Take => self.inner.borrow_mut().listed(list),
+            Verdict::Take => {
+                self.note_content(list);
+                self.inner.borrow_mut().listed(list);
+            }
             Verdict::AskWhole => self.heard.wants_whole = true,
             Verdict::Pass | Verdict::TurnDown(_) => {
                 let version = offer.version;
@@ -122,6 +150,11 @@
     fn release(&mut self) {
         self.inner.borrow_mut().release();
     }
+
+    fn held_content(&self) -> Option<Content> {
+        let version = self.versions.held().filter(|_| self.is_whole)?;
+        Some(Content { index: version.index, hash: self.content.value() })
+    }
 }
 
 impl<L: Listener> Holder for Guard<L> {
@@ -129,8 +162,8 @@
         self.versions.held()
     }
 
-    fn comes(&mut self, epoch: u64) {
-        self.heard.comes(epoch);
+    fn comes(&mut self, epoch: u64, after: Option<u64>) {
+        self.heard.comes(epoch, after);
     }
 
     fn wants_whole(&mut self) -> bool {
@@ -196,8 +229,19 @@
     asking: Option<(usize, Asking)>,
     /// A connection to the one that was asked last and answered.
     kept: Option<(usize, Connection)>,
-    /// What the relay that is followed was said to speak of.
+    /// What is followed now, and when something of it was heard last.
+    route: Option<Route>,
+    last_heard: LastHeard,
+}
+
+/// Where the list is followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Route {
+    relay: usize,
+    /// What the relay was said to speak of.
     epoch: u64,
+    /// The content from which it goes on; without one it begins with the whole list.
+    from: Option<Content>,
 }
 
 impl<H: Holder> Feeder<H> {
@@ -232,15 +276,32 @@
         (Input::Said(version), Some(held))
     }
 
-    /// Where the list is to be followed from here on, whole at first.
-    fn go(&mut self, relay: usize, epoch: u64) -> Option<SocketAddr> {
-        self.epoch = epoch;
-        self.holder.borrow_mut().comes(epoch);
-        Some(self.relays[relay])
+    /// Follows the list at a relay that has said what it holds, from the held content if that can be checked there.
+    fn move_to(&mut self, relay: usize, said: &Held) -> Option<Route> {
+        let version = Version { epoch: said.epoch, index: said.index };
+        let held = self.holder.borrow().held();
+        // A relay that is behind, or of another epoch, has nothing to go on from.
+        let resumes = said.resumes
+            && held.is_some_and(|held| held.epoch == version.epoch && held.index <= version.index);
+        let from = self.holder.borrow().held_content().filter(|_| resumes);
+        self.follow_at(Route { relay, epoch: said.epoch, from })
+    }
+
+    fn follow_at(&mut self, route: Route) -> Option<Route> {
+        self.last_heard = LastHeard::default();
+        self.holder.borrow_mut().comes(route.epoch, route.from.map(|content| content.index));
+        self.route = Some(route);
+        self.route
+    }
+
+    /// Whether this is followed already, and heard.
+    fn is_heard_from(&self, relay: usize, epoch: u64) -> bool {
+        let same = self.route.is_some_and(|route| route.relay == relay && route.epoch == epoch);
+        same && self.last_heard.is_recent(self.clock.now())
     }
 
     /// One input to the choice; says where the list is to be followed anew, if it is.
-    async fn turn(&mut self) -> Option<SocketAddr> {
+    async fn turn(&mut self) -> Option<Route> {
         let due = self.clock.instant(self.choice.due());
         let (input, said, asked) = match &mut self.asking {
             Some((relay, asking)) => {
@@ -265,6 +326,8 @@
             self.asking = None;
         }
         let before = self.choice.followed();
+        let is_unanswered = matches!(input, Input::Due | Input::Failed) && self.choice.is_checked();
+        let input = if is_unanswered && self.last_heard.is_recent(now) { Input::Unanswered } else { input };
         let effect = self.choice.put(now, input, held, self.chance.f64());
         let followed = self.choice.followed();
         if let (Some(relay), None) = (before, followed) {
@@ -272,15 +335,16 @@
         }
         match (effect, said) {
             (Effect::Ask(relay), _) => self.ask(relay),
-            (Effect::Follow(relay), Some(held)) => {
+            (Effect::Follow(relay), Some(said)) if !self.is_heard_from(relay, said.epoch) => {
                 log::info!("the list is followed at relay {}", self.relays[relay]);
-                return self.go(relay, held.epoch);
+                return self.move_to(relay, &said);
             }
             // The same relay counts anew, or a part is missing: all of it again.
-            (_, Some(held)) if followed == Some(asked) => {
+            (_, Some(said)) if followed == Some(asked) => {
                 let wants = self.holder.borrow_mut().wants_whole();
-                if held.epoch != self.epoch || wants {
-                    return self.go(asked, held.epoch);
+                let is_other = self.route.is_none_or(|route| route.epoch != said.epoch);
+                if is_other || wants {
+                    return self.follow_at(Route { relay: asked, epoch: said.epoch, from: None });
                 }
             }
             _ => {}
@@ -310,11 +374,10 @@
         chance: fastrand::Rng::with_seed(seed ^ 0x5eed),
         asking: None,
         kept: None,
-        epoch: 0,
+        route: None,
+        last_heard: LastHeard::default(),
     };
-    // Asked for as where asks are priced: many follow one relay. Begun anew with each relay and epoch, from
-    // no version on: which list is taken is the holder's to say, and a follower that has moved would wait
-    // before it passes on a lower version.
+    // Asked for as where asks are priced: many follow one relay. Begun anew with each relay and epoch.
     let mut following: Option<Pin<Box<dyn Future<Output = ()>>>> = None;
     loop {
         let to = {
@@ -331,10 +394,12 @@
                 () = followed => return,
             }
         };
-        if let Some(to) = to {
-            let (_, from) = watch::channel(to);
-            following =
-                Some(Box::pin(discovery::follow(holder.clone(), clock, from, 0, false, (limits, seed))));
+        if let Some(Route { relay, from, .. }) = to {
+            let (_, address) = watch::channel(feeder.relays[relay]);
+            let last_heard = feeder.last_heard.clone();
+            let follower =
+                discovery::follow_relay(holder.clone(), clock, address, from, last_heard, (limits, seed));
+            following = Some(Box::pin(follower));
         }
     }
 }
--- a/crates/courier/src/told.rs
+++ b/crates/courier/src/told.rs
@@ -20,7 +20,7 @@
 
 const MS: Time = 10;
 /// From its last word on, by which a watch is held to be dead.
-const SILENCE: Time = 2500 * MS;
+pub const SILENCE: Time = 2500 * MS;
 /// The same where the ask before failed: from when it was asked until it has said something after its head. Guards
 /// against a second one that falls silent late, when a pause of 0.1 s and a third ask would not fit any more.
 const AGAIN: Time = 2300 * MS;
@@ -143,6 +143,11 @@
         Told { push, state: State::Rest(Ask::Whole), at: now, begun: now, row: 0, older: 0, past: 0, gate }
     }
 
+    /// For a follower that holds a whole list and goes on from it.
+    pub fn resuming(now: Time) -> Told {
+        Told { state: State::Rest(Ask::Watch), ..Told::new(false, now) }
+    }
+
     /// When `Input::Due` is to be given, unless something comes first.
     pub fn due(&self) -> Time {
         self.gate.map_or(self.at, |gate| gate.min(self.at))
--- a/crates/courier/tests/relay.rs
+++ b/crates/courier/tests/relay.rs
@@ -1212,3 +1212,24 @@
     writer.join().unwrap();
     assert_eq!(crowd.heard.lock().unwrap().len(), 300);
 }
+
+/// Guards against a difference from content that the follower does not hold.
+#[test]
+fn a_watch_that_names_its_content_is_told_what_changed_since_just_that_or_else_all() {
+    let pair = Pair::new();
+    let source = Source::new(5, pair.first());
+    let relay = Relay::of(source.address);
+    relay.holds(5);
+    let (_, _, held) = get(relay.address, "/relay/held?name=c");
+    let held: Value = serde_json::from_slice(&held).unwrap();
+    assert_eq!(held["resumes"], true);
+    let hash = held["hash"].as_str().unwrap().to_string();
+    let mut same = Watch::open(relay.address, &format!("/catalog/members?watch=1&after=5&hash={hash}"));
+    let mut other = Watch::open(relay.address, "/catalog/members?watch=1&after=5&hash=0123456789abcdef");
+    let whole = other.next().unwrap();
+    assert_eq!((&whole["index"], &whole["snapshot"]), (&json!(5), &json!(true)));
+    let index = source.put(entry("e1", pair.first.address, 7, "DRAINING"));
+    let change = same.next().unwrap();
+    assert_eq!((&change["index"], &change["snapshot"]), (&json!(index), &json!(false)));
+    assert_eq!(change["endpoints"].as_array().unwrap().len(), 1);
+}
