--- a/crates/rig/src/client.rs
+++ b/crates/rig/src/client.rs
@@ -1,11 +1,12 @@
 //! The clients' stand-in: hands mails in over RESP2 and waits for each answer, as the protocol's page has it.
 
-use std::net::SocketAddr;
+use std::collections::VecDeque;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
-use tokio::net::TcpStream;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use crate::record::{Hand, Heard, Record, Seen};
@@ -29,15 +30,55 @@
     out
 }
 
+/// A client's connections to its courier: the one that waits for an answer, and spare ones that are used in turn.
+pub struct Pool {
+    courier: SocketAddr,
+    spare: usize,
+    open: VecDeque<Open>,
+}
+
+impl Pool {
+    pub fn new(courier: SocketAddr, spare: usize) -> Pool {
+        Pool { courier, spare, open: VecDeque::new() }
+    }
+
+    /// An open connection, of those that are there or a new one; `None`: the courier cannot be reached.
+    async fn take(&mut self) -> Option<Open> {
+        // Those that were closed between requests are dropped.
+        self.open.retain(is_open);
+        while self.open.len() < self.spare {
+            match self.connect().await {
+                Some(open) => self.open.push_back(open),
+                None => break,
+            }
+        }
+        match self.open.pop_front() {
+            Some(open) => Some(open),
+            None => self.connect().await,
+        }
+    }
+
+    async fn connect(&self) -> Option<Open> {
+        let open = timeout(CONNECT, TcpStream::connect(self.courier)).await.ok()?.ok()?;
+        let _ = open.set_nodelay(true);
+        Some(BufReader::new(open))
+    }
+}
+
+/// Whether nothing has come, and its end has not either.
+fn is_open(open: &Open) -> bool {
+    let mut byte = [0];
+    matches!(open.get_ref().try_read(&mut byte), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+}
+
 /// Hands in a client's mails, each at its time or once the one before has been answered.
 pub async fn hand_in(
-    courier: SocketAddr,
+    mut pool: Pool,
     mails: Vec<(u32, Mail)>,
     body: Vec<u8>,
     start: Instant,
     record: Arc<Record>,
 ) {
-    let mut stream = None;
     for (number, mail) in mails {
         let at = start + Duration::from_micros(mail.at);
         sleep_until(at).await;
@@ -49,28 +90,19 @@
                 record.add(Seen::NeverOffered { mail: number });
                 break;
             }
-            let open = match stream.take() {
-                Some(open) => open,
-                None => match timeout(CONNECT, TcpStream::connect(courier)).await {
-                    Ok(Ok(new)) => {
-                        let _ = new.set_nodelay(true);
-                        BufReader::new(new)
-                    }
-                    _ => {
-                        sleep(AGAIN).await;
-                        continue;
-                    }
-                },
+            let Some(open) = pool.take().await else {
+                sleep(AGAIN).await;
+                continue;
             };
             let hand = Hand { mail: number, attempt };
             let (heard, wait, kept) = put(open, hand, &mail, end - now, &body).await;
-            stream = kept;
+            pool.open.extend(kept);
             record.add(Seen::Answered { hand, courier: mail.courier, heard });
             attempt += 1;
             match heard {
                 // What was not heard counts for nothing, and is not handed in again here: whether it ran is
                 // the first hand-in's matter.
-                Heard::Taken | Heard::Failed | Heard::Nothing => break,
+                Heard::Taken | Heard::Failed | Heard::Nothing | Heard::Closed => break,
                 Heard::Busy => sleep(wait.unwrap_or(AGAIN)).await,
             }
         }
@@ -93,12 +125,18 @@
     let words = request(&[b"MSG.PUT", item.as_bytes(), id.as_bytes(), pairs.as_bytes(), body]);
     let mut line = String::new();
     let asked = async {
-        open.get_mut().write_all(&words).await?;
-        open.read_line(&mut line).await
+        if open.get_mut().write_all(&words).await.is_err() {
+            return Heard::Nothing;
+        }
+        match open.read_line(&mut line).await {
+            Ok(1..) if line.ends_with("\r\n") => Heard::Taken,
+            _ => Heard::Closed,
+        }
     };
-    let answered = timeout(PATIENCE, asked).await;
-    if !matches!(answered, Ok(Ok(1..))) || !line.ends_with("\r\n") {
-        return (Heard::Nothing, None, None);
+    match timeout(PATIENCE, asked).await {
+        Ok(Heard::Taken) => {}
+        Ok(heard) => return (heard, None, None),
+        Err(_) => return (Heard::Nothing, None, None),
     }
     let line = line.trim_end();
     let heard = match line {
@@ -110,6 +148,32 @@
     (heard, wait, Some(open))
 }
 
+/// One call to an endpoint from a courier's address, as the courier makes it.
+///
+/// # Errors
+/// Where the endpoint cannot be reached.
+pub async fn call(from: IpAddr, to: SocketAddr, hand: Hand) -> std::io::Result<()> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind((from, 0).into())?;
+    let mut open = socket.connect(to).await?;
+    let id = hand.id();
+    let head = format!("POST /hook HTTP/1.1\r\nHost: x\r\nX-Request-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+    open.write_all(head.as_bytes()).await?;
+    let mut answer = [0; 256];
+    open.read(&mut answer).await.map(drop)
+}
+
+/// Connects, asks nothing, and stays until it is closed; then comes again. Ends with the task that runs it.
+pub async fn stay_idle(courier: SocketAddr) {
+    loop {
+        if let Ok(Ok(mut open)) = timeout(CONNECT, TcpStream::connect(courier)).await {
+            let mut nothing = [0; 16];
+            let _ = open.read(&mut nothing).await;
+        }
+        sleep(AGAIN).await;
+    }
+}
+
 /// Whether a courier answers `PING`, asked once.
 pub async fn is_ready(courier: SocketAddr) -> bool {
     let asked = async {
--- a/crates/rig/src/command.rs
+++ b/crates/rig/src/command.rs
@@ -2,6 +2,7 @@
 
 use std::ffi::OsString;
 use std::future::Future;
+use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
 
 use tokio::signal::unix::{signal, SignalKind};
@@ -10,12 +11,16 @@
 use crate::judge::Verdict;
 use crate::run::run;
 use crate::scale;
+use crate::soak;
 
 const HELP: &str = "\
 meadowhold-rig, real couriers among stand-ins, with a fault for every link and process
 
     meadowhold-rig day FILE [--seed N] [--couriers N]   run a day, and print the judge's table
     meadowhold-rig first                                a first try: delivered, refused, taken up after a kill
+    meadowhold-rig soak [--seeds A..B] [--parallel N] [--logs DIR]
+                                                        days drawn by each seed round a restart, a line for each;
+                                                        logs of those that break a rule are kept in the folder
     meadowhold-rig scale [FILE] [--seed N] [--couriers N] [--points N,N,...] [--out FILE]
                          [--folder DIR]
                                                         a whole fleet, most of it hollow: 1,300 couriers if no file
@@ -26,6 +31,9 @@
 
 The courier's program, meadowhold, is looked for beside this one. A broken rule ends in failure.";
 
+/// Plays of the soak at the same time: each takes about a core.
+const SOAK_PARALLEL: usize = 3;
+
 const FIRST: &str = include_str!("../days/first.toml");
 const SCALE: &str = include_str!("../days/scale.toml");
 
@@ -71,6 +79,7 @@
             );
             finish(&verdict, 1)
         }
+        Some("soak") => soak(arguments),
         Some("scale") => scale(arguments),
         // Programs of a scale run's own.
         Some("hollow") => {
@@ -93,6 +102,37 @@
     }
 }
 
+/// Seeds as `A..B`, both of them played, or one alone.
+fn seeds(text: &str) -> Result<RangeInclusive<u64>, String> {
+    let number = |text: &str| text.parse::<u64>().map_err(|e| format!("{text}: {e}"));
+    match text.split_once("..") {
+        None => number(text).map(|seed| seed..=seed),
+        Some((first, last)) => Ok(number(first)?..=number(last)?),
+    }
+}
+
+fn soak(mut arguments: pico_args::Arguments) -> Result<(), String> {
+    let seeds = arguments.opt_value_from_fn("--seeds", seeds).map_err(|e| format!("--seeds: {e}"))?;
+    let parallel: Option<usize> =
+        arguments.opt_value_from_str("--parallel").map_err(|e| format!("--parallel: {e}"))?;
+    let logs: Option<PathBuf> = arguments.opt_value_from_str("--logs").map_err(|e| format!("--logs: {e}"))?;
+    nothing_else(arguments.finish())?;
+    let soak = soak::Soak {
+        seeds: seeds.unwrap_or(1..=50),
+        without: Vec::new(),
+        parallel: parallel.unwrap_or(SOAK_PARALLEL),
+        logs: logs.unwrap_or_else(|| std::env::temp_dir().join("meadowhold-soak")),
+    };
+    let binary = binary()?;
+    let plays =
+        until_called_off(async { Ok(soak::soak(&soak, &binary, |play| println!("{}", play.line())).await) })?;
+    println!("{}", soak::summary(&plays));
+    if plays.iter().all(soak::Play::kept) {
+        return Ok(());
+    }
+    Err(format!("a seed broke a rule; logs are in {}", soak.logs.display()))
+}
+
 fn scale(mut arguments: pico_args::Arguments) -> Result<(), String> {
     let mut number = |name: &'static str| {
         arguments.opt_value_from_str::<_, usize>(name).map_err(|e| format!("{name}: {e}"))
--- a/crates/rig/src/day.rs
+++ b/crates/rig/src/day.rs
@@ -31,6 +31,10 @@
     pub rate: f64,
     /// Clients a courier; each hands in one mail after the other.
     pub clients: usize,
+    /// Connections that each client keeps open beside the one it uses, and uses in turn until they are closed.
+    pub spare: usize,
+    /// Further clients a courier, which connect, ask nothing and stay for as long as they may.
+    pub idle: usize,
     /// Shortest and longest time of a mail, in milliseconds.
     pub time_ms: [u64; 2],
     /// Bytes of a body.
@@ -121,6 +125,10 @@
     /// judged.
     pub most_asks: u64,
     pub most_connects: u64,
+    /// A courier that is up serves somebody within this, where it is asked often enough; 0: not judged.
+    pub serves_ms: u64,
+    /// Nine in ten starts serve by then; 0: not judged.
+    pub most_ready_ms: u64,
 }
 
 /// Something that befalls couriers, endpoints, agents or links.
@@ -144,6 +152,22 @@
     pub chance: f64,
     /// Kills in the start: how many in a row.
     pub times: usize,
+    /// Series of signals: which, and how many milliseconds before each of them. After a SIGTERM the process is killed
+    /// as the platform does; what is left of the series then goes to the next one.
+    pub signals: Vec<Sent>,
+    pub gaps_ms: Vec<u64>,
+    /// The first signal is sent right behind the next answer that takes a message on.
+    pub behind_taken: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Sent {
+    Hup,
+    Term,
+    Kill,
+    /// No signal: waits for the end of the process and the begin of the next one, and not for that one to serve.
+    Restart,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -159,6 +183,8 @@
     KillInStart,
     /// SIGKILL, and the next start finds an empty folder.
     FolderLost,
+    /// Signals in series; where a process has ended, the next one is started 0.6 s later.
+    Signals,
     /// The list service answers 503, is silent, keeps what it had, writes it indented.
     #[serde(rename = "list-503")]
     List503,
@@ -175,6 +201,8 @@
     Busy,
     Errors,
     Limit,
+    /// Endpoints take calls, and answer none of them before the trouble is over.
+    Hang,
     /// Links are cut, hold back one way, or both; are slow; are reset in the middle of what goes over them.
     Cut,
     CutRequests,
@@ -188,7 +216,7 @@
 impl What {
     pub fn is_process(self) -> bool {
         use What::*;
-        matches!(self, Kill | Term | Stop | KillInStart | FolderLost)
+        matches!(self, Kill | Term | Stop | KillInStart | FolderLost | Signals)
     }
 
     pub fn is_list(self) -> bool {
@@ -198,7 +226,7 @@
 
     pub fn is_endpoint(self) -> bool {
         use What::*;
-        matches!(self, Drain | Crash | Replace | Busy | Errors | Limit)
+        matches!(self, Drain | Crash | Replace | Busy | Errors | Limit | Hang)
     }
 }
 
@@ -233,7 +261,19 @@
 impl Default for Mails {
     fn default() -> Mails {
         let (again, tagged, once, turns) = (0.4, 0.25, 0.2, 0.15);
-        Mails { rate: 60.0, clients: 2, time_ms: [2000, 5000], body: 64, again, tagged, once, turns, keys: 3 }
+        Mails {
+            rate: 60.0,
+            clients: 2,
+            spare: 0,
+            idle: 0,
+            time_ms: [2000, 5000],
+            body: 64,
+            again,
+            tagged,
+            once,
+            turns,
+            keys: 3,
+        }
     }
 }
 
@@ -284,6 +324,8 @@
             window_s: 8.0,
             most_asks: 0,
             most_connects: 0,
+            serves_ms: 0,
+            most_ready_ms: 0,
         }
     }
 }
@@ -300,6 +342,9 @@
             delay_ms: 100,
             chance: 0.2,
             times: 3,
+            signals: Vec::new(),
+            gaps_ms: Vec::new(),
+            behind_taken: false,
         }
     }
 }
@@ -349,6 +394,8 @@
         bound("mails.rate", m.rate, 0.1, 5000.0);
         bound("mails.clients", m.clients as f64, 1.0, 32.0);
         bound("mails.time_ms", m.time_ms[0] as f64, 100.0, m.time_ms[1] as f64);
+        bound("mails.spare", m.spare as f64, 0.0, 32.0);
+        bound("mails.idle", m.idle as f64, 0.0, 1000.0);
         bound("mails.body", m.body as f64, 0.0, 60_000.0);
         bound("mails.keys", m.keys as f64, 1.0, 1000.0);
         for (key, part) in [("again", m.again), ("tagged", m.tagged), ("once", m.once), ("turns", m.turns)] {
@@ -391,6 +438,18 @@
             bound(&key("part"), t.part, 0.0, 1.0);
             bound(&key("chance"), t.chance, 0.0, 1.0);
             bound(&key("times"), t.times as f64, 1.0, 20.0);
+            bound(
+                &key("gaps_ms, for each signal one"),
+                t.gaps_ms.len() as f64,
+                t.signals.len() as f64,
+                t.signals.len() as f64,
+            );
+            bound(
+                &key("signals"),
+                t.signals.len() as f64,
+                if t.what == Some(What::Signals) { 1.0 } else { 0.0 },
+                20.0,
+            );
             bound(&key("delay_ms"), t.delay_ms as f64, 0.0, 60_000.0);
         }
         for (i, t) in self.trouble.iter().enumerate() {
--- a/crates/rig/src/endpoint.rs
+++ b/crates/rig/src/endpoint.rs
@@ -24,6 +24,9 @@
 use crate::record::{lock, Fate, Hand, Record, Seen};
 use crate::relay;
 
+/// A call that hangs looks so often whether it may end.
+const HANG_POLL: Duration = Duration::from_millis(5);
+
 /// What is out of order with an endpoint that takes connections.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Mood {
@@ -35,6 +38,8 @@
     Errors(f64),
     /// Answers 429 and this wait, in milliseconds.
     Limit(u64),
+    /// Takes calls, and answers them once it is well again.
+    Hangs,
 }
 
 struct State {
@@ -195,7 +200,7 @@
             Mood::Busy => return (Fate::Busy, Duration::ZERO),
             Mood::Limit(wait) => return (Fate::Full(wait), Duration::ZERO),
             Mood::Errors(part) => part,
-            Mood::Well => e.errors,
+            Mood::Well | Mood::Hangs => e.errors,
         };
         if e.limit && f64::from(state.second.1) >= e.rate {
             let left = 1 + (1_000_000 - now % 1_000_000) / 1000;
@@ -239,6 +244,9 @@
             lock(&self.state).out += 1;
             let _slot = Slot(self.clone());
             sleep(takes).await;
+            while lock(&self.state).mood == Mood::Hangs {
+                sleep(HANG_POLL).await;
+            }
         }
         self.record.add(Seen::Replied { call });
         match fate {
--- a/crates/rig/src/judge.rs
+++ b/crates/rig/src/judge.rs
@@ -63,6 +63,31 @@
     pub at: u64,
 }
 
+/// Messages that were taken on and ended without one call, by when they were taken on.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Untried {
+    /// Between SIGTERM and the end of the process.
+    pub in_shutdown: u64,
+    /// Before a SIGTERM that came within their time.
+    pub before_shutdown: u64,
+    pub elsewhere: u64,
+    pub by_destination: BTreeMap<usize, u64>,
+}
+
+impl fmt::Display for Untried {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let Untried { in_shutdown, before_shutdown, elsewhere, by_destination } = self;
+        write!(f, "{} ({before_shutdown} taken on before a SIGTERM in their time, ", self.total())?;
+        write!(f, "{in_shutdown} after it, {elsewhere} elsewhere; by destination {by_destination:?})")
+    }
+}
+
+impl Untried {
+    pub fn total(&self) -> u64 {
+        self.in_shutdown + self.before_shutdown + self.elsewhere
+    }
+}
+
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Figures {
     pub handed: u64,
@@ -104,6 +129,7 @@
     pub ready_last: u64,
     /// Milliseconds from the first process's end to when 95 in 100 of all couriers served again.
     pub fleet_back: u64,
+    pub untried: Untried,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -139,6 +165,7 @@
             ("taken on", g.taken.to_string()),
             ("  relayed", g.relayed.to_string()),
             ("  ended by a notice", format!("{} bounced, {} dead", g.bounced, g.dead)),
+            ("  ended without one call", g.untried.to_string()),
             ("  owed in the journals", g.owed.to_string()),
             ("  gone with a lost folder", g.with_folder.to_string()),
             ("  taken up after a process's end", g.taken_up.to_string()),
@@ -192,6 +219,10 @@
 const AFTER_READY: u64 = 1_500_000;
 /// What was on its way when a mail's 200 was read may arrive so much later, in microseconds.
 const CROSSING: u64 = 1_000_000;
+/// So many refusals in a row tell of a courier that serves nobody.
+const REFUSED_ENOUGH: u64 = 15;
+/// A process that is killed closes its connections within this of its end, in microseconds.
+const CLOSED_BEFORE_END: u64 = 200_000;
 /// Clocks of the two sides of a link differ by less, in microseconds.
 const SLACK: u64 = 20_000;
 
@@ -203,6 +234,8 @@
     /// The courier sent another call on the connection of the answer, and so had read it.
     read: Option<u64>,
     notices: Vec<(u64, bool)>,
+    /// A call for it came, whatever became of that.
+    is_tried: bool,
 }
 
 impl Letter {
@@ -234,6 +267,10 @@
     waits: HashMap<usize, (u32, u64, u64)>,
     /// By key: the last mail of which a call came.
     turns: HashMap<u64, (u32, bool)>,
+    /// Since when all that was handed in has been refused with no call in between, and how much that was.
+    refusing: Option<(u64, u64)>,
+    /// When SIGTERM was sent to the process that runs, and all times at which it was.
+    asked: Vec<u64>,
 }
 
 struct Call {
@@ -266,6 +303,8 @@
     links: HashMap<u64, u64>,
     asks: VecDeque<u64>,
     ready: Histogram<u64>,
+    /// Requests that were written whole on a connection that ended without an answer.
+    closed: Vec<(u64, Hand, usize)>,
 }
 
 /// Judges a day by what was seen of it. `base`: when its load began, in microseconds from the start of the record.
@@ -283,6 +322,7 @@
         links: HashMap::new(),
         asks: VecDeque::new(),
         ready: histogram(),
+        closed: Vec::new(),
     };
     events.iter().for_each(|event| judge.see(event.at, &event.seen));
     judge.end(left)
@@ -305,6 +345,7 @@
     fn see(&mut self, at: u64, seen: &Seen) {
         match seen {
             Seen::Answered { hand, courier, heard } => {
+                self.watch_refusals(at, *courier, *heard);
                 let g = &mut self.verdict.figures;
                 g.handed += u64::from(hand.attempt == 0);
                 match heard {
@@ -314,6 +355,10 @@
                     }
                     Heard::Busy => g.busy += 1,
                     Heard::Nothing => g.unheard += 1,
+                    Heard::Closed => {
+                        g.unheard += 1;
+                        self.closed.push((at, *hand, *courier));
+                    }
                     Heard::Failed => {
                         let words = format!("mail {} was answered as failed", hand.id());
                         self.breaks(Rule::CouriersSound, at, words);
@@ -386,8 +431,61 @@
         }
     }
 
+    /// A courier that is up and refuses all that it is asked for, without a call in between, serves nobody.
+    fn watch_refusals(&mut self, at: u64, number: usize, heard: Heard) {
+        let longest = self.day.rules.serves_ms * 1000;
+        let courier = &mut self.couriers[number];
+        if longest == 0 || heard == Heard::Taken || courier.away.is_some() {
+            courier.refusing = None;
+            return;
+        }
+        let (since, count) = courier.refusing.unwrap_or((at, 0));
+        courier.refusing = Some((since, count + 1));
+        if count + 1 >= REFUSED_ENOUGH && at >= since + longest {
+            courier.refusing = None;
+            let words =
+                format!("courier {number} served nobody of {} for {} ms", count + 1, (at - since) / 1000);
+            self.breaks(Rule::CouriersSound, at, words);
+        }
+    }
+
+    /// Requests without an answer that were forwarded all the same, though their process went on.
+    fn judge_closed(&mut self) {
+        for (at, hand, number) in std::mem::take(&mut self.closed) {
+            let ended = |&end: &u64| end + CLOSED_BEFORE_END > at && end < at + CLOSED_BEFORE_END;
+            let is_forwarded = self.letters.get(&hand).is_some_and(|letter| letter.is_tried);
+            if is_forwarded && !self.couriers[number].ends.iter().any(ended) {
+                let words =
+                    format!("mail {} was forwarded, and its connection closed with no answer", hand.id());
+                self.breaks(Rule::NoMailLost, at, words);
+            }
+        }
+    }
+
+    /// Counts a message that ended without one call, by when it was taken on.
+    fn count_untried(&mut self, hand: Hand, taken: u64, number: usize) {
+        let courier = &self.couriers[number];
+        let end_after =
+            |asked: u64| courier.ends.iter().copied().find(|&end| end >= asked).unwrap_or(u64::MAX);
+        let in_shutdown = courier.asked.iter().any(|&asked| taken >= asked && taken < end_after(asked));
+        let next_asked = courier.asked.iter().copied().find(|&asked| asked >= taken);
+        let mail = &self.mails[hand.mail as usize];
+        let due = self.base + mail.at + mail.time * 1000;
+        let untried = &mut self.verdict.figures.untried;
+        match () {
+            () if in_shutdown => untried.in_shutdown += 1,
+            () if next_asked.is_some_and(|asked| asked < due) => untried.before_shutdown += 1,
+            () => untried.elsewhere += 1,
+        }
+        *untried.by_destination.entry(mail.destination).or_default() += 1;
+    }
+
     fn process(&mut self, at: u64, number: usize, what: Process) {
         let courier = &mut self.couriers[number];
+        courier.refusing = None;
+        if what == Process::Asked {
+            courier.asked.push(at);
+        }
         let is_back = match what {
             Process::Started => {
                 courier.process += 1;
@@ -450,6 +548,7 @@
         fate: Fate,
     ) {
         let rules = &self.day.rules;
+        self.couriers[number].refusing = None;
         self.verdict.figures.calls += 1;
         self.verdict.figures.refused += u64::from(!fate.ran());
         // The answer before this call on its connection has been read.
@@ -501,6 +600,7 @@
                 }
             }
             let letter = self.letters.entry(hand).or_default();
+            letter.is_tried = true;
             if sound && letter.read.is_some_and(|read| at > read + CROSSING) {
                 let words = format!("mail {} was called again after its 200 had been read", hand.id());
                 broken.push((Rule::OneEnd, words));
@@ -628,6 +728,7 @@
             courier.aways.extend(open.into_iter().flatten().map(|since| (since, left.at)));
             courier.aways.sort_unstable();
         }
+        self.judge_closed();
         let (mut relays, late) = (histogram(), self.day.rules.late_ms * 1000);
         let letters = std::mem::take(&mut self.letters);
         for (&hand, letter) in &letters {
@@ -660,6 +761,10 @@
                 (None, Some((_, true))) => g.dead += 1,
                 (None, _) => g.bounced += 1,
             }
+            if !letter.is_tried {
+                self.count_untried(hand, taken, courier);
+            }
+            let g = &mut self.verdict.figures;
             let between = |end_of: &&u64| taken < **end_of && **end_of < end;
             g.taken_up += u64::from(self.couriers[courier].ends.iter().any(|end_of| between(&end_of)));
             g.latest_end = g.latest_end.max(end.saturating_sub(due) / 1000);
@@ -689,7 +794,12 @@
         }
         (g.starts, g.ready_last) = (self.ready.len(), self.ready.max());
         (g.ready_p50, g.ready_p95) = (self.ready.value_at_quantile(0.5), self.ready.value_at_quantile(0.95));
+        let (most_ready, nine_in_ten) = (self.day.rules.most_ready_ms, self.ready.value_at_quantile(0.9));
         (g.relay_p50, g.relay_p99) = (relays.value_at_quantile(0.5), relays.value_at_quantile(0.99));
+        if most_ready > 0 && nine_in_ten > most_ready {
+            let words = format!("nine in ten starts served after {nine_in_ten} ms, not {most_ready}");
+            self.breaks(Rule::CouriersSound, left.at, words);
+        }
         self.verdict
     }
 }
--- a/crates/rig/src/judge/tests.rs
+++ b/crates/rig/src/judge/tests.rs
@@ -222,3 +222,62 @@
     let g = verdict(seen, &[]).figures;
     assert_eq!((g.asks_peak, g.asks, g.connects_peak, g.connects), (4, 5, 2, 4));
 }
+
+fn answered(heard: Heard) -> Seen {
+    Seen::Answered { hand: hand(AGAIN), courier: 0, heard }
+}
+
+fn judged_with(change: impl FnOnce(&mut Day), seen: Vec<(u64, Seen)>) -> Verdict {
+    let mut day = day();
+    change(&mut day);
+    let events: Vec<Event> = seen.into_iter().map(|(at, seen)| Event { at: at * MS, seen }).collect();
+    judge(&day, &mails(), 0, &events, &Left { at: 9000 * MS, ..Left::default() })
+}
+
+#[test]
+fn a_courier_that_is_up_and_serves_nobody_is_not_sound() {
+    let refusals = || (0..20).map(|i| (i * 250, answered(Heard::Busy)));
+    let with = |more: Vec<(u64, Seen)>| {
+        let mut seen: Vec<(u64, Seen)> = refusals().chain(more).collect();
+        seen.sort_by_key(|one| one.0);
+        judged_with(|day| day.rules.serves_ms = 4000, seen).breaks(Rule::CouriersSound)
+    };
+    assert_eq!(with(Vec::new()), 1);
+    assert_eq!(with(vec![(2001, called(1, ONCE, Fate::Busy))]), 0, "a call in between");
+    assert_eq!(with(vec![(2001, process(Process::Started)), (2002, process(Process::Ready))]), 0, "a start");
+    assert_eq!(with(vec![(1, process(Process::Asked))]), 0, "it is asked to end");
+    assert_eq!(judged_with(|_| (), refusals().collect()).breaks(Rule::CouriersSound), 0, "not judged");
+}
+
+#[test]
+fn a_request_that_was_forwarded_and_closed_with_no_answer_is_lost_unless_its_process_ended() {
+    let seen = |ended: Vec<(u64, Seen)>| {
+        let first = vec![(10, called(1, AGAIN, Fate::Served)), (20, answered(Heard::Closed))];
+        judged_with(|_| (), first.into_iter().chain(ended).collect()).breaks(Rule::NoMailLost)
+    };
+    assert_eq!(seen(Vec::new()), 1);
+    assert_eq!(seen(vec![(50, process(Process::Ended))]), 0);
+    assert_eq!(seen(vec![(500, process(Process::Ended))]), 1);
+    let unread = judged_with(|_| (), vec![(20, answered(Heard::Closed))]);
+    assert!(unread.kept(), "{:?}", unread.broken);
+}
+
+#[test]
+fn what_ends_untried_is_counted_by_when_it_was_taken_on() {
+    let seen = vec![
+        (10, taken(AGAIN)),
+        (20, taken(TAGGED)),
+        (30, process(Process::Asked)),
+        (40, taken(ONCE)),
+        (50, called(1, TAGGED, Fate::Busy)),
+        (60, process(Process::Ended)),
+        (70, taken(TURN)),
+        (900, notice(AGAIN, false)),
+        (900, notice(TAGGED, false)),
+        (900, notice(ONCE, false)),
+        (900, notice(TURN, false)),
+    ];
+    let untried = judged_with(|_| (), seen).figures.untried;
+    assert_eq!((untried.before_shutdown, untried.in_shutdown, untried.elsewhere), (1, 1, 1));
+    assert_eq!(untried.by_destination, BTreeMap::from([(0, 3)]));
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod schedule;
 pub mod scripted;
 pub mod slopes;
+pub mod soak;
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -74,6 +74,13 @@
         let _ = fs::remove_dir_all(self.state());
     }
 
+    /// Cuts the end of its journal off, as if it had not been written yet when the process ended.
+    pub fn cut_journal(&self) {
+        let Ok(file) = fs::OpenOptions::new().write(true).open(self.state().join("journal")) else { return };
+        let length = file.metadata().map_or(0, |metadata| metadata.len());
+        let _ = file.set_len(length.saturating_sub(CUT_BYTES));
+    }
+
     pub fn log(&self) -> String {
         let bytes = fs::read(self.folder.path().join("log")).unwrap_or_default();
         String::from_utf8_lossy(&bytes).into_owned()
@@ -95,6 +102,9 @@
     }
 }
 
+/// A few records of the journal.
+const CUT_BYTES: u64 = 2048;
+
 /// So much of a log is shown where something is wrong with it.
 const LAST_LINES: usize = 12;
 
--- a/crates/rig/src/record.rs
+++ b/crates/rig/src/record.rs
@@ -30,7 +30,10 @@
     Taken,
     Busy,
     Failed,
+    /// No answer in the client's time.
     Nothing,
+    /// The connection ended after the whole request had been written, without an answer.
+    Closed,
 }
 
 /// What an endpoint made of a call.
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -4,7 +4,7 @@
 use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, UdpSocket};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -13,15 +13,15 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
-use crate::client;
-use crate::day::{Day, Link, Trouble, What};
+use crate::client::{self, Pool};
+use crate::day::{Day, Link, Sent, Trouble, What};
 use crate::endpoint::{Endpoint, Mood, Numbers};
 use crate::judge::{judge, Left, Verdict};
 use crate::list::{Addresses, Entry, List, Mood as ListMood};
 use crate::process::{faults_in, Courier};
 use crate::record::{Fate, Hand, Heard, Process, Record, Seen};
 use crate::relay::{Datagrams, Knob, Relay, Way, Weather};
-use crate::schedule::{Drawn, Schedule};
+use crate::schedule::{Class, Drawn, Mail, Schedule};
 
 /// Where couriers listen for clients and for notes, each on an address of its own.
 const CLIENTS: u16 = 6379;
@@ -32,6 +32,9 @@
 pub(crate) const TERM_LASTS: Duration = Duration::from_millis(3700);
 const RESTARTS_AFTER: Duration = Duration::from_millis(600);
 const POLL: Duration = Duration::from_millis(20);
+/// Where a moment of the record is waited for to the millisecond; and for how long at most.
+const CLOSE_POLL: Duration = Duration::from_millis(1);
+const NEXT_TAKEN: Duration = Duration::from_secs(1);
 
 /// A network of a run's own on loopback: 127.x/16.
 pub(crate) struct Net {
@@ -100,22 +103,59 @@
     list: List,
     links: Vec<Links>,
     couriers: Vec<tokio::sync::Mutex<Courier>>,
+    wrong: Option<Wrong>,
     _notes: Vec<Datagrams>,
     _net: Net,
 }
 
+/// A courier that is wrong on purpose, so that a test can show that the judge sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wrong {
+    /// Its folder is empty at each start.
+    EmptiesFolder,
+    /// What it put on file last is gone with its process, as if it answered before it wrote.
+    AnswersFirst,
+    /// It sends once-only messages twice.
+    SendsAgain,
+}
+
+/// What may be chosen beside a day and its seed.
+#[derive(Clone, Debug, Default)]
+pub struct Options {
+    /// Where the couriers' logs are kept if a rule is broken.
+    pub logs: Option<PathBuf>,
+    pub wrong: Option<Wrong>,
+}
+
 /// Runs a day with a seed and judges it.
 ///
 /// # Errors
 /// Where it could not be run at all: no ports, no folders, no binary, or couriers that never serve.
 pub async fn run(day: &Day, seed: u64, binary: &Path) -> Result<Verdict, String> {
+    run_with(day, seed, binary, &Options::default()).await
+}
+
+/// The same, with further options.
+///
+/// # Errors
+/// As those of `run`.
+pub async fn run_with(day: &Day, seed: u64, binary: &Path, options: &Options) -> Result<Verdict, String> {
     let schedule = Schedule::draw(day, seed);
-    let world =
-        World::build(day, seed, binary).await.map_err(|e| format!("the day cannot be set up: {e}"))?;
+    let world = World::build(day, seed, binary, options.wrong)
+        .await
+        .map_err(|e| format!("the day cannot be set up: {e}"))?;
     let world = Arc::new(world);
     world.start_all().await?;
     let mut watched = JoinSet::new();
     watched.spawn(world.clone().watch_couriers());
+    if options.wrong == Some(Wrong::SendsAgain) {
+        watched.spawn(world.clone().send_again(schedule.mails.clone()));
+    }
+    for links in &world.links {
+        for _ in 0..day.mails.idle {
+            watched.spawn(client::stay_idle(links.clients.address));
+        }
+    }
 
     let (start, base) = (Instant::now(), world.record.now());
     let mut clients = JoinSet::new();
@@ -125,7 +165,8 @@
             let own = numbered.filter(|(_, mail)| (mail.courier, mail.client) == (courier, client));
             let own = own.map(|(number, mail)| (number as u32, mail.clone())).collect();
             let (body, record) = (vec![b'x'; day.mails.body], world.record.clone());
-            clients.spawn(client::hand_in(links.clients.address, own, body, start, record));
+            let pool = Pool::new(links.clients.address, day.mails.spare);
+            clients.spawn(client::hand_in(pool, own, body, start, record));
         }
     }
     let mut troubles = JoinSet::new();
@@ -140,11 +181,15 @@
     }
     watched.shutdown().await;
     let left = world.end().await;
-    Ok(world.record.read(|events| judge(day, &schedule.mails, base, events, &left)))
+    let verdict = world.record.read(|events| judge(day, &schedule.mails, base, events, &left));
+    if let Some(logs) = options.logs.as_ref().filter(|_| !verdict.kept()) {
+        world.keep_logs(logs, &verdict).await.map_err(|e| format!("{}: {e}", logs.display()))?;
+    }
+    Ok(verdict)
 }
 
 impl World {
-    async fn build(day: &Day, seed: u64, binary: &Path) -> io::Result<World> {
+    async fn build(day: &Day, seed: u64, binary: &Path, wrong: Option<Wrong>) -> io::Result<World> {
         let net = Net::claim()?;
         let record = Arc::new(Record::new(std::time::Instant::now()));
         let by_address: HashMap<IpAddr, usize> = (0..day.couriers).map(|i| (net.courier(i), i)).collect();
@@ -201,7 +246,17 @@
             }
             couriers.push(tokio::sync::Mutex::new(Courier::new(binary, listen, &config)?));
         }
-        Ok(World { day: day.clone(), record, endpoints, list, links, couriers, _notes: notes, _net: net })
+        Ok(World {
+            day: day.clone(),
+            record,
+            endpoints,
+            list,
+            links,
+            couriers,
+            wrong,
+            _notes: notes,
+            _net: net,
+        })
     }
 
     fn saw(&self, courier: usize, what: Process) {
@@ -210,8 +265,22 @@
 
     /// Starts a courier and waits until it serves.
     async fn start(&self, number: usize, courier: &mut Courier) -> Result<(), String> {
+        self.begin(number, courier)?;
+        self.serves(number, courier).await
+    }
+
+    fn begin(&self, number: usize, courier: &mut Courier) -> Result<(), String> {
+        match self.wrong {
+            Some(Wrong::EmptiesFolder) => courier.lose_folder(),
+            Some(Wrong::AnswersFirst) => courier.cut_journal(),
+            Some(Wrong::SendsAgain) | None => {}
+        }
         courier.start().map_err(|e| format!("the courier's program cannot be started: {e}"))?;
         self.saw(number, Process::Started);
+        Ok(())
+    }
+
+    async fn serves(&self, number: usize, courier: &mut Courier) -> Result<(), String> {
         let end = Instant::now() + Duration::from_millis(self.day.rules.ready_ms * 2);
         while !client::is_ready(courier.listen).await {
             if courier.has_crashed() || Instant::now() > end {
@@ -292,6 +361,7 @@
                 self.saw(number, Process::Ended);
                 sleep(RESTARTS_AFTER).await;
             }
+            What::Signals => return self.signal_in_series(&drawn, number, &mut courier).await,
             What::Stop => {
                 courier.signal(Signal::STOP);
                 self.saw(number, Process::Stopped);
@@ -305,6 +375,106 @@
         let _ = self.start(number, &mut courier).await;
     }
 
+    async fn signal_in_series(&self, drawn: &Drawn, number: usize, courier: &mut Courier) {
+        if drawn.behind_taken {
+            let _ = timeout(NEXT_TAKEN, self.next_taken(number)).await;
+        }
+        let mut left = drawn.signals.iter().copied();
+        loop {
+            let ended = self.signal_process(&mut left, number, courier).await;
+            if ended {
+                sleep(RESTARTS_AFTER).await;
+            }
+            if ended && self.begin(number, courier).is_err() {
+                return;
+            }
+            if left.len() == 0 {
+                // One that does not serve has been noted as crashed.
+                let _ = self.serves(number, courier).await;
+                return;
+            }
+        }
+    }
+
+    /// Signals one process, to its end if the series ends it; says whether it has ended.
+    async fn signal_process(
+        &self,
+        left: &mut impl Iterator<Item = (Sent, u64)>,
+        number: usize,
+        courier: &mut Courier,
+    ) -> bool {
+        let mut kill_at = None;
+        loop {
+            let next = left.next();
+            let until = match next {
+                Some((Sent::Restart, _)) | None if kill_at.is_none() => return false,
+                Some((Sent::Restart, _)) | None => kill_at,
+                Some((_, gap)) => Some(Instant::now() + Duration::from_millis(gap)),
+            };
+            let until = until.into_iter().chain(kill_at).min().unwrap_or_else(Instant::now);
+            if timeout(until.saturating_duration_since(Instant::now()), courier.ended()).await.is_ok() {
+                // A signal that only asks for the configuration to be read ends nothing.
+                self.saw(number, if kill_at.is_some() { Process::Ended } else { Process::Crashed });
+                return true;
+            }
+            match next {
+                Some((Sent::Hup, _)) if Some(until) != kill_at => courier.signal(Signal::HUP),
+                Some((Sent::Term, _)) if Some(until) != kill_at => {
+                    courier.signal(Signal::TERM);
+                    if kill_at.is_none() {
+                        self.saw(number, Process::Asked);
+                    }
+                    kill_at.get_or_insert(Instant::now() + TERM_LASTS);
+                }
+                _ => {
+                    self.kill(number, courier).await;
+                    return true;
+                }
+            }
+        }
+    }
+
+    /// Done right behind the next answer that takes a message on.
+    async fn next_taken(&self, number: usize) {
+        let known = self.record.read(<[_]>::len);
+        let is_taken = |seen: &Seen| matches!(seen, Seen::Answered { courier, heard: Heard::Taken, .. } if *courier == number);
+        while !self.record.read(|events| events[known..].iter().any(|event| is_taken(&event.seen))) {
+            sleep(CLOSE_POLL).await;
+        }
+    }
+
+    /// Sends each once-only call that was served again, as a wrong courier would.
+    async fn send_again(self: Arc<Self>, mails: Vec<Mail>) {
+        let mut known = 0;
+        loop {
+            let calls: Vec<(usize, Hand)> = self.record.read(|events| {
+                let new = events[known..].iter().filter_map(|event| match &event.seen {
+                    Seen::Called { endpoint, hands, fate: Fate::Served, .. } => Some((*endpoint, hands[0])),
+                    _ => None,
+                });
+                let new = new.collect();
+                known = events.len();
+                new
+            });
+            for (endpoint, hand) in calls {
+                if mails[hand.mail as usize].class == Class::Once {
+                    let _ = client::call(self._net.courier(0), self.endpoints[endpoint].address, hand).await;
+                }
+            }
+            sleep(POLL).await;
+        }
+    }
+
+    /// Puts the logs of all couriers, and what was broken, into a folder.
+    async fn keep_logs(&self, folder: &Path, verdict: &Verdict) -> io::Result<()> {
+        std::fs::create_dir_all(folder)?;
+        std::fs::write(folder.join("verdict"), verdict.to_string())?;
+        for (number, courier) in self.couriers.iter().enumerate() {
+            std::fs::write(folder.join(format!("courier-{number}.log")), courier.lock().await.log())?;
+        }
+        Ok(())
+    }
+
     async fn befall(self: Arc<Self>, drawn: Drawn, start: Instant) {
         let until = start + Duration::from_micros(drawn.until);
         sleep_until(start + Duration::from_micros(drawn.at)).await;
@@ -355,6 +525,7 @@
             What::Busy => mood(Mood::Busy),
             What::Errors => mood(Mood::Errors(trouble.chance)),
             What::Limit => mood(Mood::Limit(trouble.delay_ms)),
+            What::Hang => mood(Mood::Hangs),
             What::Replace => {
                 endpoint.set_up(!on);
                 if on {
--- a/crates/rig/src/scale/run.rs
+++ b/crates/rig/src/scale/run.rs
@@ -27,7 +27,7 @@
 use super::source::{Follower, Setup, Source};
 use super::sums::{each, followed, Gauge, Sums};
 use super::versions::Versions;
-use crate::client;
+use crate::client::{self, Pool};
 use crate::endpoint::{Endpoint, Numbers};
 use crate::judge::{judge, Left};
 use crate::record::{lock, Hand, Process as Happened, Record, Seen};
@@ -483,7 +483,14 @@
                         if begin >= cut.load(Ordering::SeqCst) {
                             return;
                         }
-                        client::hand_in(to, second.to_vec(), body.clone(), start, record.clone()).await;
+                        client::hand_in(
+                            Pool::new(to, 0),
+                            second.to_vec(),
+                            body.clone(),
+                            start,
+                            record.clone(),
+                        )
+                        .await;
                     }
                 });
             }
--- a/crates/rig/src/schedule.rs
+++ b/crates/rig/src/schedule.rs
@@ -3,7 +3,7 @@
 
 use fastrand::Rng;
 
-use crate::day::{Day, Trouble, What};
+use crate::day::{Day, Sent, Trouble, What};
 
 /// The queue classes of a day, in the order of the settings.
 pub const CLASSES: [Class; 4] = [Class::Again, Class::Tagged, Class::Once, Class::Turns];
@@ -53,6 +53,9 @@
     pub of: usize,
     /// Milliseconds after each of the starts that are cut short.
     pub cuts: Vec<u64>,
+    /// A series of signals, each with the milliseconds before it.
+    pub signals: Vec<(Sent, u64)>,
+    pub behind_taken: bool,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -131,7 +134,9 @@
     }
     let cuts = (0..trouble.times).map(|_| chance.u64(1..=START_MS)).collect();
     let us = |seconds: f64| (seconds * 1e6) as u64;
-    Some(Drawn { what, at: us(at), until: us(at + trouble.for_s), which, of, cuts })
+    let signals = trouble.signals.iter().copied().zip(trouble.gaps_ms.iter().copied()).collect();
+    let (until, behind_taken) = (us(at + trouble.for_s), trouble.behind_taken);
+    Some(Drawn { what, at: us(at), until, which, of, cuts, signals, behind_taken })
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/rig/src/soak/draw.rs
@@ -0,0 +1,178 @@
+//! What a seed of the soak stands for: a day round one planned restart, and what meets it. No clock, no I/O.
+
+use std::fmt;
+
+use fastrand::Rng;
+
+use crate::day::{Courier, Day, Endpoints, Link, List, Mails, Rules, Sent, Trouble, What};
+
+/// Stream of the drawing: another one than those of the day's load and troubles.
+const STREAM: u64 = 0x736f_616b;
+const DESTINATIONS: usize = 3;
+const EACH: usize = 2;
+/// When the restart is asked for, in seconds of the day.
+const RESTART_S: [f64; 2] = [2.5, 3.5];
+/// The load goes on after it for so long: past the kill, the next start, and the end of what crossed it.
+const AFTER_S: f64 = 7.0;
+/// What all endpoints together are good for, as a multiple of the load.
+const HEADROOM: [f64; 2] = [1.2, 4.0];
+/// Idle clients of a crowd: more than a courier of so many sockets accepts.
+const CROWD: usize = 120;
+
+/// The day that a seed draws.
+#[derive(Clone, Debug)]
+pub struct Drawing {
+    pub seed: u64,
+    pub day: Day,
+}
+
+impl Drawing {
+    /// The same seed draws the same day.
+    pub fn of(seed: u64) -> Drawing {
+        let mut chance = Rng::with_seed(seed ^ STREAM);
+        let at = between(&mut chance, RESTART_S);
+        let mut trouble = vec![restart(&mut chance, at)];
+        trouble.extend(hang(&mut chance, at));
+        trouble.extend(others(&mut chance, at));
+        let crowd = if chance.f64() < 0.25 { CROWD } else { 0 };
+        let mails = load(&mut chance, crowd);
+        let day = Day {
+            about: format!("soak, seed {seed}"),
+            seconds: at + AFTER_S,
+            couriers: 1 + usize::from(chance.f64() < 0.2),
+            settle_s: 12.0,
+            mails: mails.clone(),
+            endpoints: Endpoints {
+                destinations: DESTINATIONS,
+                each: EACH,
+                rate: mails.rate / (DESTINATIONS * EACH) as f64 * between(&mut chance, HEADROOM),
+                limit: chance.bool(),
+                serve_ms: serve_ms(&mut chance),
+                ..Endpoints::default()
+            },
+            list: List::default(),
+            courier: courier(&mut chance),
+            rules: Rules { window_s: 1.0, serves_ms: 4000, most_ready_ms: 10_000, ..Rules::default() },
+            trouble,
+            ..Day::default()
+        };
+        Drawing { seed, day }
+    }
+}
+
+fn between(chance: &mut Rng, [low, high]: [f64; 2]) -> f64 {
+    low + (high - low) * chance.f64()
+}
+
+fn load(chance: &mut Rng, crowd: usize) -> Mails {
+    let rate = between(chance, [100.0, 300.0]);
+    let spare = [0, 4][chance.usize(..2)];
+    Mails { rate, clients: 12, spare, idle: crowd, time_ms: [1500, 4000], ..Mails::default() }
+}
+
+/// Short calls, or such as take up half or nearly all of the courier's slots at the highest load.
+fn serve_ms(chance: &mut Rng) -> [u64; 2] {
+    [[5, 40], [40, 160], [100, 300]][chance.usize(..3)]
+}
+
+fn courier(chance: &mut Rng) -> Courier {
+    // A small folder is rewritten again and again.
+    let disk_mb = if chance.f64() < 0.3 { 0.5 } else { 3.0 };
+    Courier { slots: 64, room: 2000, disk_mb, ..Courier::default() }
+}
+
+/// The signals that end a process and meet the next one.
+fn restart(chance: &mut Rng, at: f64) -> Trouble {
+    use Sent::{Hup, Kill, Restart, Term};
+    let series: &[Sent] = match chance.u32(..8) {
+        0 | 1 => &[Term],
+        2 => &[Hup, Term],
+        3 => &[Hup, Term, Hup, Term],
+        4 => &[Term, Restart, Term],
+        5 => &[Term, Restart, Hup, Term],
+        6 => &[Term, Restart, Kill],
+        _ => &[Kill, Restart, Kill, Restart, Term],
+    };
+    // Within milliseconds, or over as long as a shutdown lasts.
+    let longest = if chance.bool() { 5 } else { 1500 };
+    let mut gaps = Vec::new();
+    for (place, _) in series.iter().enumerate() {
+        let is_in_start = place > 0 && series[place - 1] == Restart;
+        // No program hears a signal before it is told of: it ends by it.
+        let earliest = if is_in_start { 15 } else { 0 };
+        gaps.push(earliest + chance.u64(0..=if is_in_start { 120 } else { longest }));
+    }
+    Trouble {
+        what: Some(What::Signals),
+        at_s: [at, at],
+        signals: series.to_vec(),
+        gaps_ms: gaps,
+        behind_taken: chance.bool(),
+        ..Trouble::default()
+    }
+}
+
+/// Endpoints that take calls round the signal and answer none of them through the whole shutdown.
+fn hang(chance: &mut Rng, at: f64) -> Option<Trouble> {
+    // An endpoint's destination is its number, modulo that of the destinations.
+    let (one, whole, other) =
+        (chance.usize(..DESTINATIONS * EACH), chance.usize(..DESTINATIONS), chance.usize(..EACH));
+    let whole = [whole, whole + DESTINATIONS];
+    let elsewhere = (whole[0] + 1) % DESTINATIONS + other * DESTINATIONS;
+    let which = match chance.u32(..5) {
+        0 => Vec::new(),
+        1 | 2 => vec![one],
+        3 => whole.to_vec(),
+        _ => vec![whole[0], whole[1], elsewhere],
+    };
+    let hangs = !which.is_empty();
+    let begin = at + between(chance, [-0.6, 0.3]);
+    let lasts = between(chance, [4.0, 6.0]);
+    let trouble =
+        Trouble { what: Some(What::Hang), at_s: [begin, begin], for_s: lasts, which, ..Trouble::default() };
+    hangs.then_some(trouble)
+}
+
+/// Up to two further troubles round the restart.
+fn others(chance: &mut Rng, at: f64) -> Vec<Trouble> {
+    let mut troubles = Vec::new();
+    for _ in 0..chance.usize(..3) {
+        let begin = at + between(chance, [-0.5, 3.0]);
+        let which = vec![chance.usize(..DESTINATIONS * EACH)];
+        let base = Trouble { at_s: [begin, begin], for_s: between(chance, [0.5, 3.0]), ..Trouble::default() };
+        troubles.push(match chance.u32(..5) {
+            0 => Trouble { what: Some(What::Drain), which, ..base },
+            1 => Trouble { what: Some(What::Crash), which, ..base },
+            2 => Trouble { what: Some(What::ListSilent), ..base },
+            3 => Trouble { what: Some(What::ResetRequests), link: Link::Endpoints, chance: 0.05, ..base },
+            _ => Trouble { what: Some(What::ResetAnswers), link: Link::Endpoints, chance: 0.05, ..base },
+        });
+    }
+    troubles
+}
+
+impl fmt::Display for Drawing {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let day = &self.day;
+        let Mails { rate, spare, idle, .. } = day.mails;
+        write!(f, "{} couriers, {rate:.0}/s, {spare} spare, {idle} idle, ", day.couriers)?;
+        let Endpoints { rate, limit, serve_ms, .. } = &day.endpoints;
+        write!(
+            f,
+            "endpoints {rate:.0}/s (limit {limit}) in {serve_ms:?} ms, disk {} MB",
+            day.courier.disk_mb
+        )?;
+        for trouble in &day.trouble {
+            let Some(what) = trouble.what else { continue };
+            write!(f, ", {what:?} at {:.2}", trouble.at_s[0])?;
+            match what {
+                What::Signals => {
+                    write!(f, " {:?} after {:?} ms", trouble.signals, trouble.gaps_ms)?;
+                    write!(f, "{}", if trouble.behind_taken { " behind +OK" } else { "" })?;
+                }
+                _ => write!(f, " for {:.1} of {:?}", trouble.for_s, trouble.which)?,
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/rig/tests/days.rs
+++ b/crates/rig/tests/days.rs
@@ -1,21 +1,14 @@
 //! Days with real couriers. Each keeps every rule with its seed, and shows by its figures that its troubles befell.
 
+mod common;
+
 use std::path::{Path, PathBuf};
-use std::sync::OnceLock;
 
+use common::binary;
 use meadowhold_rig::command::read;
 use meadowhold_rig::judge::{Figures, Verdict};
 use meadowhold_rig::run::run;
 
-/// The courier's program, built for the tests.
-fn binary() -> &'static Path {
-    static BINARY: OnceLock<PathBuf> = OnceLock::new();
-    BINARY.get_or_init(|| {
-        let build = escargot::CargoBuild::new().package("meadowhold-courier").bin("meadowhold");
-        build.run().expect("the courier builds").path().to_path_buf()
-    })
-}
-
 fn judged(day: &str, seed: u64) -> Verdict {
     let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("days").join(day);
     let day = read(&file).unwrap();
--- /dev/null
+++ b/crates/rig/tests/soak.rs
@@ -0,0 +1,112 @@
+//! The soak of restarts: what a seed draws, a few seeds, and wrong couriers that it must tell from sound ones.
+
+mod common;
+
+use std::path::PathBuf;
+
+use common::binary;
+use meadowhold_rig::day::{Day, Sent, Trouble, What};
+use meadowhold_rig::judge::{Rule, Verdict};
+use meadowhold_rig::run::{run_with, Options, Wrong};
+use meadowhold_rig::soak::draw::Drawing;
+use meadowhold_rig::soak::{soak, summary, Play, Soak};
+
+/// Seeds that CI plays; `docs/results.md` has those that were played by hand.
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=8;
+const PARALLEL: usize = 2;
+
+fn runtime() -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap()
+}
+
+#[test]
+fn a_seed_draws_the_same_day_each_time_and_one_that_can_be_run() {
+    for seed in 1..=2000 {
+        let drawing = Drawing::of(seed);
+        assert_eq!(drawing.day, Drawing::of(seed).day);
+        assert_eq!(drawing.day.faults(), [], "seed {seed}: {drawing}");
+    }
+    assert_ne!(Drawing::of(1).day, Drawing::of(2).day);
+}
+
+#[test]
+fn drawn_days_hold_every_kind_of_restart_and_trouble() {
+    let days: Vec<Day> = (1..=200).map(|seed| Drawing::of(seed).day).collect();
+    let has = |what: What| days.iter().filter(|day| day.trouble.iter().any(|t| t.what == Some(what))).count();
+    let kinds =
+        [What::Hang, What::Drain, What::Crash, What::ListSilent, What::ResetRequests, What::ResetAnswers];
+    for what in kinds {
+        assert!(has(what) >= 20, "{what:?}: {}", has(what));
+    }
+    let restarts: Vec<&Trouble> = days.iter().map(|day| &day.trouble[0]).collect();
+    let sends = |sent: &[Sent]| restarts.iter().any(|restart| restart.signals == sent);
+    assert!(sends(&[Sent::Hup, Sent::Term, Sent::Hup, Sent::Term]));
+    assert!(sends(&[Sent::Kill, Sent::Restart, Sent::Kill, Sent::Restart, Sent::Term]));
+    assert!(days.iter().any(|day| day.mails.idle > 0) && days.iter().any(|day| day.mails.spare > 0));
+}
+
+/// Seeds that `KNOWN-RED.txt` names are run apart by `.ci/known-red`, which tells of them here.
+fn known_red() -> Vec<u64> {
+    let seeds = std::env::var("KNOWN_RED_SEEDS").unwrap_or_default();
+    seeds.split_whitespace().map(|seed| seed.parse().unwrap()).collect()
+}
+
+#[test]
+fn restarts_under_trouble_break_no_rule() {
+    let known_red = known_red();
+    let mut failed = Vec::new();
+    let mut plays: Vec<Play> = Vec::new();
+    for seeds in SEEDS.collect::<Vec<_>>().chunks(PARALLEL) {
+        let (first, last) = (seeds[0], seeds[seeds.len() - 1]);
+        let batch =
+            Soak { seeds: first..=last, without: known_red.clone(), parallel: PARALLEL, logs: logs() };
+        plays.extend(runtime().block_on(soak(&batch, binary(), |play| println!("{}", play.line()))));
+    }
+    println!("{}", summary(&plays));
+    failed.extend(plays.iter().filter(|play| !play.kept()).map(Play::line));
+    assert!(failed.is_empty(), "{}", failed.join("\n"));
+    assert_eq!(plays.len() + SEEDS.filter(|seed| known_red.contains(seed)).count(), SEEDS.count());
+}
+
+fn logs() -> PathBuf {
+    std::env::temp_dir().join("meadowhold-soak-test")
+}
+
+/// One kill right behind an answer, one planned restart, and no other trouble.
+fn with(wrong: Option<Wrong>) -> Verdict {
+    let mut day = Drawing::of(1).day;
+    day.couriers = 1;
+    (day.seconds, day.settle_s) = (4.0, 5.0);
+    let restart = Trouble {
+        what: Some(What::Signals),
+        at_s: [1.0, 1.0],
+        signals: vec![Sent::Kill, Sent::Restart, Sent::Hup, Sent::Term],
+        gaps_ms: vec![0, 0, 500, 5],
+        behind_taken: true,
+        ..Trouble::default()
+    };
+    day.trouble = vec![restart];
+    runtime().block_on(run_with(&day, 1, binary(), &Options { logs: None, wrong })).unwrap()
+}
+
+#[test]
+fn a_sound_courier_is_told_from_wrong_ones() {
+    let verdict = with(None);
+    assert!(verdict.kept(), "{verdict}");
+    assert!(verdict.figures.starts == 2 && verdict.figures.relayed > 200, "{verdict}");
+}
+
+#[test]
+fn a_courier_that_empties_its_folder_at_a_restart_loses_messages() {
+    assert!(with(Some(Wrong::EmptiesFolder)).breaks(Rule::NoMailLost) > 0);
+}
+
+#[test]
+fn a_courier_that_answers_before_its_record_is_written_loses_messages() {
+    assert!(with(Some(Wrong::AnswersFirst)).breaks(Rule::NoMailLost) > 0);
+}
+
+#[test]
+fn a_courier_that_sends_once_only_messages_again_has_them_take_effect_twice() {
+    assert!(with(Some(Wrong::SendsAgain)).breaks(Rule::NoEffectTwice) > 0);
+}
