--- a/src/control.rs
+++ b/src/control.rs
@@ -4,7 +4,8 @@
 
 use crate::interface::SECOND;
 use crate::interface::{Action, Effect, Ended, Input, Life, Listed, News, Outcome, Settings, Taken, Time};
-use crate::state::{grow, seconds, Call, Dest, Endpoint, Key, Mail, Place, Saved, Unit, Units};
+use crate::state::{grow, is_at, parked, seconds, sum_shares};
+use crate::state::{Call, Dest, Endpoint, Key, Mail, Place, Saved, Unit, Units};
 
 mod glance;
 
@@ -155,7 +156,7 @@
         self.crowded.resize(self.set.kinds.len(), 0.0);
         let used = self.calls.iter().rposition(|call| call.left > 0).map_or(0, |last| last + 1);
         self.calls.resize(used.max(self.set.slots.min(1 << 16)), Call::default());
-        self.sum_shares();
+        sum_shares(&mut self.dests, &self.endpoints, &self.units);
     }
 
     /// Whether a call may still begin: its endpoint was neither told of as leaving nor held since.
@@ -174,7 +175,7 @@
         let worth = |mail: usize| self.set.classes[self.mails[mail].class].importance;
         let ahead = d.lines.iter().flatten().filter(|&&mail| worth(mail) >= c.importance).count() as f64;
         let behind = by_turns && ahead > d.even * IN_TIME * seconds(due.saturating_sub(self.now));
-        behind || full && self.parked().all(|m| self.hope(&self.mails[m]) >= hope)
+        behind || full && parked(&self.mails).all(|m| self.hope(&self.mails[m]) >= hope)
     }
 
     /// One turn: read all inputs, then decide. Returns when the next turn is wanted at the latest.
@@ -213,7 +214,7 @@
                     (e.life, e.gone_at) = (Life::Gone, self.now);
                     self.leaving.push(endpoint);
                 }
-                self.sum_shares();
+                sum_shares(&mut self.dests, &self.endpoints, &self.units);
             }
             Input::ListFailed => {
                 self.asks_failed = (self.asks_failed + 1).min(4);
@@ -225,8 +226,10 @@
                 self.keys[key].rest_until = self.keys[key].rest_until.max(since + self.set.turn_gap);
                 self.resting.push(key);
             }
-            Input::Hangup { mail } if self.is_at(mail, [Place::Parked, Place::Out]) => self.end(mail, out),
-            Input::Ended(ref ended) if self.is_at(ended.mail, [Place::Out, Place::Over]) => {
+            Input::Hangup { mail } if is_at(&self.mails, mail, [Place::Parked, Place::Out]) => {
+                self.end(mail, out)
+            }
+            Input::Ended(ref ended) if is_at(&self.mails, ended.mail, [Place::Out, Place::Over]) => {
                 self.settle(ended, out)
             }
             Input::Heard { endpoint, news } => self.hear(endpoint, news),
@@ -235,10 +238,6 @@
         }
     }
 
-    fn is_at(&self, mail: usize, places: [Place; 2]) -> bool {
-        self.mails.get(mail).is_some_and(|m| places.contains(&m.place))
-    }
-
     /// What another courier saw. Nothing of it is passed on.
     fn hear(&mut self, endpoint: usize, news: News) {
         let Some(e) = self.endpoints.get(endpoint).filter(|e| e.known) else { return };
@@ -285,7 +284,7 @@
         if !self.endpoints[endpoint].known {
             // A newcomer shares its destination's waits, unless routes are apart.
             let apart = self.set.kinds[kind].apart;
-            let unit = if apart { 2 * endpoint + 1 } else { 2 * dest };
+            let unit = Units::number(dest, apart.then_some(endpoint));
             self.units.grow(unit);
             self.units[unit] = if apart { Unit::default() } else { std::mem::take(&mut self.units[unit]) };
             // Couriers start at different points of their share, not all with the cheapest route.
@@ -309,15 +308,6 @@
         }
     }
 
-    /// This courier's even share of each destination's limits.
-    fn sum_shares(&mut self) {
-        self.dests.iter_mut().for_each(|d| d.even = 0.0);
-        for e in self.endpoints.iter().filter(|e| e.known && e.life == Life::Ready) {
-            let (d, even) = (&mut self.dests[e.dest], self.units[e.unit].even);
-            d.even = if self.set.kinds[e.kind].apart { d.even + even } else { even };
-        }
-    }
-
     /// What keeps an endpoint's calls within its limit.
     fn kept_by(&self, e: &Endpoint) -> Kept {
         let even = self.units[e.unit].even;
@@ -630,15 +620,13 @@
         self.room = self.room.min(self.open * 20 / 19 + 1).max(self.set.room); // sinks as what it held ends
         while self.open * 20 > self.room * 19 {
             let hope = |mail: usize| self.hope(&self.mails[mail]);
-            let Some(least) = self.parked().min_by(|&a, &b| hope(a).total_cmp(&hope(b))) else { return };
+            let Some(least) = parked(&self.mails).min_by(|&a, &b| hope(a).total_cmp(&hope(b))) else {
+                return;
+            };
             self.give_up(least, out);
         }
     }
 
-    fn parked(&self) -> impl Iterator<Item = usize> + '_ {
-        (0..self.mails.len()).filter(|&i| self.mails[i].place == Place::Parked)
-    }
-
     /// What waiting costs: the importance lost a second, felt as the target delay or the end comes near.
     fn urgency(&self, mail: usize) -> f64 {
         let (m, class) = (&self.mails[mail], &self.set.classes[self.mails[mail].class]);
--- a/src/state.rs
+++ b/src/state.rs
@@ -162,6 +162,15 @@
 pub struct Units([Vec<Unit>; 2]);
 
 impl Units {
+    /// The number of a destination's unit, or of that of a route apart.
+    pub fn number(dest: usize, route: Option<usize>) -> usize {
+        route.map_or(2 * dest, |endpoint| 2 * endpoint + 1)
+    }
+
+    pub fn is_route(unit: usize) -> bool {
+        unit % 2 == 1
+    }
+
     pub fn grow(&mut self, unit: usize) {
         grow(&mut self.0[unit % 2], unit / 2);
     }
@@ -324,3 +333,22 @@
     }
     &mut list[index]
 }
+
+/// Whether a mail is in one of these places.
+pub fn is_at(mails: &[Mail], mail: usize, places: [Place; 2]) -> bool {
+    mails.get(mail).is_some_and(|m| places.contains(&m.place))
+}
+
+/// The indices of parked mails.
+pub fn parked(mails: &[Mail]) -> impl Iterator<Item = usize> + '_ {
+    (0..mails.len()).filter(|&i| mails[i].place == Place::Parked)
+}
+
+/// Sums this courier's even share of each destination's limits: its own, or those of its routes apart.
+pub fn sum_shares(dests: &mut [Dest], endpoints: &[Endpoint], units: &Units) {
+    dests.iter_mut().for_each(|d| d.even = 0.0);
+    for e in endpoints.iter().filter(|e| e.known && e.life == Life::Ready) {
+        let (d, even) = (&mut dests[e.dest], units[e.unit].even);
+        d.even = if Units::is_route(e.unit) { d.even + even } else { even };
+    }
+}
