A planned end takes on and keeps only what it or the next process can try

Callers were answered +OK in a shutdown for messages that nobody tried, and heard so at their end or from the next process. Cause: the door knew of no end. Calls begin for 2.5 s after SIGTERM and the next process's after 4.3 s, but messages that end in between were taken on also for a destination at which nobody answers, and what waited was held for nothing.

An input tells the decisions of the end.

Test on sockets seen failing on the text before (+OK for -BUSY). The emulator's baselines pass the input over.

--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -11,7 +11,8 @@
 use meadowhold::control::Control;
 use meadowhold::door::Door;
 use meadowhold::interface::{
-    Action, Effect, Ended, Input, Kind, Life, Listed, News, Outcome, Report, Settings, Taken, Time, SECOND,
+    Action, Effect, Ended, Ending, Input, Kind, Life, Listed, News, Outcome, Report, Settings, Taken, Time,
+    SECOND,
 };
 use meadowhold_settings::{name, Decoded};
 use meadowhold_start::backlog::{self, Backlog};
@@ -1145,11 +1146,25 @@
         }
     }
 
-    /// No further call begins.
+    /// The process was asked to end: calls begin for so long, and those of the next process no sooner than that.
+    pub fn ends(&mut self, calls_for: Duration, next_after: Duration) {
+        let now = self.clock.now();
+        let ending = Ending { calls_until: now + tenths(calls_for), next_from: now + tenths(next_after) };
+        self.inputs.push(Input::Ending(ending));
+        self.notify.notify_one();
+    }
+
+    /// No further call begins. What nobody can try any more is given back in a last turn.
     pub fn stop(&mut self) {
+        self.turn();
         self.stopped = true;
     }
 
+    /// Connects that have no outcome yet, and ends that were decided on and are not told yet.
+    pub fn unfinished(&self) -> usize {
+        self.in_flight() + self.owed.values().filter(|owed| owed.verdict.is_some()).count()
+    }
+
     /// Mails without an end, notices to come included.
     pub fn in_hand(&self) -> usize {
         self.owed.len()
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -68,6 +68,8 @@
 const ACCEPT_ON: Duration = Duration::from_millis(500);
 const BEGIN_ON: Duration = Duration::from_millis(2500);
 const WAIT_ON: Duration = Duration::from_millis(3400);
+/// The next process is started 0.6 s after that kill.
+const NEXT_AFTER: Duration = Duration::from_millis(4300);
 /// Figures are logged so often.
 const EVERY: Duration = Duration::from_secs(60);
 
@@ -158,6 +160,8 @@
     }
 
     log::info!("{name} ends: {} mails in hand", shared.borrow().in_hand());
+    // Before the moment from which the stop is reckoned, which no turn may come before.
+    shared.borrow_mut().ends(BEGIN_ON, NEXT_AFTER);
     let asked = Instant::now();
     // New clients and mails are served as ever for as long as the platform still sends them here.
     phase.send_replace(Phase::MovingOff);
@@ -176,7 +180,7 @@
     let _ = timeout(BEGIN_ON.saturating_sub(asked.elapsed()), none(Exchange::in_hand)).await;
     shared.borrow_mut().stop();
     phase.send_replace(Phase::Closing);
-    let _ = timeout(WAIT_ON.saturating_sub(asked.elapsed()), none(Exchange::in_flight)).await;
+    let _ = timeout(WAIT_ON.saturating_sub(asked.elapsed()), none(Exchange::unfinished)).await;
     if let Some(fleet) = fleet {
         fleet.leave().await;
     }
--- a/crates/courier/tests/restart.rs
+++ b/crates/courier/tests/restart.rs
@@ -392,3 +392,40 @@
     let twice = calls.iter().filter(|(id, &calls)| calls > 1 && id[3..].parse::<usize>().unwrap() % 3 == 0);
     assert_eq!(twice.collect::<Vec<_>>(), vec![]);
 }
+
+/// Guards against messages that are answered `+OK` round a planned end, and end untried over it.
+#[test]
+fn a_planned_end_takes_on_and_keeps_only_what_can_still_be_tried() {
+    let platform = Platform::new();
+    // Nobody listens there.
+    platform.list("e1", own_address(), "single", 7, "SERVING");
+    // Attempts enough, and pauses between them.
+    let patient = |config: &mut Value| {
+        config["settings"]["Limits"]["MaxAttempts"] = json!(64);
+        config["settings"]["Rules"]["ColdUs"] = json!(6_000_000);
+    };
+    let mut courier = Courier::start(&platform, patient);
+    let mut client = courier.client();
+    assert_eq!(client.put("first", "again", LATE), "+OK");
+    // Two attempts that found nobody: it is held to be out.
+    thread::sleep(Duration::from_millis(1500));
+    // The next process begins its calls 4.3 s after the signal.
+    assert_eq!(client.put("short", "again", "d=4000"), "+OK");
+    assert_eq!(client.put("long", "again", LATE), "+OK");
+    let asked = asked_to_end(&courier);
+    // The decisions have had their turn by then.
+    pass(asked, 100);
+    let answers = [("d=3500", "-BUSY"), (LATE, "+OK")];
+    for (i, (time, answer)) in answers.into_iter().enumerate() {
+        assert_eq!(courier.client().put(&format!("after{i}"), "again", time), answer);
+    }
+    assert_eq!(platform.notices(), []);
+    until("the end", || courier.ended().is_some());
+    assert!(asked.elapsed() < Duration::from_millis(3700), "the platform kills then");
+    assert_eq!(platform.notices(), [("short".to_string(), "bounced".to_string())]);
+    let owed = courier.owed();
+    assert!(
+        ["first", "long", "after1"].iter().all(|id| owed.contains(id)) && !owed.contains("short"),
+        "{owed}"
+    );
+}
--- a/crates/emulator/src/baselines.rs
+++ b/crates/emulator/src/baselines.rs
@@ -162,7 +162,7 @@
             }
             Input::Hangup { mail } => self.end(*mail, out),
             Input::Ended(ended) => self.settle(now, ended, out),
-            Input::Heard { .. } | Input::Settings(_) | Input::Woken => {}
+            Input::Heard { .. } | Input::Settings(_) | Input::Ending(_) | Input::Woken => {}
         }
     }
 
--- a/crates/emulator/src/oracle.rs
+++ b/crates/emulator/src/oracle.rs
@@ -159,7 +159,7 @@
                 let rest = &mut grow(&mut self.lines, *key).1;
                 *rest = (*rest).max(since + self.set.turn_gap);
             }
-            Input::Heard { .. } | Input::Settings(_) | Input::Woken => {}
+            Input::Heard { .. } | Input::Settings(_) | Input::Ending(_) | Input::Woken => {}
         }
     }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -2,8 +2,8 @@
 //! a buffer for the actions (`interface.rs`); it returns when to call again.
 //! The ordinary path is the design's: a cap on each destination's calls in flight, what is over it is parked.
 
-use crate::interface::SECOND;
-use crate::interface::{Action, Effect, Ended, Input, Life, Listed, News, Outcome, Settings, Taken, Time};
+use crate::interface::{Action, Effect, Ended, Ending, Input, Life, Listed, News, Outcome};
+use crate::interface::{Settings, Taken, Time, SECOND};
 use crate::state::{grow, is_at, parked, seconds, sum_shares};
 use crate::state::{Call, Dest, Endpoint, Key, Mail, Place, Saved, Unit, Units};
 
@@ -129,6 +129,7 @@
     news: Vec<(usize, News)>,
     /// Endpoints that left the list and are still kept in mind.
     leaving: Vec<usize>,
+    ending: Option<Ending>,
     order: Vec<(f64, usize)>,
     resting: Vec<usize>,
 }
@@ -175,7 +176,17 @@
         let worth = |mail: usize| self.set.classes[self.mails[mail].class].importance;
         let ahead = d.lines.iter().flatten().filter(|&&mail| worth(mail) >= c.importance).count() as f64;
         let behind = by_turns && ahead > d.even * IN_TIME * seconds(due.saturating_sub(self.now));
-        behind || full && parked(&self.mails).all(|m| self.hope(&self.mails[m]) >= hope)
+        let untried =
+            self.ending.is_some_and(|end| due <= end.next_from && !self.tries(dest, end.calls_until));
+        untried || behind || full && parked(&self.mails).all(|m| self.hope(&self.mails[m]) >= hope)
+    }
+
+    /// Whether one more mail is likely to be sent by then: an endpoint is there, and those ahead are through.
+    fn tries(&self, dest: usize, until: Time) -> bool {
+        let out = |e: usize| matches!(self.endpoints[e].standing, Standing::Doubt | Standing::Down);
+        let there = self.dests[dest].endpoints.iter().any(|&e| !out(e) && self.may_begin(e, until));
+        let ahead = self.dests[dest].waiting() as f64 * self.dests[dest].latency.mean / self.cap(dest) as f64;
+        there && self.now + (ahead as Time) < until
     }
 
     /// One turn: read all inputs, then decide. Returns when the next turn is wanted at the latest.
@@ -234,6 +245,7 @@
             }
             Input::Heard { endpoint, news } => self.hear(endpoint, news),
             Input::Settings(ref set) => self.keep_to((**set).clone()),
+            Input::Ending(ending) => self.ending = Some(ending),
             Input::Hangup { .. } | Input::Ended(_) | Input::Woken => {}
         }
     }
@@ -578,12 +590,8 @@
     /// Tail latency at an endpoint, or what is nearest to it while it is unmeasured.
     fn tail(&self, endpoint: usize) -> f64 {
         let e = &self.endpoints[endpoint];
-        let d = &self.dests[e.dest].latency;
-        match (e.latency.seen, d.seen) {
-            (true, _) => e.latency.tail(TAIL_DEVIATIONS),
-            (_, true) => d.tail(TAIL_DEVIATIONS),
-            _ => self.target as f64,
-        }
+        let known = [&e.latency, &self.dests[e.dest].latency].into_iter().find(|latency| latency.seen);
+        known.map_or(self.target as f64, |latency| latency.tail(TAIL_DEVIATIONS))
     }
 
     /// The design's cap on a destination's calls in flight; arriving mails include held ones.
@@ -610,9 +618,11 @@
     /// Mails whose time is nearly up are answered while the answer still counts.
     fn give_up_hopeless(&mut self, out: &mut Vec<Action>) {
         let margin = self.tick() + self.set.resolution;
+        // What ends before the next process begins its calls is not held for it.
+        let last = self.ending.filter(|end| self.now >= end.calls_until).map_or(0, |end| end.next_from);
         for mail in 0..self.mails.len() {
             let m = &self.mails[mail];
-            if m.place == Place::Parked && (self.now + margin >= m.due || !self.may(m).0) {
+            if m.place == Place::Parked && (last.max(self.now + margin) >= m.due || !self.may(m).0) {
                 self.give_up(mail, out);
             }
         }
@@ -654,9 +664,10 @@
 
     /// Offers parked mails to their destinations, most urgent destination first.
     fn dispatch(&mut self, out: &mut Vec<Action>) {
+        let begins = self.ending.is_none_or(|end| self.now < end.calls_until);
         let mut order = std::mem::take(&mut self.order);
         order.clear();
-        for (dest, d) in self.dests.iter().enumerate().filter(|(_, d)| d.waiting() > 0) {
+        for (dest, d) in self.dests.iter().enumerate().filter(|(_, d)| begins && d.waiting() > 0) {
             // What a call would save, over the slot time that it takes: slots are what is short.
             let top = d.lines.iter().flatten().map(|&m| self.urgency(m)).fold(0.0, f64::max);
             let kind = d.endpoints.first().map_or(0, |&e| self.endpoints[e].kind);
@@ -731,8 +742,7 @@
     fn timeout(&self, mail: usize, endpoint: usize) -> Time {
         let m = &self.mails[mail];
         let left = m.due.saturating_sub(self.now).max(1);
-        let effect = self.set.classes[m.class].effect;
-        let Some(patience) = PATIENCE.get(effect as usize) else { return left };
+        let Some(patience) = PATIENCE.get(self.set.classes[m.class].effect as usize) else { return left };
         let own = (self.tail(endpoint) * patience * (1.0 + m.connects as f64)) as Time;
         own.max(4 * self.set.resolution).min(left)
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -198,6 +198,15 @@
     pub report: Option<Report>,
 }
 
+/// A planned end of this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ending {
+    /// Calls begin until then.
+    pub calls_until: Time,
+    /// The next process begins its own no sooner.
+    pub next_from: Time,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Input {
     /// Entries follow; `whole`: what they don't name until `ListEnd` is gone.
@@ -227,6 +236,8 @@
     /// From here on all decisions go by these. Classes, kinds and zones keep their numbers and new ones follow; numbers
     /// beyond the new lists mean what they meant. The same kinds are apart, and the list is told in the same way.
     Settings(Box<Settings>),
+    /// The process was asked to end.
+    Ending(Ending),
     Woken,
 }
 
