A start on a full or failing disk serves and refuses, where it ended with 1

For want of room or by an error of the device it is open without a file: -BUSY, no call begins, and each record tries again to make the file whole.

--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -633,7 +633,9 @@
             self.forget_rests();
             self.counts.compactions += 1;
             if let Err(e) = self.journal.compact(&self.owed, &self.rests) {
-                log::warn!("the journal cannot be written anew: {e}");
+                // One line for as long as it lasts.
+                let level = if self.unwritten { log::Level::Debug } else { log::Level::Warn };
+                log::log!(level, "the journal cannot be written anew: {e}");
             }
         }
         let written = self.journal.append(record);
--- a/crates/courier/src/journal.rs
+++ b/crates/courier/src/journal.rs
@@ -3,13 +3,16 @@
 //! has grown, a file with only what is still owed takes its place by a rename.
 
 use std::collections::BTreeMap;
-use std::fs::{self, File, OpenOptions, TryLockError};
-use std::io::{self, Write};
+use std::fs::{self, File};
+use std::io;
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 
 use bytes::{Buf, BufMut, Bytes};
 use meadowhold::interface::{Effect, QueueClass, Time};
 
+use crate::files::{may_pass, Files, System};
+
 /// A send: when, and to which zone, by its place among those of the settings.
 pub type Sent = (Time, u16);
 
@@ -187,9 +190,11 @@
 
 pub struct Journal {
     folder: PathBuf,
-    /// Held for as long as the journal is open.
-    _lock: File,
-    file: File,
+    files: Rc<dyn Files>,
+    /// Held for as long as the journal is open. None: it could not be made yet, and nothing is written before.
+    lock: Option<File>,
+    /// None: it could not be written at the start, and is as soon as a record is to be noted and there is room.
+    file: Option<File>,
     size: u64,
     allowance: u64,
     /// Bytes that the mails owed would take in a fresh file.
@@ -412,16 +417,18 @@
 impl Journal {
     /// Opens the folder's journal, or a new one, and tells what it held. It is written anew at once, so that
     /// a torn tail is gone.
+    ///
+    /// # Errors
+    /// Where what it holds cannot be read, another courier has it open, or the folder cannot be had for good. One whose
+    /// disk is full, or fails, is opened all the same: nothing is taken on before it can be written.
     pub fn open(folder: &Path, allowance: u64) -> io::Result<(Journal, Found)> {
-        fs::create_dir_all(folder)?;
-        // Guards against a second courier on the folder, which would put a file of its own in the place of ours.
-        let lock = File::create(folder.join(LOCK))?;
-        match lock.try_lock() {
-            Err(TryLockError::WouldBlock) => return Err(io::Error::other("another courier has it open")),
-            Err(TryLockError::Error(e)) => log::warn!("the folder cannot be locked: {e}"),
-            Ok(()) => {}
-        }
-        let bytes = match fs::read(folder.join(NAME)) {
+        Journal::open_with(Rc::new(System), folder, allowance)
+    }
+
+    /// The same on files of a test's own.
+    pub fn open_with(files: Rc<dyn Files>, folder: &Path, allowance: u64) -> io::Result<(Journal, Found)> {
+        let lock = passing(take_lock(&*files, folder))?;
+        let bytes = match files.read(&folder.join(NAME)) {
             Err(e) if e.kind() == io::ErrorKind::NotFound => Bytes::new(),
             read => Bytes::from(read?),
         };
@@ -429,17 +436,25 @@
         if good < bytes.len() {
             log::warn!("the journal's last {} bytes cannot be read and are passed over", bytes.len() - good);
         }
-        let (file, size) = match write_anew(folder, &found.owed, &found.rests, &found.zones) {
-            // Guards against a full disk that keeps what is owed from its end: the old file still serves.
-            Err(e) if good > 0 => {
-                log::warn!("the journal cannot be written anew at the start: {e}");
-                (cut_at(folder, good as u64)?, good as u64)
-            }
-            written => written?,
+        let mut journal = Journal {
+            folder: folder.to_path_buf(),
+            files,
+            lock,
+            file: None,
+            size: good as u64,
+            allowance,
+            live: found.owed.values().map(weight).sum(),
+            zones: found.zones.clone(),
+            torn: false,
+            buffer: Vec::new(),
         };
-        let live = found.owed.values().map(weight).sum();
-        let (folder, buffer, zones, torn) = (folder.to_path_buf(), Vec::new(), found.zones.clone(), false);
-        Ok((Journal { folder, _lock: lock, file, size, allowance, live, zones, torn, buffer }, found))
+        if let Err(e) = journal.compact(&found.owed, &found.rests) {
+            log::warn!("the journal cannot be written anew at the start: {e}");
+            // Guards against a full disk that keeps what is owed from its end: the old file still serves.
+            let old = if good > 0 && journal.lock.is_some() { journal.cut_old() } else { Err(e) };
+            journal.file = passing(old)?;
+        }
+        Ok((journal, found))
     }
 
     /// The folder that lasts, and the bytes that it may hold.
@@ -459,7 +474,7 @@
     /// Whether the file should be written anew before this record.
     pub fn is_grown(&self, record: &Record) -> bool {
         let more = if let Record::Taken { owed, .. } = record { weight(owed) } else { 0 };
-        self.size + more > self.part(FILE_PART)
+        self.file.is_none() || self.size + more > self.part(FILE_PART)
     }
 
     pub fn append(&mut self, record: &Record) -> io::Result<()> {
@@ -468,13 +483,16 @@
         if self.size + self.buffer.len() as u64 > self.part(FILE_PART + 2) {
             return Err(io::Error::new(io::ErrorKind::StorageFull, "the journal is full"));
         }
+        let Some(file) = &mut self.file else {
+            return Err(io::Error::new(io::ErrorKind::StorageFull, "there is no journal yet"));
+        };
         // Guards against half a record in the middle, behind which nothing would be read again.
         if self.torn {
-            self.file.set_len(self.size)?;
+            self.files.cut(file, self.size)?;
             self.torn = false;
         }
-        if let Err(e) = self.file.write_all(&self.buffer) {
-            self.torn = self.file.set_len(self.size).is_err();
+        if let Err(e) = self.files.append(file, &self.buffer) {
+            self.torn = self.files.cut(file, self.size).is_err();
             return Err(e);
         }
         self.size += self.buffer.len() as u64;
@@ -498,22 +516,43 @@
 
     /// Puts a fresh file of what is owed in the place of the old one.
     pub fn compact(&mut self, owed: &BTreeMap<u64, Owed>, rests: &[(Bytes, Time)]) -> io::Result<()> {
-        (self.file, self.size) = write_anew(&self.folder, owed, rests, &self.zones)?;
-        self.torn = false;
+        if self.lock.is_none() {
+            self.lock = Some(take_lock(&*self.files, &self.folder)?);
+        }
+        let (file, size) = write_anew(&*self.files, &self.folder, owed, rests, &self.zones)?;
+        (self.file, self.size, self.torn) = (Some(file), size, false);
         Ok(())
     }
+
+    /// The folder's journal as it stands, for appending behind what could be read of it.
+    fn cut_old(&self) -> io::Result<File> {
+        let file = self.files.open(&self.folder.join(NAME))?;
+        self.files.cut(&file, self.size)?;
+        Ok(file)
+    }
+}
+
+/// Nothing, with a line of the log, where it may go well later.
+fn passing(made: io::Result<File>) -> io::Result<Option<File>> {
+    match made {
+        Err(e) if may_pass(&e) => {
+            log::warn!("nothing is taken on before the journal can be written: {e}");
+            Ok(None)
+        }
+        made => made.map(Some),
+    }
 }
 
-/// The folder's journal as it stands, for appending behind so many bytes of it.
-fn cut_at(folder: &Path, size: u64) -> io::Result<File> {
-    let file = OpenOptions::new().append(true).open(folder.join(NAME))?;
-    file.set_len(size)?;
-    Ok(file)
+/// Guards against a second courier on the folder, which would put a file of its own in the place of ours.
+fn take_lock(files: &dyn Files, folder: &Path) -> io::Result<File> {
+    files.create_folder(folder)?;
+    files.lock(&folder.join(LOCK))
 }
 
 /// Writes a file of what is owed and renames it to be the folder's journal; the file, for appending, and its
 /// size.
 fn write_anew(
+    files: &dyn Files,
     folder: &Path,
     owed: &BTreeMap<u64, Owed>,
     rests: &[(Bytes, Time)],
@@ -534,12 +573,12 @@
     }
     let path = folder.join(FRESH);
     // One that an earlier process left behind half written.
-    let _ = fs::remove_file(&path);
+    let _ = files.remove(&path);
     // Appending, so that a write that is cut back is followed by no gap.
-    let mut file = OpenOptions::new().create_new(true).append(true).open(&path)?;
-    let written = file.write_all(&bytes).and_then(|()| fs::rename(&path, folder.join(NAME)));
+    let mut file = files.create(&path)?;
+    let written = files.append(&mut file, &bytes).and_then(|()| files.rename(&path, &folder.join(NAME)));
     if let Err(e) = written {
-        let _ = fs::remove_file(&path);
+        let _ = files.remove(&path);
         return Err(e);
     }
     Ok((file, bytes.len() as u64))
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod endpoints;
 pub mod entries;
 pub mod exchange;
+pub mod files;
 pub mod hollow;
 pub mod http;
 pub mod journal;
--- /dev/null
+++ b/crates/courier/tests/common/process.rs
@@ -0,0 +1,121 @@
+//! A courier's process without sockets, on a folder and by a clock that a test plays.
+#![allow(dead_code)]
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use meadowhold::interface::{Outcome, Time, SECOND};
+use meadowhold_courier::discovery::List;
+use meadowhold_courier::exchange::{Answer, Call, Clock, Exchange, Notice, Offer, Order, Seen};
+use meadowhold_courier::journal::{Found, Journal, Verdict};
+use meadowhold_settings::decode_json;
+use serde_json::json;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
+
+use crate::common::{settings, until, Folder};
+
+/// When the clock begins.
+pub const START: Time = 1_700_000_000 * SECOND;
+
+/// A process without sockets, on a folder.
+pub struct Process {
+    pub exchange: Exchange,
+    orders: UnboundedReceiver<Order>,
+    notices: UnboundedReceiver<Notice>,
+    pub now: Time,
+}
+
+pub fn text(text: &str) -> Bytes {
+    Bytes::copy_from_slice(text.as_bytes())
+}
+
+impl Process {
+    pub fn start(folder: &Folder, allowance: u64, now: Time, window: Option<u64>) -> Process {
+        // A process that another test has just begun to start holds all our descriptors for a moment, locks too.
+        let mut journal = None;
+        until("the folder's lock", || match Journal::open(&folder.path, allowance) {
+            Err(e) if e.to_string().contains("another courier") => false,
+            opened => journal.replace(opened.unwrap()).is_none(),
+        });
+        Process::with(journal.unwrap(), now, window)
+    }
+
+    /// The same with a journal that has been opened; `window`: for how long a repeat of a tagged message is dropped.
+    pub fn with(journal: (Journal, Found), now: Time, window: Option<u64>) -> Process {
+        let (orders_in, orders) = unbounded_channel();
+        let (notices_in, notices) = unbounded_channel();
+        let mut settings = settings();
+        if let Some(window) = window {
+            settings["Profiles"][1]["DedupWindowUs"] = json!(window);
+        }
+        let decoded = decode_json(1, &settings).unwrap();
+        let clock = Clock::still(now);
+        let mut exchange = Exchange::with_clock(clock, decoded, journal, orders_in, notices_in, None);
+        // Two endpoints of each destination, so that a sick one keeps no other mail waiting.
+        let entry = |i: u64| {
+            json!({"name": format!("e{i}"), "address": "127.0.0.1:9", "zone": "a", "type": "single",
+                "group": i / 2, "status": "SERVING", "weight": 1000.0})
+        };
+        let entries: Vec<_> = (0..20).map(entry).collect();
+        let list = json!({"index": 2, "snapshot": true, "endpoints": entries});
+        let list: List = serde_json::from_value(list).unwrap();
+        exchange.listed(&list);
+        Process { exchange, orders, notices, now }
+    }
+
+    pub fn put(&mut self, id: &str, class: &str, dest: u64) -> Answer {
+        self.exchange.hand_in(Offer {
+            id: text(id),
+            key: text("5c0f"),
+            item: text("0000"),
+            class: text(class),
+            dest,
+            lifetime: Duration::from_secs(4),
+            body: text("hello"),
+        })
+    }
+
+    pub fn pass(&mut self, time: Time) {
+        self.now += time;
+        self.exchange.clock = Clock::still(self.now);
+    }
+
+    pub fn calls(&mut self) -> Vec<Call> {
+        self.exchange.turn();
+        let orders = std::iter::from_fn(|| self.orders.try_recv().ok());
+        orders.filter_map(|order| if let Order::Call(call) = order { Some(call) } else { None }).collect()
+    }
+
+    /// The next call within a second, not begun yet.
+    pub fn call(&mut self) -> Option<Call> {
+        (0..200).find_map(|_| {
+            let call = self.calls().pop();
+            self.pass(if call.is_none() { 50 } else { 0 });
+            call
+        })
+    }
+
+    pub fn begin(&mut self, call: &Call) -> bool {
+        !self.exchange.begin(call, call.letters.clone()).is_empty()
+    }
+
+    pub fn ends(&mut self) -> Vec<(String, Verdict)> {
+        let notices = std::iter::from_fn(|| self.notices.try_recv().ok());
+        notices.map(|n| (String::from_utf8(n.id.to_vec()).unwrap(), n.verdict)).collect()
+    }
+
+    /// Serves all for so long, each call with this outcome; the ids that were sent, and the ends.
+    pub fn play(&mut self, time: Time, outcome: Outcome) -> (Vec<String>, Vec<(String, Verdict)>) {
+        let (mut sent, until) = (Vec::new(), self.now + time);
+        while self.now < until {
+            for call in self.calls() {
+                for letter in self.exchange.begin(&call, call.letters.clone()) {
+                    sent.push(String::from_utf8(letter.id.to_vec()).unwrap());
+                    self.exchange.seen(letter.serial, Seen::only(outcome));
+                }
+            }
+            self.pass(200);
+        }
+        (sent, self.ends())
+    }
+}
