After SIGHUP an address that counts anew is heard within 4 s, also with one ask spoilt

Where lists are pushed, what the new address has counts 4 s after SIGHUP; by the computed table one that counts its versions anew was taken up after 4.829 s at worst when one ask was spoilt, so a drain could be broken. Cause: lower versions were passed over for 3 s after a move, whatever is pushed. Now 2.1 s where lists are pushed: 3.063 s, and 3.943 s with one ask spoilt. Ask mode and gaps keep 3 s. The test asserted the bound without a spoilt ask; it now asserts it with one, and failed before (4829). A lagging new address is believed 0.9 s sooner; it counts after 4 s either way.

--- a/crates/courier/src/discovery.rs
+++ b/crates/courier/src/discovery.rs
@@ -339,7 +339,7 @@
             let (now, failed) = (self.clock.now(), self.told.failed_in_row());
             let too_long = self.told.too_long_in_row();
             if input == Input::Moved {
-                self.held.moved(now);
+                self.held.moved(self.told.passes_lower_until(now));
             }
             let effect = self.told.put(now, input, self.chance.f64());
             self.last_heard.note(now, input, effect);
--- a/crates/courier/src/told.rs
+++ b/crates/courier/src/told.rs
@@ -36,8 +36,11 @@
 /// discovery is down. A mail whose time is up meanwhile still gets its end in time: notices may come 300 ms later,
 /// and those that an earlier process left are not overdue for 1.5 s.
 const GATE: Time = 250 * MS;
-/// After a move: within 4 s what the new address has counts, also where it counts its versions anew.
-const MOVE: Time = 3000 * MS;
+/// After a move, asked for and pushed: within 6 s, or 4, what the new address has counts, also where it counts its
+/// versions anew and one more ask is spoilt.
+const MOVES: [Time; 2] = [3000 * MS, 2100 * MS];
+/// After a gap, until a whole list of a lower version is taken.
+const GAP: Time = 3000 * MS;
 
 /// Pauses after lists past a limit: the first and the most.
 const PAST: (Time, Time) = (2000 * MS, 300_000 * MS);
@@ -158,6 +161,11 @@
         self.gate.is_none()
     }
 
+    /// After a move that is found out now: until when lists of a lower version are passed over.
+    pub fn passes_lower_until(&self, now: Time) -> Time {
+        now + MOVES[usize::from(self.push)]
+    }
+
     /// Asks that failed since something was heard.
     pub fn failed_in_row(&self) -> u32 {
         self.row
@@ -297,29 +305,30 @@
     /// All up to this version is known, and of what came later these.
     all: u64,
     lines: Vec<u64>,
-    /// Since when a whole list is owed that may be of a lower version.
-    moved: Option<Time>,
+    /// A whole list is owed, and from then on it may be of a lower version.
+    lower_from: Option<Time>,
 }
 
 impl Held {
     pub fn new(index: u64) -> Held {
-        Held { index, all: index, lines: Vec::new(), moved: None }
+        Held { index, all: index, lines: Vec::new(), lower_from: None }
     }
 
-    pub fn moved(&mut self, now: Time) {
-        self.moved = Some(now);
+    /// Another address was given: lists of a lower version are passed over until then.
+    pub fn moved(&mut self, until: Time) {
+        self.lower_from = Some(until);
     }
 
     /// A list of this version came. `first`: as the first on a watch, where it covers all that came after the
     /// version named in the ask.
     pub fn judge(&mut self, now: Time, index: u64, whole: bool, entries: usize, first: bool) -> Verdict {
         let past = index < self.index;
-        let verdict = match (whole, past, self.moved) {
+        let verdict = match (whole, past, self.lower_from) {
             (_, false, _) if whole || first => Verdict::Take,
             // Not even one entry for each version between: something was not told here.
             (_, false, _) if index - self.index > (entries as u64).max(1) => Verdict::TakeAndAsk,
             (_, false, _) => Verdict::Take,
-            (true, true, Some(moved)) if now >= moved + MOVE => Verdict::Take,
+            (true, true, Some(from)) if now >= from => Verdict::Take,
             (true, true, Some(_)) => Verdict::Again,
             // Guards against a change that comes after a later one, and that the later one hid.
             (false, true, _) if !first && index > self.all && !self.lines.contains(&index) => {
@@ -329,7 +338,7 @@
         };
         if matches!(verdict, Verdict::Take | Verdict::TakeAndAsk) {
             self.index = index;
-            self.moved = self.moved.filter(|_| !whole);
+            self.lower_from = self.lower_from.filter(|_| !whole);
             if whole || first {
                 self.all = index;
                 self.lines.clear();
@@ -343,7 +352,7 @@
         // Guards against a whole list from before the gap, which would be held to fill it, and against a version
         // that discovery never had, below which nothing would be taken any more.
         if matches!(verdict, Verdict::TakeAndAsk | Verdict::PassAndAsk) {
-            self.moved = Some(now);
+            self.lower_from = Some(now + GAP);
         }
         verdict
     }
--- a/crates/courier/src/told/tests.rs
+++ b/crates/courier/src/told/tests.rs
@@ -162,12 +162,12 @@
 #[test]
 fn a_new_address_that_counts_anew_is_taken_and_one_that_lags_is_not() {
     let mut held = Held::new(50);
-    held.moved(100 * MS);
+    held.moved(3100 * MS);
     assert_eq!(held.judge(200 * MS, 3, true, 9, false), Verdict::Again);
     assert_eq!(held.judge(200 * MS, 3, false, 1, true), Verdict::Pass);
     assert_eq!(held.judge(3200 * MS, 3, true, 9, false), Verdict::Take);
     assert_eq!(held.judge(3300 * MS, 2, true, 9, false), Verdict::Pass);
-    held.moved(5000 * MS);
+    held.moved(8000 * MS);
     assert_eq!(held.judge(5100 * MS, 4, true, 9, false), Verdict::Take);
     assert_eq!(held.judge(9000 * MS, 3, true, 9, false), Verdict::Pass);
 }
@@ -312,10 +312,10 @@
 }
 
 #[test]
-fn a_new_address_that_counts_anew_is_in_hand_within_six_seconds() {
+fn a_new_address_that_counts_anew_is_in_hand_within_six_seconds_or_four() {
     // (pushed, sum in ms since the move with no ask spoilt and with one)
-    for (push, sums) in [(ASK, [4599, 5599]), (PUSH, [3949, 4829])] {
-        let mut states = Vec::new();
+    for (push, sums) in [(ASK, [4599, 5599]), (PUSH, [3063, 3943])] {
+        let (mut states, lower_from) = (Vec::new(), MOVES[usize::from(push)]);
         for older in 0..60 {
             // So many lists from before what is held, at once each; one more is read just before its time is up.
             let mut told = next_ask(after(Told::new(push, 0), 0, Moved)).0;
@@ -323,10 +323,10 @@
                 let now = told.begun + 5;
                 told = next_ask(after(after(told, now, Head), now, Older)).0;
             }
-            if told.begun >= MOVE {
+            if told.begun >= lower_from {
                 break;
             }
-            let now = MOVE - 1;
+            let now = lower_from - 1;
             // It was slow, or it was asked for in vain first.
             if told.due() > now {
                 states.push((after(after(told.clone(), told.begun + 5, Head), now, Older), 0));
@@ -335,8 +335,8 @@
         }
         assert_eq!([0, 1].map(|asks| longest(&states, asks)), sums, "{push}");
         assert!(sums[1] * MS <= 6000 * MS - MARGIN);
-        // Where lists are pushed it counts 4 s after the move.
-        assert!(!push || sums[0] <= 4000);
+        // Where lists are pushed it counts 4 s after the move, also with one ask spoilt.
+        assert!(!push || sums[1] <= 4000);
     }
 }
 
@@ -399,9 +399,9 @@
     assert!(held.lines.len() <= MOST_LINES);
     // A version that cannot be, and what discovery has.
     assert_eq!(held.judge(0, u64::MAX, false, 1, false), Verdict::TakeAndAsk);
-    assert_eq!(held.judge(MOVE - 1, 200, true, 9, false), Verdict::Again);
-    assert_eq!(held.judge(MOVE, 200, true, 9, false), Verdict::Take);
-    assert_eq!(held.judge(2 * MOVE, 199, true, 9, false), Verdict::Pass);
+    assert_eq!(held.judge(GAP - 1, 200, true, 9, false), Verdict::Again);
+    assert_eq!(held.judge(GAP, 200, true, 9, false), Verdict::Take);
+    assert_eq!(held.judge(2 * GAP, 199, true, 9, false), Verdict::Pass);
 }
 
 /// Plays a discovery whose lists are past a limit for so long: when what is asked, in ms. `watch`: how a watch ends.
