--- /dev/null
+++ b/crates/courier/tests/replaced.rs
@@ -0,0 +1,44 @@
+//! Endpoints that are replaced under new names for good: what is kept of those that left does not grow.
+
+mod common;
+#[path = "common/process.rs"]
+mod process;
+
+use common::Folder;
+use meadowhold::interface::{Outcome, SECOND};
+use meadowhold_courier::discovery::{List, Listener};
+use meadowhold_courier::entries::Update;
+use meadowhold_courier::exchange::Answer;
+use process::{Process, START};
+use serde_json::json;
+
+const REPLACED: u64 = 3000;
+
+/// Guards against memory that grows with each replacement.
+#[test]
+fn names_and_places_of_endpoints_that_left_are_given_back() {
+    let folder = Folder::new();
+    let mut process = Process::start(&folder, 3_000_000, START, None);
+    let held = process.exchange.count_with(&Update::default());
+    let mut largest = 0;
+    for i in 0..REPLACED {
+        let entry = |name: u64, status: &str| {
+            json!({"name": format!("e{name}"), "address": "127.0.0.1:9", "zone": "a", "type": "single",
+                "group": name % 20 / 2, "status": status, "weight": 1000.0})
+        };
+        let changes = [entry(i, "DELETED"), entry(i + 20, "SERVING")];
+        let list = json!({"index": i + 3, "snapshot": false, "endpoints": changes});
+        process.exchange.listed(&serde_json::from_value::<List>(list).unwrap());
+        assert!(matches!(process.put(&format!("m{i}"), "again", i % 10), Answer::Taken(_)));
+        let (call, _) = (process.call().unwrap(), process.pass(10));
+        largest = largest.max(call.endpoint);
+        process.begin(&call);
+        let serial = call.letters[0].serial;
+        process.exchange.seen(serial, meadowhold_courier::exchange::Seen::only(Outcome::Relayed));
+        process.pass(SECOND / 100);
+        process.calls();
+    }
+    assert_eq!(process.exchange.count_with(&Update::default()), held);
+    assert!(largest < 64, "an index of {largest} where {held} are listed");
+    assert_eq!(process.exchange.audit(), Vec::<String>::new());
+}
--- a/tests/control_cold.rs
+++ b/tests/control_cold.rs
@@ -286,6 +286,23 @@
     assert!(passed.is_empty(), "{passed:#?}");
 }
 
+/// Guards against couriers that just started and send what they have to an endpoint that is cold: their share is over two
+/// calls a target delay, so that no turns hold them.
+#[test]
+fn a_third_that_just_started_keeps_to_what_a_cold_endpoint_bears_where_shares_are_larger() {
+    let day = Day { fresh: 1.0 / 3.0, ..PLAIN };
+    let passed = over("a third just started", day, &[40.0], &[5], 1..=2);
+    assert!(passed.is_empty(), "{passed:#?}");
+}
+
+/// Guards against an outage that is over before a courier with less than two turns in it has seen it.
+#[test]
+fn an_outage_shorter_than_two_turns_of_a_courier_is_no_overload_at_its_end() {
+    let day = Day { out_for: 5 * SECOND / 2, ..PLAIN };
+    let passed = over("a short outage", day, &[100.0], &[300], 1..=1);
+    assert!(passed.is_empty(), "{passed:#?}");
+}
+
 #[test]
 fn a_call_from_before_an_outage_is_no_sign_of_its_end() {
     // (served call sent before the two that failed, what the endpoint is held to be)
