--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -126,7 +126,15 @@
                     self.named.insert(wire::short(e.endpoint), e.endpoint);
                     let dest = self.dests.enter(e.dest);
                     let (zone, kind, life, rate) = (e.zone, e.kind, e.life, e.rate);
-                    self.inputs.push(Input::Listed(Listed { endpoint, dest, zone, kind, life, rate }));
+                    self.inputs.push(Input::Listed(Listed {
+                        endpoint,
+                        dest,
+                        zone,
+                        kind,
+                        life,
+                        rate,
+                        since: 0,
+                    }));
                 }
                 Input::ListEnd
             }
--- a/crates/emulator/src/listing.rs
+++ b/crates/emulator/src/listing.rs
@@ -31,6 +31,7 @@
             kind: p.kind,
             life,
             rate: p.listed_rate,
+            since: 0,
         })
     }
 
