--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -126,15 +126,7 @@
                     self.named.insert(wire::short(e.endpoint), e.endpoint);
                     let dest = self.dests.enter(e.dest);
                     let (zone, kind, life, rate) = (e.zone, e.kind, e.life, e.rate);
-                    self.inputs.push(Input::Listed(Listed {
-                        endpoint,
-                        dest,
-                        zone,
-                        kind,
-                        life,
-                        rate,
-                        since: 0,
-                    }));
+                    self.inputs.push(Input::Listed(Listed { endpoint, dest, zone, kind, life, rate }));
                 }
                 Input::ListEnd
             }
--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -786,7 +786,6 @@
                 kind,
                 life,
                 rate: entry.weight,
-                since: entry.since_ms.saturating_mul(10),
             }));
         }
         self.inputs.push(Input::ListEnd);
--- a/crates/emulator/src/listing.rs
+++ b/crates/emulator/src/listing.rs
@@ -31,7 +31,6 @@
             kind: p.kind,
             life,
             rate: p.listed_rate,
-            since: 0,
         })
     }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -176,8 +176,9 @@
         let worth = |mail: usize| self.set.classes[self.mails[mail].class].importance;
         let ahead = d.lines.iter().flatten().filter(|&&mail| worth(mail) >= c.importance).count() as f64;
         let behind = by_turns && ahead > d.even * IN_TIME * seconds(due.saturating_sub(self.now));
-        let late = self.ending.is_some_and(|end| due <= end.next_from && !self.tries(dest, end.calls_until));
-        late || behind || full && parked(&self.mails).all(|m| self.hope(&self.mails[m]) >= hope)
+        let untried =
+            self.ending.is_some_and(|end| due <= end.next_from && !self.tries(dest, end.calls_until));
+        untried || behind || full && parked(&self.mails).all(|m| self.hope(&self.mails[m]) >= hope)
     }
 
     /// Whether one more mail is likely to be sent by then: an endpoint is there, and those ahead are through.
@@ -256,7 +257,8 @@
         let (unit, told, wait) = (e.unit, e.told, if let News::Full(wait) = news { wait } else { 0 });
         self.endpoints[endpoint].told = news == News::Out || told && news != News::Back;
         match news {
-            News::Out => [Sign::Bad; 2].iter().filter(|_| !told).for_each(|sign| self.sign(endpoint, *sign)),
+            News::Out if told => {}
+            News::Out => [Sign::Bad; 2].into_iter().for_each(|sign| self.sign(endpoint, sign)),
             News::Back if !brief => self.sign(endpoint, Sign::Good),
             // After a false alarm too they come back spread, not all at once.
             News::Full(_) | News::Back => {
@@ -287,33 +289,29 @@
     }
 
     fn list(&mut self, entry: &Listed) {
-        let Listed { endpoint, dest, zone, kind, life, rate, since } = *entry;
+        let Listed { endpoint, dest, zone, kind, life, rate } = *entry;
         grow(&mut self.endpoints, endpoint);
         grow(&mut self.dests, dest);
         let (now, kind) = (self.now, kind.min(self.set.kinds.len() - 1));
-        let cold = since > 0 && now < since + self.set.cold;
         if !self.endpoints[endpoint].known {
             // A newcomer shares its destination's waits, unless routes are apart.
             let apart = self.set.kinds[kind].apart;
             let unit = Units::number(dest, apart.then_some(endpoint));
+            self.units.grow(unit);
             self.units[unit] = if apart { Unit::default() } else { std::mem::take(&mut self.units[unit]) };
             // Couriers start at different points of their share, not all with the cheapest route.
             self.units[unit].share = Saved { calls: 2.0 * self.chance.f64(), at: now };
             // Guards against a cold replacement that all couriers fill at once: it warms up like one back.
             let sisters = self.dests[dest].endpoints.iter().map(|&s| &self.endpoints[s]);
             let well = sisters.filter(|s| s.life == Life::Ready).all(|s| s.standing == Standing::Well);
-            let standing = if well && !cold { Standing::Well } else { Standing::Returning };
-            self.endpoints[endpoint] = Endpoint::listed(dest, unit, zone, kind, standing, now);
+            let standing = if well { Standing::Well } else { Standing::Returning };
+            let new = Endpoint { known: true, dest, unit, zone, kind, standing, ..Endpoint::default() };
+            self.endpoints[endpoint] = new.from(now);
             // Guards against couriers that all favour the first endpoint of the list while none is measured.
             let place = self.chance.usize(..=self.dests[dest].endpoints.len());
             self.dests[dest].endpoints.insert(place, endpoint);
         }
         let e = &mut self.endpoints[endpoint];
-        // One that has just started is cold, whoever saw it fall.
-        if cold && since > e.since && matches!(e.standing, Standing::Well | Standing::Doubt) {
-            (e.standing, e.since) = (Standing::Returning, since.min(now));
-            e.ramp = Saved { calls: 0.0, at: now };
-        }
         self.leaving.extend((life == Life::Gone && e.life != Life::Gone).then_some(endpoint));
         e.gone_at = if life == Life::Gone && e.life == Life::Gone { e.gone_at } else { now };
         (e.life, e.named) = (life, true);
@@ -359,7 +357,9 @@
     fn arrive(&mut self, taken: &Taken) {
         let Taken { mail, dest, class, key, since, due, connects, ran } = *taken;
         let class = class.min(self.set.classes.len() - 1);
-        key.into_iter().for_each(|key| grow(&mut self.keys, key).line.push(mail));
+        if let Some(key) = key {
+            grow(&mut self.keys, key).line.push(mail);
+        }
         let (place, target) = (Place::Parked, since + self.set.classes[class].target);
         *grow(&mut self.mails, mail) = Mail { place, dest, class, key, target, due, connects, ran, call: 0 };
         let d = grow(&mut self.dests, dest);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -166,8 +166,6 @@
     pub kind: usize,
     pub life: Life,
     pub rate: f64,
-    /// When it last started; 0: long ago.
-    pub since: Time,
 }
 
 /// A mail that is taken on, or that an earlier process of this courier took on and still owes its end.
--- a/src/state.rs
+++ b/src/state.rs
@@ -291,18 +291,9 @@
 }
 
 impl Endpoint {
-    /// One that is known since now.
-    pub fn listed(
-        dest: usize,
-        unit: usize,
-        zone: usize,
-        kind: usize,
-        standing: Standing,
-        now: Time,
-    ) -> Endpoint {
-        let (known, ramp) = (true, Saved { calls: 0.0, at: now });
-        let new = Endpoint { known, dest, unit, zone, kind, standing, ramp, ..Endpoint::default() };
-        Endpoint { last_good: now, since: now, ..new }
+    /// The same as one that is known since now.
+    pub fn from(self, now: Time) -> Endpoint {
+        Endpoint { last_good: now, since: now, ramp: Saved { calls: 0.0, at: now }, ..self }
     }
 }
 
