--- a/crates/rig/tests/scale.rs
+++ b/crates/rig/tests/scale.rs
@@ -109,6 +109,9 @@
     let each_second = |name: &str| report.phase(name).map(|phase| phase.hollow.from_source).unwrap();
     assert!(each_second("relay") < 1.5 * each_second("changes"), "{report}");
     assert!(each_second("relay-stop") < 1.5 * each_second("changes"), "{report}");
+    // And what relays pass on goes on while one of them is away.
+    let passed_on = |name: &str| report.phase(name).map(|phase| phase.followed[1]).unwrap();
+    assert!(passed_on("relay") > passed_on("changes") / 4.0, "{report}");
     assert_eq!((report.messages.starts, report.membership.nodes), (4, 43));
     assert!(report.messages.taken > 100 && report.messages.delivered > 100, "{report}");
 }
