--- a/crates/rig/src/judge.rs
+++ b/crates/rig/src/judge.rs
@@ -357,7 +357,10 @@
                     Heard::Nothing => g.unheard += 1,
                     Heard::Closed => {
                         g.unheard += 1;
-                        self.closed.push((at, *hand, *courier));
+                        // A link that the day itself cuts is no close of the courier's.
+                        if self.couriers[*courier].faulty == 0 {
+                            self.closed.push((at, *hand, *courier));
+                        }
                     }
                     Heard::Failed => {
                         let words = format!("mail {} was answered as failed", hand.id());
--- a/crates/rig/src/judge/tests.rs
+++ b/crates/rig/src/judge/tests.rs
@@ -258,6 +258,9 @@
     assert_eq!(seen(Vec::new()), 1);
     assert_eq!(seen(vec![(50, process(Process::Ended))]), 0);
     assert_eq!(seen(vec![(500, process(Process::Ended))]), 1);
+    let links = Seen::Links { courier: 0, link: Link::Clients, faulty: true };
+    let cut = vec![(10, called(1, AGAIN, Fate::Served)), (15, links), (20, answered(Heard::Closed))];
+    assert!(judged_with(|_| (), cut).kept(), "the day cut the client's link");
     let unread = judged_with(|_| (), vec![(20, answered(Heard::Closed))]);
     assert!(unread.kept(), "{:?}", unread.broken);
 }
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -500,8 +500,15 @@
                 what if what.is_endpoint() => self.turn_endpoint(what, trouble, number, on),
                 what => {
                     let knob = if on { knob(what, trouble) } else { Knob::Well };
-                    self.links[number].set(trouble.link, knob);
-                    self.record.add(Seen::Links { courier: number, link: trouble.link, faulty: on });
+                    let seen = Seen::Links { courier: number, link: trouble.link, faulty: on };
+                    // Noted for as long as it lasts: what the cut does is seen after its begin.
+                    if on {
+                        self.record.add(seen);
+                        self.links[number].set(trouble.link, knob);
+                    } else {
+                        self.links[number].set(trouble.link, knob);
+                        self.record.add(seen);
+                    }
                 }
             }
         }
