Messages have phases: a table of transitions, a log line and a reason for each change

Change: exchange/lifecycle.rs has the phases of a message and their transitions; each change goes through it, is logged at debug with id and reason, and is checked by the audit against the other tables. The ends move from exchange.rs to exchange/ending.rs. Logged at debug: each answer to a client with its id, each line of a notice when it is sent and acknowledged. Counted: revoked outcomes by reason, messages that were given up after an answer had said that they were delivered, messages that ended twice (must be 0). One test of the audit reported outcomes of calls that had not begun; it begins them now and checks that they do. Behaviour is as before.

--- a/crates/courier/src/audit.rs
+++ b/crates/courier/src/audit.rs
@@ -8,6 +8,7 @@
 use meadowhold::interface::Time;
 use meadowhold::interner::Interner;
 
+use crate::exchange::lifecycle::{Lifecycle, Phase};
 use crate::journal::{max_stored_size, JournalContents, OwedMail};
 
 /// In release builds the audit runs once in this many turns only, since it visits all mails and all endpoints.
@@ -75,6 +76,7 @@
     pub unfinished: usize,
     /// Whether a mail is not with the decisions, because its last outcome is provisional or was until now.
     pub is_provisional: &'a dyn Fn(u64) -> bool,
+    pub lifecycle: &'a Lifecycle,
     pub pending: &'a [Option<PendingConnect>],
     pub mail_indices: &'a Interner<u64>,
     /// Maps an endpoint index to the number of its destination.
@@ -135,7 +137,19 @@
     faults.expect_equal("ids of owed mails", ids.len() as u64, owed.len() as u64);
     for (serial, owed) in *owed {
         faults.check(ids.get(&owed.id) == Some(serial), || format!("mail {serial} is not found by its id"));
+        let is_in_flight = owed.in_flight.is_some();
+        let fits = match state.lifecycle.phase(*serial) {
+            Phase::Waiting => with_decisions(serial, owed) && !is_in_flight,
+            Phase::Called => with_decisions(serial, owed) && is_in_flight,
+            Phase::Provisional => (state.is_provisional)(*serial),
+            Phase::Returning => (state.is_provisional)(*serial) && !is_in_flight,
+            Phase::GivenUp => owed.verdict.is_some(),
+            Phase::Ended => false,
+        };
+        let phase = state.lifecycle.phase(*serial);
+        faults.check(fits, || format!("mail {serial} is recorded as {phase:?}, which its state contradicts"));
     }
+    faults.expect_equal("messages with a phase", state.lifecycle.len() as u64, owed.len() as u64);
     faults.expect_equal(
         "journal bytes of owed mails",
         state.journal_bytes,
--- a/crates/courier/src/clients.rs
+++ b/crates/courier/src/clients.rs
@@ -33,6 +33,8 @@
 /// takes, whose answers are ten times their size.
 const MAX_PENDING_ANSWERS: usize = 1 << 14;
 const MAX_ID: usize = 128;
+/// Place of the id among the words of a request, from 0.
+const ID_PLACE: usize = 2;
 const MAX_LIFETIME: Duration = Duration::from_secs(7 * 24 * 3600);
 
 /// How clients are served, in the order that a shutdown goes through.
@@ -345,9 +347,11 @@
         for (end, serial, id) in answers.taken.drain(..) {
             // A mail with the same id whose acceptance another client has read must stay.
             if self.unacknowledged.borrow_mut().remove(&id) && end > written {
+                log::debug!("mail {serial}: the client cannot have read its answer");
                 self.shared.borrow_mut().withdraw(serial);
             }
         }
+        log::debug!("{written} of {} bytes of answers are written to a client", answers.bytes.len());
         answers.bytes.clear();
         written_all.map_or(Ok(false), |result| result.map(|()| true))
     }
@@ -378,8 +382,12 @@
         if is("MSG.PUT") {
             let (id, answer) = match parse_offer(words) {
                 Ok(offer) => (offer.id.clone(), self.shared.borrow_mut().hand_in(offer)),
-                Err(text) => (Bytes::new(), Answer::Failed(text)),
+                Err(text) => (words.get(ID_PLACE).cloned().unwrap_or_default(), Answer::Failed(text)),
             };
+            log::debug!(
+                "message {} is answered {answer:?}",
+                String::from_utf8_lossy(&id[..id.len().min(MAX_ID)])
+            );
             match answer {
                 Answer::Taken(serial) => {
                     resp::write_simple(out, "OK");
--- a/crates/courier/src/endpoints.rs
+++ b/crates/courier/src/endpoints.rs
@@ -15,7 +15,7 @@
 use tokio::time::error::Elapsed;
 use tokio::time::{timeout_at, Interval, MissedTickBehavior};
 
-use crate::exchange::{Call, CallMail, Clock, ConnectReport, Order, Shared};
+use crate::exchange::{Call, CallMail, Clock, ConnectReport, Order, RevokeReason, Shared};
 use crate::http::{self, Head};
 use crate::link::{HttpConnection, SendError};
 use crate::pool::{CloseReason, Connection, Pool};
@@ -129,7 +129,7 @@
         (0..released.connections).for_each(|_| self.freed.notify_one());
         let mut exchange = self.shared.borrow_mut();
         for (message, reason) in released.revoked {
-            exchange.revoke(message, &reason.to_string());
+            exchange.revoke(message, RevokeReason::Closed(reason));
         }
         exchange.counts.connections = self.pool.borrow().counts;
     }
--- a/crates/courier/src/endpoints/watch.rs
+++ b/crates/courier/src/endpoints/watch.rs
@@ -7,13 +7,10 @@
 
 use super::answer::MAX_ANSWER;
 use super::Endpoints;
-use crate::exchange::to_duration;
+use crate::exchange::{to_duration, RevokeReason};
 use crate::link::{wait_for_bytes, Rest};
 use crate::pool::{CloseReason, Connection};
 
-/// Why a message is called again whose delivery is neither proven nor refuted.
-const UNPROVEN: &str = "the endpoint has answered nothing since";
-
 impl Endpoints {
     /// Keeps a connection after a call, and watches it if it has provisional outcomes. `is_kept`: it may carry further
     /// calls.
@@ -64,7 +61,7 @@
         let settled = order.take_final(self.clock.now(), |since| exchange.is_answering(endpoint, since));
         settled.confirmed.into_iter().for_each(|message| exchange.confirm(message));
         let is_doubted = !settled.doubtful.is_empty();
-        settled.doubtful.into_iter().for_each(|message| exchange.revoke(message, UNPROVEN));
+        settled.doubtful.into_iter().for_each(|message| exchange.revoke(message, RevokeReason::Unproven));
         drop(exchange);
         let is_unproven = is_doubted && !order.holds_messages();
         let is_retired = order.is_in_step() && pool.is_retired(incarnation, number);
--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -25,19 +25,22 @@
 use crate::discovery::{List, Listener};
 use crate::entries::Update;
 use crate::journal::{
-    class_for_restored, max_stored_size, ClassTerms, Journal, JournalContents, OwedMail, Record, Sent,
-    Verdict, UNKNOWN_ZONE,
+    class_for_restored, ClassTerms, Journal, JournalContents, OwedMail, Record, Sent, Verdict, UNKNOWN_ZONE,
 };
 use crate::memory::{deployment, ListStore};
 use crate::numbers::Classes;
 use crate::pool::ConnectionCounts;
 use crate::{http, must};
 
+mod ending;
+pub mod lifecycle;
 mod provisional;
 
 pub use crate::clock::{to_duration, to_time, Clock};
+use lifecycle::{Lifecycle, Phase, Step};
 pub use provisional::ProvisionalCounts;
 use provisional::ProvisionalMails;
+pub use provisional::RevokeReason;
 
 /// Restored mails are submitted to the decision module within this time: all of them in the first turn.
 /// Spread over 250 ms, mails after a mass restart lost importance; see `docs/start.md`.
@@ -203,6 +206,10 @@
     pub given_up: u64,
     pub late: u64,
     pub hangups: u64,
+    /// Messages that ended though they had ended before; always 0.
+    pub ended_twice: u64,
+    /// Messages that were given up after an answer had said that they were delivered.
+    pub told_after_delivery: u64,
     pub compactions: u64,
     /// Lists or changes with a lower version than an earlier one.
     pub older: u64,
@@ -247,6 +254,8 @@
     backlog: Backlog,
     /// Mails that the decision module does not hold, because their last outcome may be another call's.
     provisional: ProvisionalMails,
+    /// The phase of each owed mail.
+    lifecycle: Lifecycle,
     /// Whether a mail may have two connects in flight at once.
     may_overlap: bool,
     /// Mails that the decision module holds.
@@ -413,6 +422,7 @@
             keys_in_flight: Vec::new(),
             backlog: Backlog::default(),
             provisional: ProvisionalMails::default(),
+            lifecycle: Lifecycle::default(),
             may_overlap,
             open_mails: 0,
             next_serial: found.owed.keys().next_back().map_or(1, |last| last + 1),
@@ -470,6 +480,8 @@
                 self.append_record(&Record::KeyInFlight { order_key: &owed.order_key, since: now });
             }
             self.ids.insert(owed.id.clone(), serial);
+            let phase = if owed.verdict.is_some() { Phase::GivenUp } else { Phase::Waiting };
+            self.lifecycle.add(serial, phase);
             match owed.verdict {
                 Some(verdict) => self.send_notice(Notice { serial, id: owed.id.clone(), verdict }),
                 None if !BY_IMPORTANCE => {
@@ -582,6 +594,7 @@
             self.submit_backlog(Time::MAX);
         }
         self.open_mails += 1;
+        self.lifecycle.add(serial, Phase::Waiting);
         self.submit(serial, &owed);
         self.owed.insert(serial, owed);
         Answer::Taken(serial)
@@ -675,49 +688,6 @@
         true
     }
 
-    /// Finishes a mail: nothing more has to be done for it.
-    fn finish(&mut self, serial: u64) {
-        if !self.owed.contains_key(&serial) {
-            return;
-        }
-        // Recorded before the mail is removed. Otherwise a compaction triggered by this record would write a
-        // journal with a record of a mail that it does not contain. If the record cannot be written the mail
-        // is restored after a restart, as one that may have run.
-        self.append_record(&Record::Settled { serial });
-        if let Some(owed) = self.owed.remove(&serial) {
-            self.ids.remove(&owed.id);
-            self.tally.settled += 1;
-            self.journal.release(max_stored_size(&owed));
-            let was_provisional = self.provisional.remove(serial, owed.deadline);
-            self.open_mails -= usize::from(owed.verdict.is_none() && !was_provisional);
-        }
-    }
-
-    /// Withdraws a mail whose client left before it could read the acceptance, or that was relayed late.
-    pub fn withdraw(&mut self, serial: u64) {
-        if self.owed.get(&serial).is_some_and(|owed| owed.verdict.is_none()) {
-            self.counts.hangups += 1;
-            self.finish(serial);
-            if let Some(mail) = self.mail_serials.get(&serial) {
-                // The decision module must read this before an outcome, which could make it give up the
-                // finished mail.
-                let ended =
-                    |input: &Input| matches!(input, Input::ConnectResult(ended) if ended.mail == mail);
-                let at = self.inputs.iter().position(ended).unwrap_or(self.inputs.len());
-                self.inputs.insert(at, Input::ClientGone { mail });
-            }
-            self.notify.notify_one();
-        }
-    }
-
-    /// A connect that was already reported as timed out was relayed after all.
-    pub fn relayed_late(&mut self, serial: u64) {
-        if self.owed.contains_key(&serial) {
-            self.counts.late += 1;
-            self.withdraw(serial);
-        }
-    }
-
     /// A note of another courier about an endpoint. Ignored if the list has not named the endpoint here.
     pub fn note_received(&mut self, name: &[u8], note: PeerNote) {
         if let Some(endpoint) = self.endpoint_names.get(name) {
@@ -732,16 +702,6 @@
         }
     }
 
-    /// The platform has acknowledged the notice of a mail.
-    pub fn notice_accepted(&mut self, serial: u64) {
-        self.finish(serial);
-    }
-
-    fn send_notice(&mut self, notice: Notice) {
-        // The receiver lives as long as the process.
-        let _ = self.notices.send(notice);
-    }
-
     /// Starts with the saved list or the one in the configuration, whichever is newer. `ours` tells whether a
     /// list that was saved for another deployment (`memory::deployment`) may be used.
     pub fn restore_list(&mut self, known: List, ours: impl Fn(&str) -> bool) {
@@ -870,6 +830,7 @@
                     begun == Some(false),
                     "a call begins with a connect that is not out"
                 );
+                self.take_step(serial, Step::CallBegins, &endpoint);
                 beginning.push(carried);
             } else {
                 unsent.push(serial);
@@ -919,7 +880,7 @@
         if let Some(claim) = claim {
             self.detach(serial, claim);
         } else if finished {
-            self.finish(serial);
+            self.finish(serial, Step::Answered, &format_args!("{outcome:?}"));
         } else if let Some(owed) = self.owed.get_mut(&serial) {
             let sent = owed.in_flight.take();
             if sent.is_some() {
@@ -933,6 +894,7 @@
                     may_still_run: rests,
                     at: now,
                 });
+                self.take_step(serial, Step::CallFails, &format_args!("{outcome:?}"));
             }
         }
         let report = load.and_then(|load| self.names.report(&load));
@@ -1037,6 +999,7 @@
             ids: &self.ids,
             unfinished: self.open_mails,
             is_provisional: &|serial| self.provisional.contains(serial),
+            lifecycle: &self.lifecycle,
             pending: &self.connects_out,
             mail_indices: &self.mail_serials,
             destination_of: &|endpoint| self.endpoints[endpoint].destination,
@@ -1163,36 +1126,6 @@
             Some(PendingConnect { serial, endpoint, call, requested_at: self.last_turn, begun: false });
     }
 
-    fn give_up(&mut self, mail: usize, verdict: Verdict) {
-        let now = self.clock.now();
-        let serial = self.mail_serials.id(mail).copied();
-        let owed = serial.and_then(|serial| self.owed.get_mut(&serial));
-        let (Some(serial), Some(owed)) = (serial, owed) else {
-            must!(self.counts.broken, false, "an unknown mail was given up");
-            return;
-        };
-        must!(self.counts.broken, owed.verdict.is_none(), "a mail was given up twice");
-        owed.verdict = Some(verdict);
-        self.journal.release(owed.body.len() as u64);
-        owed.body.clear();
-        let (id, destination, left) = (owed.id.clone(), owed.destination, owed.deadline.saturating_sub(now));
-        self.open_mails -= 1;
-        self.counts.given_up += 1;
-        // A mail that is handed back may be submitted elsewhere, so a later process must not send it too:
-        // unless the journal records that it was given up, it is bounced without a promise.
-        let recorded = self.append_record(&Record::GivenUp { serial, verdict });
-        let verdict = if recorded { verdict } else { Verdict::Dead };
-        if let Some(owed) = self.owed.get_mut(&serial) {
-            owed.verdict = Some(verdict);
-        }
-        let words = String::from_utf8_lossy(&id);
-        log::debug!(
-            "message {words}, mail {serial} for destination {destination}: given up, {verdict:?}, {} ms left",
-            left / 10
-        );
-        self.send_notice(Notice { serial, id, verdict });
-    }
-
     /// When the next turn is due.
     fn next_turn(&self) -> Option<Instant> {
         // The first turn is requested by notification and may be held back, so restored mails do not make it
@@ -1241,7 +1174,7 @@
 
     /// Waits no longer for the outcomes of mails that expire before the next process begins its calls.
     pub fn expire_before_next_process(&mut self) {
-        self.revoke_before(self.next_process_from, "it expires before the next process begins its calls");
+        self.revoke_before(self.next_process_from, RevokeReason::Shutdown);
         let _ = self.orders.send(Order::ExpireBefore(self.next_process_from));
     }
 
--- a/crates/courier/src/exchange/provisional.rs
+++ b/crates/courier/src/exchange/provisional.rs
@@ -4,12 +4,15 @@
 //! after a kill the next process takes it for one that may have run.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 
 use meadowhold::interface::{Effect, Time, SECOND};
 use meadowhold::response_order::{Claim, QuietPeriods};
 
+use super::lifecycle::Step;
 use super::{ConnectReport, Exchange};
 use crate::journal::{Record, Sent};
+use crate::pool::CloseReason;
 
 /// How long after its deadline a held mail's outcome is revoked: some become final at the deadline itself.
 const EXPIRY_GRACE: Time = SECOND / 50;
@@ -19,7 +22,59 @@
 pub struct ProvisionalCounts {
     pub held: u64,
     pub confirmed: u64,
-    pub revoked: u64,
+    pub revoked: RevokedCounts,
+}
+
+/// Revoked outcomes by reason.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RevokedCounts {
+    /// The connection was closed to make room for another.
+    pub no_room: u64,
+    /// The connection ended or was closed for another reason.
+    pub closed: u64,
+    pub unproven: u64,
+    pub expired: u64,
+    pub shutdown: u64,
+}
+
+/// Why an outcome cannot become final.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RevokeReason {
+    Closed(CloseReason),
+    /// The endpoint has answered nothing since, so that the outcome is neither proven nor refuted.
+    Unproven,
+    Expired,
+    /// The message expires before the next process begins its calls.
+    Shutdown,
+}
+
+impl fmt::Display for RevokeReason {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            RevokeReason::Closed(reason) => reason.fmt(f),
+            RevokeReason::Unproven => f.write_str("the endpoint has answered nothing since"),
+            RevokeReason::Expired => f.write_str("its time is up"),
+            RevokeReason::Shutdown => f.write_str("it expires before the next process begins its calls"),
+        }
+    }
+}
+
+impl RevokedCounts {
+    pub fn total(&self) -> u64 {
+        let RevokedCounts { no_room, closed, unproven, expired, shutdown } = self;
+        no_room + closed + unproven + expired + shutdown
+    }
+
+    fn add(&mut self, reason: RevokeReason) {
+        let count = match reason {
+            RevokeReason::Closed(CloseReason::NoRoom) => &mut self.no_room,
+            RevokeReason::Closed(_) => &mut self.closed,
+            RevokeReason::Unproven => &mut self.unproven,
+            RevokeReason::Expired => &mut self.expired,
+            RevokeReason::Shutdown => &mut self.shutdown,
+        };
+        *count += 1;
+    }
 }
 
 /// The mails that the decision module does not hold.
@@ -30,6 +85,8 @@
     deadlines: BTreeSet<(Time, u64)>,
     /// Mails that are submitted to the decision module again, in the next turn in which it has released their index.
     returning: BTreeSet<u64>,
+    /// Mails with a delivery that was revoked.
+    claimed_delivered: BTreeSet<u64>,
 }
 
 impl ProvisionalMails {
@@ -51,8 +108,18 @@
         self.deadlines.insert((deadline, serial));
     }
 
-    /// Removes a mail with this deadline; false if it was none of these.
+    /// Whether an answer said that a mail was delivered, and was not believed.
+    pub fn was_claimed_delivered(&self, serial: u64) -> bool {
+        self.claimed_delivered.contains(&serial)
+    }
+
+    /// Removes a mail with this deadline that has ended; false if it was none of these.
     pub fn remove(&mut self, serial: u64, deadline: Time) -> bool {
+        self.claimed_delivered.remove(&serial);
+        self.release(serial, deadline)
+    }
+
+    fn release(&mut self, serial: u64, deadline: Time) -> bool {
         self.deadlines.remove(&(deadline, serial));
         self.held.remove(&serial).is_some() || self.returning.remove(&serial)
     }
@@ -102,8 +169,8 @@
 
     pub(super) fn detach(&mut self, serial: u64, claim: Claim) {
         let Some(owed) = self.owed.get(&serial) else { return };
-        log::debug!("message {}, mail {serial}: {claim:?} is provisional", String::from_utf8_lossy(&owed.id));
         self.provisional.hold(serial, owed.deadline, claim);
+        self.take_step(serial, Step::OutcomeHeld, &format_args!("{claim:?}"));
         self.open_mails -= 1;
         self.counts.provisional.held += 1;
     }
@@ -118,21 +185,22 @@
         let Some(&claim) = self.provisional.held.get(&serial) else { return };
         self.counts.provisional.confirmed += 1;
         match claim {
-            Claim::Delivered => self.finish(serial),
+            Claim::Delivered => self.finish(serial, Step::Answered, &"confirmed"),
             Claim::NeverRan => {
-                self.give_back(serial);
+                self.give_back(serial, &"confirmed");
                 self.record_connect_end(serial, false);
             }
         }
     }
 
     /// The outcome of a held mail may be another call's: its own call may have run.
-    pub fn revoke(&mut self, serial: u64, reason: &str) {
+    pub fn revoke(&mut self, serial: u64, reason: RevokeReason) {
         let Some(&claim) = self.provisional.held.get(&serial) else { return };
-        self.counts.provisional.revoked += 1;
-        let id = self.owed.get(&serial).map(|owed| String::from_utf8_lossy(&owed.id)).unwrap_or_default();
-        log::debug!("message {id}, mail {serial}: {claim:?} is revoked: {reason}");
-        let sent = self.give_back(serial);
+        self.counts.provisional.revoked.add(reason);
+        if claim == Claim::Delivered {
+            self.provisional.claimed_delivered.insert(serial);
+        }
+        let sent = self.give_back(serial, &format_args!("{claim:?} is revoked: {reason}"));
         if let Some(owed) = self.owed.get_mut(&serial) {
             owed.first_run = owed.first_run.or(sent);
         }
@@ -140,9 +208,10 @@
     }
 
     /// Lets the decision module say what becomes of a held mail. Returns its last connect.
-    fn give_back(&mut self, serial: u64) -> Option<Sent> {
+    fn give_back(&mut self, serial: u64, reason: &dyn fmt::Display) -> Option<Sent> {
+        self.take_step(serial, Step::OutcomeReleased, reason);
         let owed = self.owed.get_mut(&serial)?;
-        self.provisional.remove(serial, owed.deadline);
+        self.provisional.release(serial, owed.deadline);
         self.provisional.returning.insert(serial);
         self.notify.notify_one();
         owed.in_flight.take()
@@ -155,11 +224,11 @@
 
     /// Revokes the outcomes of held mails whose time is up: what cannot be confirmed any more gets a notice.
     pub(super) fn revoke_expired(&mut self, now: Time) {
-        self.revoke_before((now + 1).saturating_sub(EXPIRY_GRACE), "its time is up");
+        self.revoke_before((now + 1).saturating_sub(EXPIRY_GRACE), RevokeReason::Expired);
     }
 
     /// Revokes the outcomes of held mails with deadlines before a time.
-    pub(super) fn revoke_before(&mut self, end: Time, reason: &str) {
+    pub(super) fn revoke_before(&mut self, end: Time, reason: RevokeReason) {
         while let Some(&(deadline, serial)) = self.provisional.deadlines.first() {
             if deadline >= end {
                 return;
@@ -178,6 +247,7 @@
                 self.open_mails += 1;
                 self.submit(serial, &owed);
                 self.owed.insert(serial, owed);
+                self.take_step(serial, Step::Resubmitted, &"the decisions have released it");
             }
         }
     }
--- a/crates/courier/src/notices.rs
+++ b/crates/courier/src/notices.rs
@@ -47,6 +47,16 @@
     text
 }
 
+/// Logs what becomes of each line of a request.
+fn log_lines(notices: &[Notice], what: &str) {
+    for Notice { serial, id, verdict } in notices {
+        log::debug!(
+            "message {}, mail {serial}: its notice, {verdict:?}, {what}",
+            String::from_utf8_lossy(id)
+        );
+    }
+}
+
 /// Only the first failure in a row is logged as a warning.
 fn failure_level(pause: Duration) -> log::Level {
     if pause == RETRY_PAUSES.0 {
@@ -109,8 +119,10 @@
         };
         next_post = Instant::now() + MIN_POST_INTERVAL;
         let destination = *address.borrow_and_update();
+        log_lines(&batch, "is sent");
         match timeout(ANSWER_TIMEOUT, post(destination, &batch)).await {
             Ok(Ok(StatusCode::NO_CONTENT)) => {
+                log_lines(&batch, "is acknowledged");
                 batch.iter().for_each(|notice| shared.borrow_mut().notice_accepted(notice.serial));
                 (accepted, pause) = (true, RETRY_PAUSES.0);
                 batch_size = if searching { batch_size } else { MAX_BATCH };
--- a/crates/courier/tests/audit.rs
+++ b/crates/courier/tests/audit.rs
@@ -431,7 +431,10 @@
         run.exchange.listed(&list(version, whole, status));
         let begun = submit_and_take_calls(&mut run, "again", 1);
         assert_eq!((begun.len(), run.exchange.counts.older), (calls, older), "{version} {status}");
-        for mail in begun.iter().flat_map(|call| &call.mails) {
+        let sent: Vec<CallMail> =
+            begun.iter().flat_map(|call| run.exchange.begin(call, call.mails.clone())).collect();
+        assert_eq!(sent.len(), calls, "{version} {status}");
+        for mail in sent {
             run.exchange.connect_ended(
                 mail.serial,
                 ConnectReport { finished: true, ..ConnectReport::of(Outcome::Unsent) },
--- a/crates/courier/tests/closing.rs
+++ b/crates/courier/tests/closing.rs
@@ -10,7 +10,7 @@
 use fixture::{serial, setup, Fixture};
 use meadowhold::interface::Outcome;
 use meadowhold::response_order::Claim;
-use meadowhold_courier::exchange::ConnectReport;
+use meadowhold_courier::exchange::{ConnectReport, RevokeReason};
 use meadowhold_courier::journal::Verdict;
 
 const EFFECTS: [&str; 3] = ["again", "tagged", "once"];
@@ -71,7 +71,7 @@
                 Claim::Delivered,
             );
             assert_eq!(notice(&mut fixture), None, "{class}: it may still turn out to be final");
-            fixture.exchange.revoke(serial, "a test");
+            fixture.exchange.revoke(serial, RevokeReason::Unproven);
             let expects_notice = class == "once" || !is_in_time;
             assert_eq!(notice(&mut fixture).is_some(), expects_notice, "{class} {next_process_after:?}");
         }
--- a/crates/courier/tests/provisional.rs
+++ b/crates/courier/tests/provisional.rs
@@ -12,7 +12,7 @@
 use fixture::{report, serial, setup, start, Fixture};
 use meadowhold::interface::{Outcome, Time, SECOND};
 use meadowhold::response_order::Claim;
-use meadowhold_courier::exchange::{Answer, Clock, ConnectReport};
+use meadowhold_courier::exchange::{Answer, Clock, ConnectReport, RevokeReason};
 use meadowhold_courier::journal::{JournalContents, Verdict};
 
 const EFFECTS: [&str; 3] = ["again", "tagged", "once"];
@@ -72,7 +72,7 @@
             if is_final {
                 fixture.exchange.confirm(serial);
             } else {
-                fixture.exchange.revoke(serial, "a test");
+                fixture.exchange.revoke(serial, RevokeReason::Unproven);
             }
             assert_eq!(came_of(&mut fixture), expected, "{claim:?} {class}, final: {is_final}");
         }
@@ -88,11 +88,11 @@
         if confirmed_first {
             exchange.confirm(serial);
         }
-        exchange.revoke(serial, "a test");
-        exchange.revoke(serial, "a test");
+        exchange.revoke(serial, RevokeReason::Unproven);
+        exchange.revoke(serial, RevokeReason::Unproven);
         exchange.confirm(serial);
         let counts = exchange.counts.provisional;
-        assert_eq!((counts.held, counts.confirmed + counts.revoked), (1, 1));
+        assert_eq!((counts.held, counts.confirmed + counts.revoked.total()), (1, 1));
         let expected = if confirmed_first { "ended" } else { "called again" };
         assert_eq!(came_of(&mut fixture), expected);
     }
@@ -143,7 +143,7 @@
         for class in EFFECTS {
             let mut fixture = start(Folder::new(), Clock::still(START), "single", ALLOWANCE);
             let serial = held(&mut fixture, class, claim);
-            fixture.exchange.revoke(serial, "a test");
+            fixture.exchange.revoke(serial, RevokeReason::Unproven);
             let mut next = after_a_kill(fixture);
             let expected = if class == "once" { "dead" } else { "called again" };
             assert_eq!(came_of(&mut next), expected, "{claim:?} {class}");
