--- a/crates/rig/src/scripted.rs
+++ b/crates/rig/src/scripted.rs
@@ -12,7 +12,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
 use serde_json::{json, Value};
 
 use crate::client::request as request_of;
@@ -143,6 +143,8 @@
     /// 200 with a state for each mail of a batch, in the order of their ids, and header fields.
     BatchStates(&'static [&'static str], &'static str),
     Delayed(u64, Box<Reply>),
+    /// Closes the connection behind the reply.
+    ThenClose(Box<Reply>),
     /// Raw bytes; the connection stays open.
     Raw(&'static str),
     CloseConnection,
@@ -265,6 +267,10 @@
             thread::sleep(Duration::from_millis(ms));
             send_reply(*reply, ids, out)
         }
+        Reply::ThenClose(reply) => {
+            send_reply(*reply, ids, out);
+            false
+        }
         Reply::Raw(text) => out.write_all(text.as_bytes()).is_ok(),
         Reply::CloseConnection => false,
         Reply::NoAnswer => {
@@ -445,6 +451,18 @@
     command
 }
 
+/// The same command, for which a write beyond the file size limit fails and sends no signal.
+pub fn without_file_size_signal(command: &Command) -> Command {
+    let mut shell = Command::new("/bin/sh");
+    shell
+        .args(["-c", "trap '' XFSZ; exec \"$0\" \"$@\""])
+        .arg(command.get_program())
+        .args(command.get_args());
+    shell.env_clear();
+    shell.envs(command.get_envs().filter_map(|(name, value)| Some((name, value?))));
+    shell
+}
+
 /// A courier's process; killed on drop.
 pub struct Courier {
     pub listen: SocketAddr,
@@ -509,6 +527,23 @@
         kill_process(Pid::from_child(&self.child), signal).unwrap();
     }
 
+    /// From now on, all writes of the process to files fail or succeed. A process that was not started by
+    /// `start_with_failing_disk` is ended by the first that fails.
+    pub fn fail_writes(&self, fails: bool) {
+        let limit = Rlimit { current: fails.then_some(0), maximum: None };
+        prlimit(Some(Pid::from_child(&self.child)), Resource::Fsize, limit).unwrap();
+    }
+
+    /// Starts a process whose writes to files can be made to fail.
+    pub fn start_with_failing_disk(platform: &Platform) -> Courier {
+        let listen = unique_address();
+        let (folder, config) = (Folder::new(), config(platform, listen));
+        let child = without_file_size_signal(&command(&folder, &config, "serve")).spawn().unwrap();
+        let courier = Courier { listen, folder, config, child };
+        courier.ready();
+        courier
+    }
+
     /// Replaces the configuration's text and sends SIGHUP.
     pub fn reconfigure(&self, text: &str) {
         fs::write(self.folder.path.join("config.json"), text).unwrap();
