Kept connections: a message that its endpoint calls over is never called again

Callers saw a call for a message that had ended, which breaks the rule on lost messages. Cause: answer.rs made a 410 a finished outcome, and provisional.rs claimed a delivery for it; on a kept connection, where the 410s of an endpoint are alike, it was held, and if the connection closed, or the endpoint answered nothing more, it was revoked and the message called again. After a kill the file still had its connect in flight, and the next process called. Fix: Claim::Over. Proven, it ends the message; void, it ends it by a notice, since its own call may have run. A 410 that comes behind a time-out and may be another call's keeps the message from its next call too (Input::NoMoreConnects). A 410 that is surely the call's own is final at once, as before.

--- a/crates/courier/src/endpoints.rs
+++ b/crates/courier/src/endpoints.rs
@@ -9,7 +9,7 @@
 
 use bytes::BytesMut;
 use meadowhold::interface::{Outcome, Time};
-use meadowhold::response_order::{Attribution, Held, NamedMessages};
+use meadowhold::response_order::{Attribution, Claim, Held, NamedMessages};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::Notify;
 use tokio::time::error::Elapsed;
@@ -331,9 +331,13 @@
         for (mail, report) in mails.iter().zip(meaning.reports) {
             let quiet = attribution.quiet_period(report.claim(), periods);
             if mail.times_out_at == 0 {
-                // It was reported as timed out and may be in flight again: only a delivery is news, if it is its own.
-                if report.finished && quiet.is_none() {
-                    exchange.relayed_late(mail.serial);
+                // It was reported as timed out and may be in flight again: only its end is news.
+                match report.claim() {
+                    Some(Claim::Delivered | Claim::Over) if quiet.is_none() => {
+                        exchange.relayed_late(mail.serial);
+                    }
+                    Some(Claim::Over) => exchange.over_late(mail.serial),
+                    _ => {}
                 }
                 continue;
             }
--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -820,7 +820,7 @@
                 let owed = self.owed.get_mut(&serial);
                 owed.into_iter().for_each(|owed| {
                     owed.in_flight = Some(sent);
-                    owed.connects += 1;
+                    owed.connects = owed.connects.saturating_add(1);
                 });
                 let flight =
                     self.mail_serials.get(&serial).and_then(|mail| self.connects_out.get_mut(mail)?.as_mut());
@@ -892,6 +892,7 @@
                     serial,
                     may_have_run: ran,
                     may_still_run: rests,
+                    is_last: false,
                     at: now,
                 });
                 self.take_step(serial, Step::CallFails, &format_args!("{outcome:?}"));
--- a/crates/courier/src/exchange/provisional.rs
+++ b/crates/courier/src/exchange/provisional.rs
@@ -6,12 +6,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
-use meadowhold::interface::{Effect, Time, SECOND};
+use meadowhold::interface::{Effect, Input, Outcome, Time, SECOND};
 use meadowhold::response_order::{Claim, QuietPeriods};
 
 use super::lifecycle::Step;
 use super::{ConnectReport, Exchange};
-use crate::journal::{Record, Sent};
+use crate::journal::{Record, Sent, NO_CONNECTS_LEFT};
 use crate::pool::CloseReason;
 
 /// How long after its deadline a held mail's outcome is revoked: some become final at the deadline itself.
@@ -129,7 +129,8 @@
     /// What the outcome claims; `None` if the call may have run, which needs no proof.
     pub fn claim(&self) -> Option<Claim> {
         match self.outcome {
-            _ if self.finished => Some(Claim::Delivered),
+            Outcome::Relayed if self.finished => Some(Claim::Delivered),
+            _ if self.finished => Some(Claim::Over),
             outcome if outcome.never_ran() => Some(Claim::NeverRan),
             _ => None,
         }
@@ -159,7 +160,7 @@
         let class = usize::from(self.owed.get(&serial)?.class);
         let repeatable = self.classes.classes[class].effect == Effect::Redeliverable;
         // A mail that may be in flight twice is sent again at once, whether or not its call runs.
-        report.claim().filter(|claim| *claim == Claim::Delivered || !repeatable || !self.may_overlap)
+        report.claim().filter(|claim| *claim != Claim::NeverRan || !repeatable || !self.may_overlap)
     }
 
     /// Takes the outcome of one mail's connect and holds it: it is final after `confirm` and void after `revoke`.
@@ -173,6 +174,39 @@
         self.take_step(serial, Step::OutcomeHeld, &format_args!("{claim:?}"));
         self.open_mails -= 1;
         self.counts.provisional.held += 1;
+        if claim == Claim::Over {
+            self.record_over(serial);
+            self.owed.get_mut(&serial).into_iter().for_each(|owed| owed.in_flight = None);
+        }
+    }
+
+    /// Records that a message must not be called again, by this process or the next, before anything depends on whether the
+    /// answer that says so is its own.
+    fn record_over(&mut self, serial: u64) {
+        let at = self.clock.now();
+        let Some(owed) = self.owed.get_mut(&serial) else { return };
+        owed.connects = NO_CONNECTS_LEFT;
+        // If the answer is another call's, its own call may have run.
+        owed.first_run = owed.first_run.or(owed.in_flight);
+        let (may_have_run, may_still_run, is_last) = (true, owed.in_flight.is_some(), true);
+        self.append_record(&Record::ConnectEnded { serial, may_have_run, may_still_run, is_last, at });
+    }
+
+    /// An answer that may be another call's says that a message is over whose call had timed out: it is not called again.
+    pub fn over_late(&mut self, serial: u64) {
+        if self.owed.get(&serial).is_none_or(|owed| owed.verdict.is_some()) {
+            return;
+        }
+        self.counts.late += 1;
+        self.record_over(serial);
+        // A later call of it that is out stays so.
+        if let Some(sent) = self.owed.get(&serial).and_then(|owed| owed.in_flight) {
+            self.append_record(&Record::ConnectStarted { serial, sent });
+        }
+        if let Some(mail) = self.mail_serials.get(&serial) {
+            self.inputs.push(Input::NoMoreConnects { mail });
+        }
+        self.notify.notify_one();
     }
 
     /// Whether a mail's outcome is still held.
@@ -185,7 +219,7 @@
         let Some(&claim) = self.provisional.held.get(&serial) else { return };
         self.counts.provisional.confirmed += 1;
         match claim {
-            Claim::Delivered => self.finish(serial, Step::Answered, &"confirmed"),
+            Claim::Delivered | Claim::Over => self.finish(serial, Step::Answered, &"confirmed"),
             Claim::NeverRan => {
                 self.give_back(serial, &"confirmed");
                 self.record_connect_end(serial, false);
@@ -219,7 +253,9 @@
 
     fn record_connect_end(&mut self, serial: u64, may_have_run: bool) {
         let at = self.clock.now();
-        self.append_record(&Record::ConnectEnded { serial, may_have_run, may_still_run: may_have_run, at });
+        let may_still_run = may_have_run;
+        let ended = Record::ConnectEnded { serial, may_have_run, may_still_run, is_last: false, at };
+        self.append_record(&ended);
     }
 
     /// Revokes the outcomes of held mails whose time is up: what cannot be confirmed any more gets a notice.
--- a/crates/courier/src/journal.rs
+++ b/crates/courier/src/journal.rs
@@ -16,6 +16,14 @@
 /// The time of a send and its zone, as an index into the zones of the settings.
 pub type Sent = (Time, u16);
 
+/// Stands for the number of connects of a mail that must not be called again.
+pub const NO_CONNECTS_LEFT: u32 = u32::MAX;
+
+/// Flags of a record of the end of a connect.
+const MAY_HAVE_RUN: u8 = 1;
+const MAY_STILL_RUN: u8 = 2;
+const IS_LAST: u8 = 4;
+
 /// Stands for a zone that a later process cannot identify. It matches no endpoint.
 pub const UNKNOWN_ZONE: u16 = u16::MAX;
 
@@ -129,6 +137,7 @@
     pub submitted_at: Time,
     pub deadline: Time,
     pub body: Bytes,
+    /// Or `NO_CONNECTS_LEFT`.
     pub connects: u32,
     /// The first connect that may have run.
     pub first_run: Option<Sent>,
@@ -159,11 +168,12 @@
         sent: Sent,
     },
     /// The connect in flight has an outcome. `may_have_run`: the endpoint may have acted on it. `may_still_run`: it
-    /// may still be doing so.
+    /// may still be doing so. `is_last`: the mail must not be called again.
     ConnectEnded {
         serial: u64,
         may_have_run: bool,
         may_still_run: bool,
+        is_last: bool,
         at: Time,
     },
     GivenUp {
@@ -279,10 +289,11 @@
             out.put_u64(sent.0);
             out.put_u16(sent.1);
         }
-        Record::ConnectEnded { serial, may_have_run, may_still_run, at } => {
+        Record::ConnectEnded { serial, may_have_run, may_still_run, is_last, at } => {
             out.put_u8(code::CONNECT_ENDED);
             out.put_u64(serial);
-            out.put_u8(u8::from(may_have_run) | u8::from(may_still_run) << 1);
+            let flags = [(may_have_run, MAY_HAVE_RUN), (may_still_run, MAY_STILL_RUN), (is_last, IS_LAST)];
+            out.put_u8(flags.iter().filter(|flag| flag.0).map(|flag| flag.1).sum());
             out.put_u64(at);
         }
         Record::GivenUp { serial, verdict } => {
@@ -433,14 +444,17 @@
                 // after several restarts.
                 let unresolved = owed.in_flight.replace(sent);
                 owed.first_run = owed.first_run.or(unresolved);
-                owed.connects += 1;
+                owed.connects = owed.connects.saturating_add(1);
             }
             code::CONNECT_ENDED => {
                 let (flags, at) = (fields.u8()?, fields.u64()?);
                 let owed = self.owed.get_mut(&serial)?;
-                let possible_run = owed.in_flight.take().filter(|_| flags & 1 != 0);
+                let possible_run = owed.in_flight.take().filter(|_| flags & MAY_HAVE_RUN != 0);
                 owed.first_run = owed.first_run.or(possible_run);
-                if flags & 2 != 0 && !owed.order_key.is_empty() {
+                if flags & IS_LAST != 0 {
+                    owed.connects = NO_CONNECTS_LEFT;
+                }
+                if flags & MAY_STILL_RUN != 0 && !owed.order_key.is_empty() {
                     self.keys_in_flight.push((owed.order_key.clone(), at));
                 }
             }
--- a/crates/courier/tests/journal.rs
+++ b/crates/courier/tests/journal.rs
@@ -38,8 +38,14 @@
         Record::Accepted { serial: 2, owed: &second },
         Record::ConnectStarted { serial: 1, sent: (500, 2) },
         Record::ConnectStarted { serial: 2, sent: (510, 0) },
-        Record::ConnectEnded { serial: 1, may_have_run: true, may_still_run: true, at: 600 },
-        Record::ConnectEnded { serial: 2, may_have_run: false, may_still_run: false, at: 610 },
+        Record::ConnectEnded { serial: 1, may_have_run: true, may_still_run: true, is_last: false, at: 600 },
+        Record::ConnectEnded {
+            serial: 2,
+            may_have_run: false,
+            may_still_run: false,
+            is_last: false,
+            at: 610,
+        },
         Record::ConnectStarted { serial: 1, sent: (700, 1) },
         Record::GivenUp { serial: 2, verdict: Verdict::Bounced(250) },
         Record::KeyInFlight { order_key: b"99", since: 720 },
@@ -105,7 +111,13 @@
     }
     let (mut journal, _) = Journal::open(&folder.path, 3_000_000).unwrap();
     journal
-        .append(&Record::ConnectEnded { serial: 1, may_have_run: false, may_still_run: false, at: 950 })
+        .append(&Record::ConnectEnded {
+            serial: 1,
+            may_have_run: false,
+            may_still_run: false,
+            is_last: false,
+            at: 950,
+        })
         .unwrap();
     let mail = JournalContents::read(&journal_bytes(&folder)).0.owed[&1].clone();
     assert_eq!((mail.first_run, mail.in_flight, mail.connects), (Some(sends[0]), None, 2));
--- a/crates/courier/tests/provisional.rs
+++ b/crates/courier/tests/provisional.rs
@@ -55,8 +55,11 @@
 
 #[test]
 fn a_held_mail_goes_on_as_its_outcome_turns_out() {
-    use Claim::{Delivered, NeverRan};
+    use Claim::{Delivered, NeverRan, Over};
     let rows = [
+        (Over, "again", "ended", "bounced"),
+        (Over, "tagged", "ended", "bounced"),
+        (Over, "once", "ended", "dead"),
         (Delivered, "again", "ended", "called again"),
         (Delivered, "tagged", "ended", "called again"),
         (Delivered, "once", "ended", "dead"),
@@ -109,7 +112,7 @@
         assert_eq!(came_of(&mut fixture), expected, "{claim:?} {class}");
     };
     thread::scope(|scope| {
-        for claim in [Claim::Delivered, Claim::NeverRan] {
+        for claim in [Claim::Delivered, Claim::NeverRan, Claim::Over] {
             EFFECTS.into_iter().for_each(|class| drop(scope.spawn(move || end(claim, class))));
         }
     });
@@ -136,6 +139,47 @@
     }
 }
 
+#[test]
+fn after_a_kill_a_mail_that_may_be_over_is_not_called_again() {
+    for is_revoked in [false, true] {
+        for class in EFFECTS {
+            let mut fixture = start(Folder::new(), Clock::still(START), "single", ALLOWANCE);
+            let serial = held(&mut fixture, class, Claim::Over);
+            if is_revoked {
+                fixture.exchange.revoke(serial, RevokeReason::Unproven);
+            }
+            // The file is compacted at each start.
+            let mut next = after_a_kill(after_a_kill(fixture));
+            let expected = if class == "once" { "dead" } else { "bounced" };
+            assert_eq!(came_of(&mut next), expected, "{class}");
+        }
+    }
+}
+
+/// An answer says that a mail is over whose call had timed out, and may be another call's.
+#[test]
+fn a_mail_that_may_be_over_is_not_called_again_behind_its_timeout() {
+    for (is_called_again, is_killed) in [(false, false), (false, true), (true, false), (true, true)] {
+        let mut fixture = start(Folder::new(), Clock::still(START), "single", ALLOWANCE);
+        let serial = serial(fixture.put("01", "again", 1));
+        let call = fixture.call();
+        assert_eq!(fixture.exchange.begin(&call, call.mails.clone()).len(), 1);
+        fixture.exchange.connect_ended(serial, ConnectReport::of(Outcome::Silent));
+        if is_called_again {
+            fixture.exchange.clock = Clock::still(START + SECOND);
+            let again = fixture.call();
+            assert_eq!(fixture.exchange.begin(&again, again.mails.clone()).len(), 1);
+        }
+        fixture.exchange.over_late(serial);
+        if is_killed {
+            fixture = after_a_kill(fixture);
+        } else if is_called_again {
+            fixture.exchange.connect_ended(serial, ConnectReport::of(Outcome::Refused));
+        }
+        assert_eq!(came_of(&mut fixture), "bounced", "{is_called_again} {is_killed}");
+    }
+}
+
 #[test]
 fn after_a_kill_a_revoked_mail_may_have_run_and_a_confirmed_one_is_gone() {
     use Claim::{Delivered, NeverRan};
--- a/crates/emulator/src/baselines.rs
+++ b/crates/emulator/src/baselines.rs
@@ -167,6 +167,8 @@
             }
             Input::ClientGone { mail } => self.close(*mail, out),
             Input::ConnectResult(ended) => self.handle_result(now, ended, out),
+            // The emulator's endpoints do not say that a mail is over.
+            Input::NoMoreConnects { .. } => {}
             Input::PeerNote { .. } | Input::Settings(_) | Input::Shutdown(_) | Input::Wakeup => {}
         }
     }
--- a/crates/emulator/src/oracle.rs
+++ b/crates/emulator/src/oracle.rs
@@ -162,6 +162,8 @@
                 let rest = &mut entry_mut(&mut self.key_queues, *key).1;
                 *rest = (*rest).max(since + self.settings.ordering_gap);
             }
+            // The emulator's endpoints do not say that a mail is over.
+            Input::NoMoreConnects { .. } => {}
             Input::PeerNote { .. } | Input::Settings(_) | Input::Shutdown(_) | Input::Wakeup => {}
         }
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -302,10 +302,18 @@
             {
                 self.record_result(result, actions)
             }
+            Input::NoMoreConnects { mail }
+                if is_in_state(&self.mails, mail, [MailState::Queued, MailState::InFlight]) =>
+            {
+                self.mails[mail].connects_used = usize::MAX;
+            }
             Input::PeerNote { endpoint, note } => self.handle_note(endpoint, note),
             Input::Settings(ref settings) => self.apply_settings((**settings).clone()),
             Input::Shutdown(shutdown) => self.shutdown = Some(shutdown),
-            Input::ClientGone { .. } | Input::ConnectResult(_) | Input::Wakeup => {}
+            Input::ClientGone { .. }
+            | Input::ConnectResult(_)
+            | Input::NoMoreConnects { .. }
+            | Input::Wakeup => {}
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -252,6 +252,10 @@
         mail: usize,
     },
     ConnectResult(ConnectResult),
+    /// The mail must not be connected again: an endpoint has said that it is over.
+    NoMoreConnects {
+        mail: usize,
+    },
     /// A note from another courier. It may be late, and notes may be lost.
     PeerNote {
         endpoint: usize,
--- a/src/response_order.rs
+++ b/src/response_order.rs
@@ -22,6 +22,8 @@
 pub enum Claim {
     /// It needs no further call.
     Delivered,
+    /// It was over before the call, which did not run. It must not be called again, whosever the answer is.
+    Over,
     /// The call did not run, so that any message may be called again.
     NeverRan,
 }
@@ -73,7 +75,7 @@
     /// have run, which is safe to believe, but the answer may be another call's all the same.
     pub fn quiet_period(self, claim: Option<Claim>, periods: QuietPeriods) -> Option<Time> {
         match (self, claim) {
-            (Attribution::Own, _) | (Attribution::NoCopy, Some(Claim::Delivered)) => None,
+            (Attribution::Own, _) | (Attribution::NoCopy, Some(Claim::Delivered | Claim::Over)) => None,
             // An endpoint may refuse or fail unasked, while the call is on its way. The own answer follows soon, mostly.
             (Attribution::NoCopy, _) | (Attribution::Repeated, Some(Claim::NeverRan)) => Some(periods.short),
             (Attribution::Repeated | Attribution::OutOfStep | Attribution::Foreign, _) => Some(periods.long),
@@ -96,6 +98,11 @@
 }
 
 impl Held {
+    /// Whether silence alone does not make it final.
+    fn needs_proof(&self) -> bool {
+        matches!(self.claim, Some(Claim::Delivered | Claim::Over))
+    }
+
     /// When it is final if the last answer came at this time.
     fn due(&self, last_answer: Time) -> Time {
         let left = self.deadline.saturating_sub(last_answer);
@@ -214,7 +221,7 @@
         self.provisional.iter().map(|one| one.due).min()
     }
 
-    /// Takes the messages whose outcomes are final, since no byte has come until now. A delivery is proven by silence only
+    /// Takes the messages whose outcomes are final, since no byte has come until now. An end is proven by silence only
     /// if the endpoint would have answered (`is_answering`, since a time). Otherwise it is looked at again later.
     pub fn take_final(&mut self, now: Time, is_answering: impl Fn(Time) -> bool) -> Settled {
         let mut settled = Settled::default();
@@ -223,7 +230,7 @@
             if now < one.due {
                 return true;
             }
-            if one.held.claim != Some(Claim::Delivered) || is_answering(one.answered_at) {
+            if !one.held.needs_proof() || is_answering(one.answered_at) {
                 settled.confirmed.extend(one.held.message);
                 return false;
             }
