A request that comes again with its id gets the answer that it got before

Seen: the protocol lets a client send a request once more, with its id, when a close crosses it. If the courier had read the first copy, the second was a new message: taken on and called behind -BUSY, behind its delivery (once-only messages ran twice) and behind its notice, which is a call after the end. Cause: Exchange::hand_in knew the ids of owed messages alone, and forgot an id with its end. Fix: exchange/answered_requests.rs remembers for ten seconds, and for 8,192 requests at most, what became of each: refused (with a hash of the request, as another client may use the id), delivered, or given up; a copy is answered so: -BUSY, +OK, or as its notice says. A withdrawn message, the acceptance of which nobody has read, may be accepted again.

--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -32,11 +32,13 @@
 use crate::pool::ConnectionCounts;
 use crate::{http, must};
 
+pub mod answered_requests;
 mod ending;
 pub mod lifecycle;
 mod provisional;
 
 pub use crate::clock::{to_duration, to_time, Clock};
+use answered_requests::{answer_behind_notice, AnsweredRequests, RequestEnd};
 use lifecycle::{Lifecycle, Phase, Step};
 pub use provisional::ProvisionalCounts;
 use provisional::ProvisionalMails;
@@ -72,7 +74,7 @@
     /// Accepted: from now on the courier must finish the mail. The serial number is for withdrawing it if the
     /// client leaves before it has read the answer.
     Taken(u64),
-    /// Accepted earlier and not finished yet.
+    /// Accepted earlier, and delivered or not finished yet.
     Known,
     Busy,
     Failed(&'static str),
@@ -200,6 +202,8 @@
 pub struct Counts {
     pub taken: u64,
     pub busy: u64,
+    /// Requests that were copies of earlier ones.
+    pub copies: u64,
     pub failed: u64,
     pub calls: u64,
     pub relayed: u64,
@@ -248,6 +252,8 @@
     paused_units: Vec<audit::LimitScope>,
     owed: BTreeMap<u64, OwedMail>,
     ids: HashMap<Bytes, u64>,
+    /// Requests whose messages are not owed, for copies of them.
+    answered: AnsweredRequests,
     /// Ordering keys with a connect that may still be running, and since when.
     keys_in_flight: Vec<(Bytes, Time)>,
     /// Restored mails that have not been submitted to the decision module yet.
@@ -419,6 +425,7 @@
             paused_units: Vec::new(),
             owed: BTreeMap::new(),
             ids: HashMap::new(),
+            answered: AnsweredRequests::default(),
             keys_in_flight: Vec::new(),
             backlog: Backlog::default(),
             provisional: ProvisionalMails::default(),
@@ -469,6 +476,10 @@
         let mut mails = Vec::with_capacity(found.owed.len());
         let mut keys: HashMap<Bytes, u64> = HashMap::new();
         self.keys_in_flight = found.keys_in_flight;
+        for ended in found.ended {
+            let end = ended.verdict.map_or(RequestEnd::Delivered, RequestEnd::GivenUp);
+            self.answered.remember(now, &ended.id, end);
+        }
         for (serial, mut owed) in found.owed {
             // A connect in flight when the process ended may have run, and may still be running.
             let out = owed.in_flight.take();
@@ -546,7 +557,20 @@
         self.notify.notify_one();
     }
 
+    /// The answer to a copy of a request that was answered before; `None` if it was not.
+    fn answer_to_copy(&self, offer: &Offer) -> Option<Answer> {
+        let Some(owed) = self.ids.get(&offer.id).and_then(|serial| self.owed.get(serial)) else {
+            return self.answered.answer_to(self.clock.now(), offer);
+        };
+        Some(owed.verdict.map_or(Answer::Known, answer_behind_notice))
+    }
+
+    /// Accepts a message, or refuses it. A copy of an earlier request gets the answer to that one.
     pub fn hand_in(&mut self, offer: Offer) -> Answer {
+        if let Some(answer) = self.answer_to_copy(&offer) {
+            self.counts.copies += 1;
+            return answer;
+        }
         let Some(&class) = self.classes.by_name.get(&offer.class) else {
             self.counts.failed += 1;
             return Answer::Failed("ERR unknown class");
@@ -556,11 +580,8 @@
             self.counts.failed += 1;
             return Answer::Failed("ERR unknown destination");
         };
-        // A client may submit a mail again if it is not sure that it was accepted.
-        if self.ids.contains_key(&offer.id) {
-            return Answer::Known;
-        }
         let ordered = self.classes.classes[class].ordered && offer.order_key.iter().any(|&b| b != b'0');
+        let refused = RequestEnd::refused(&offer);
         let owed = OwedMail {
             id: offer.id,
             key: offer.key,
@@ -581,6 +602,7 @@
             || !self.append_record(&Record::Accepted { serial, owed: &owed })
         {
             self.counts.busy += 1;
+            self.answered.remember(self.clock.now(), &owed.id, refused);
             return Answer::Busy;
         }
         self.next_serial += 1;
--- a/crates/courier/src/exchange/ending.rs
+++ b/crates/courier/src/exchange/ending.rs
@@ -5,6 +5,7 @@
 
 use meadowhold::interface::Input;
 
+use super::answered_requests::RequestEnd;
 use super::lifecycle::{Phase, Step};
 use super::{Exchange, Notice};
 use crate::journal::{max_stored_size, Record, Verdict};
@@ -37,6 +38,11 @@
         // is restored after a restart, as one that may have run.
         self.append_record(&Record::Settled { serial });
         if let Some(owed) = self.owed.remove(&serial) {
+            // Nobody has read the acceptance of a withdrawn message, so its request may be accepted again.
+            if step != Step::Withdrawn {
+                let end = owed.verdict.map_or(RequestEnd::Delivered, RequestEnd::GivenUp);
+                self.answered.remember(self.clock.now(), &owed.id, end);
+            }
             self.ids.remove(&owed.id);
             self.tally.settled += 1;
             self.journal.release(max_stored_size(&owed));
--- a/crates/courier/src/journal.rs
+++ b/crates/courier/src/journal.rs
@@ -201,6 +201,16 @@
     pub keys_in_flight: Vec<(Bytes, Time)>,
     /// The zones, joined by commas, that zone indices refer to.
     pub zones: Bytes,
+    /// Mails that have ended since the file was last compacted, but for those that were withdrawn.
+    pub ended: Vec<EndedMail>,
+}
+
+/// A mail that is not owed any more.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EndedMail {
+    pub id: Bytes,
+    /// `None` if it was delivered.
+    pub verdict: Option<Verdict>,
 }
 
 const FILE_NAME: &str = "journal";
@@ -465,7 +475,12 @@
             }
             // An unknown mail is no error here: version 0.2.0 could leave such a record, and rejecting it would hide
             // all records after it.
-            code::SETTLED => drop(self.owed.remove(&serial)),
+            code::SETTLED => {
+                // Only a mail that was never called is withdrawn.
+                let ended = self.owed.remove(&serial);
+                let ended = ended.filter(|owed| owed.connects > 0 || owed.verdict.is_some());
+                self.ended.extend(ended.map(|owed| EndedMail { id: owed.id, verdict: owed.verdict }));
+            }
             // This record has the time in place of the serial.
             code::KEY_IN_FLIGHT => self.keys_in_flight.push((fields.short_bytes()?, serial)),
             code::ZONES => {
--- a/crates/courier/tests/audit.rs
+++ b/crates/courier/tests/audit.rs
@@ -337,9 +337,10 @@
 
 /// Hands in `many` mails for the first destination, runs a turn and returns their calls.
 fn submit_and_take_calls(run: &mut RandomRun, class: &str, many: usize) -> Vec<Call> {
+    let taken = run.exchange.counts.taken;
     for i in 0..many {
         let offer = Offer {
-            id: text(&format!("m{i}")),
+            id: text(&format!("m{taken}-{i}")),
             key: Bytes::new(),
             order_key: text("0000"),
             class: text(class),
--- a/crates/courier/tests/common/fixture.rs
+++ b/crates/courier/tests/common/fixture.rs
@@ -7,12 +7,11 @@
 use meadowhold::interface::Outcome;
 use meadowhold_courier::discovery::List;
 use meadowhold_courier::exchange::{Answer, Call, Clock, ConnectReport, Exchange, Notice, Offer, Order};
-use meadowhold_courier::journal::Journal;
 use meadowhold_settings::decode_json;
 use serde_json::json;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 
-use crate::common::{settings, Folder};
+use crate::common::{open_journal, settings, Folder};
 
 pub struct Fixture {
     pub exchange: Exchange,
@@ -40,7 +39,7 @@
     let (orders_in, orders) = unbounded_channel();
     let (notices_in, notices) = unbounded_channel();
     let decoded = decode_json(1, &settings()).unwrap();
-    let journal = Journal::open(&folder.path, allowance).unwrap();
+    let journal = open_journal(&folder, allowance);
     let mut exchange = Exchange::with_clock(clock, decoded, journal, orders_in, notices_in, None);
     exchange.listed(&list("SERVING", kind));
     Fixture { exchange, orders, notices, folder }
--- a/crates/courier/tests/common/process.rs
+++ b/crates/courier/tests/common/process.rs
@@ -12,7 +12,7 @@
 use serde_json::json;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 
-use crate::common::{settings, wait_until, Folder};
+use crate::common::{open_journal, settings, Folder};
 
 /// Initial time of the clock.
 pub const START: Time = 1_700_000_000 * SECOND;
@@ -31,14 +31,7 @@
 
 impl Process {
     pub fn start(folder: &Folder, allowance: u64, now: Time, window: Option<u64>) -> Process {
-        // A child process that another test is just spawning holds all descriptors of this process for a moment, and
-        // with them the lock.
-        let mut journal = None;
-        wait_until("the folder's lock", || match Journal::open(&folder.path, allowance) {
-            Err(e) if e.to_string().contains("another courier") => false,
-            opened => journal.replace(opened.unwrap()).is_none(),
-        });
-        Process::with_journal(journal.unwrap(), now, window)
+        Process::with_journal(open_journal(folder, allowance), now, window)
     }
 
     /// Like `start`, with an open journal. `window`: for how long a repeat of a tagged mail is dropped.
--- a/crates/courier/tests/one_end.rs
+++ b/crates/courier/tests/one_end.rs
@@ -91,6 +91,7 @@
     platform.set_entry("e1", endpoint.address, "single", 7, "SERVING");
     let courier = Courier::start(&platform, |config| config["settings"]["Limits"]["MaxOpen"] = 2.into());
     assert_eq!(courier.client().put("a1", "again", LIFETIME), "+OK");
+    wait_until("the call", || calls_of(&endpoint, "a1") == 1);
     let request = put("0000000000000000", "b2", "again", LIFETIME, b"hello");
     assert!(courier.client().request(&request).starts_with("-BUSY"));
     wait_until("room", || courier.owes_nothing());
