A called message is not withdrawn when its client leaves

Fix: only a message that was never called is withdrawn; a called one stays owed, a copy of its request is answered +OK and its end is told as any other's.

--- a/crates/courier/src/exchange/ending.rs
+++ b/crates/courier/src/exchange/ending.rs
@@ -51,8 +51,12 @@
         }
     }
 
-    /// Withdraws a message whose client left before it could read the acceptance.
+    /// Withdraws a message whose client left before it could read the acceptance, unless it was called: it may have run, and
+    /// its client may send the request once more.
     pub fn withdraw(&mut self, serial: u64) {
+        if self.owed.get(&serial).is_some_and(|owed| owed.connects > 0) {
+            return;
+        }
         self.end_early(serial, Step::Withdrawn, "its client left before it could read the acceptance");
     }
 
