An end is on file before it is told

Cause: where the record of the end could not be written, give_up sent the notice as dead all the same, and nothing wrote the record later; the file still said that the message was owed. When a message's time is up, or expires before the next process begins its calls, it is told of without one: no later process calls it then. The verdict is no longer changed to dead for want of a record.

--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -36,6 +36,7 @@
 mod ending;
 pub mod lifecycle;
 mod provisional;
+mod unrecorded_ends;
 
 pub use crate::clock::{to_duration, to_time, Clock};
 use answered_requests::{answer_behind_notice, AnsweredRequests, RequestEnd};
@@ -43,6 +44,7 @@
 pub use provisional::ProvisionalCounts;
 use provisional::ProvisionalMails;
 pub use provisional::RevokeReason;
+use unrecorded_ends::UnrecordedEnds;
 
 /// Restored mails are submitted to the decision module within this time: all of them in the first turn.
 /// Spread over 250 ms, mails after a mass restart lost importance; see `docs/start.md`.
@@ -262,6 +264,7 @@
     provisional: ProvisionalMails,
     /// The phase of each owed mail.
     lifecycle: Lifecycle,
+    unrecorded: UnrecordedEnds,
     /// Whether a mail may have two connects in flight at once.
     may_overlap: bool,
     /// Mails that the decision module holds.
@@ -430,6 +433,7 @@
             backlog: Backlog::default(),
             provisional: ProvisionalMails::default(),
             lifecycle: Lifecycle::default(),
+            unrecorded: UnrecordedEnds::default(),
             may_overlap,
             open_mails: 0,
             next_serial: found.owed.keys().next_back().map_or(1, |last| last + 1),
@@ -952,6 +956,7 @@
         self.submit_backlog(now);
         self.revoke_expired(now);
         self.resubmit();
+        self.record_ends(now);
         let mut actions = std::mem::take(&mut self.actions);
         self.wake = self.control.step(now, &self.inputs, &mut actions);
         self.inputs.clear();
@@ -1154,7 +1159,8 @@
         // The first turn is requested by notification and may be held back, so restored mails do not make it
         // due.
         let owed = self.backlog.wake().filter(|_| self.last_turn > 0);
-        [self.wake, owed, self.provisional.next_deadline()]
+        let unrecorded = self.unrecorded.next_attempt(self.last_turn);
+        [self.wake, owed, unrecorded, self.provisional.next_deadline()]
             .into_iter()
             .flatten()
             .min()
@@ -1198,6 +1204,7 @@
     /// Waits no longer for the outcomes of mails that expire before the next process begins its calls.
     pub fn expire_before_next_process(&mut self) {
         self.revoke_before(self.next_process_from, RevokeReason::Shutdown);
+        self.unrecorded.tell_before(self.next_process_from);
         let _ = self.orders.send(Order::ExpireBefore(self.next_process_from));
     }
 
--- a/crates/courier/src/exchange/ending.rs
+++ b/crates/courier/src/exchange/ending.rs
@@ -7,6 +7,7 @@
 
 use super::answered_requests::RequestEnd;
 use super::lifecycle::{Phase, Step};
+use super::unrecorded_ends::MissingRecord;
 use super::{Exchange, Notice};
 use crate::journal::{max_stored_size, Record, Verdict};
 use crate::must;
@@ -34,9 +35,11 @@
         }
         self.take_step(serial, step, reason);
         // Recorded before the message is removed. Otherwise a compaction triggered by this record would write a
-        // journal with a record of a message that it does not contain. If the record cannot be written the message
-        // is restored after a restart, as one that may have run.
-        self.append_record(&Record::Settled { serial });
+        // journal with a record of a message that it does not contain. Until the record can be written, a restart
+        // restores the message as one that may have run.
+        if !self.append_record(&Record::Settled { serial }) {
+            self.unrecorded.add(serial, MissingRecord::Settled);
+        }
         if let Some(owed) = self.owed.remove(&serial) {
             // Nobody has read the acceptance of a withdrawn message, so its request may be accepted again.
             if step != Step::Withdrawn {
@@ -104,17 +107,15 @@
         self.counts.told_after_delivery += u64::from(was_claimed);
         let reason = format!("{verdict:?}, destination {destination}, {} ms left", left / 10);
         self.take_step(serial, Step::GivenUp, &reason);
-        // A message that is handed back may be submitted elsewhere, so a later process must not send it too:
-        // unless the journal records that it was given up, it is bounced without a promise.
-        let recorded = self.append_record(&Record::GivenUp { serial, verdict });
-        let verdict = if recorded { verdict } else { Verdict::Dead };
-        if let Some(owed) = self.owed.get_mut(&serial) {
-            owed.verdict = Some(verdict);
+        // A message that was told of must not be called by a later process.
+        if self.append_record(&Record::GivenUp { serial, verdict }) {
+            self.send_notice(Notice { serial, id, verdict });
+        } else {
+            self.unrecorded.add(serial, MissingRecord::GivenUp);
         }
-        self.send_notice(Notice { serial, id, verdict });
     }
 
-    pub(super) fn send_notice(&mut self, notice: Notice) {
+    pub(super) fn send_notice(&self, notice: Notice) {
         // The receiver lives as long as the process.
         let _ = self.notices.send(notice);
     }
--- a/crates/courier/src/exchange/provisional.rs
+++ b/crates/courier/src/exchange/provisional.rs
@@ -10,6 +10,7 @@
 use meadowhold::response_order::{Claim, QuietPeriods};
 
 use super::lifecycle::Step;
+use super::unrecorded_ends::MissingRecord;
 use super::{ConnectReport, Exchange};
 use crate::journal::{Record, Sent, NO_CONNECTS_LEFT};
 use crate::pool::CloseReason;
@@ -183,13 +184,19 @@
     /// Records that a message must not be called again, by this process or the next, before anything depends on whether the
     /// answer that says so is its own.
     fn record_over(&mut self, serial: u64) {
-        let at = self.clock.now();
         let Some(owed) = self.owed.get_mut(&serial) else { return };
         owed.connects = NO_CONNECTS_LEFT;
         // If the answer is another call's, its own call may have run.
         owed.first_run = owed.first_run.or(owed.in_flight);
-        let (may_have_run, may_still_run, is_last) = (true, owed.in_flight.is_some(), true);
-        self.append_record(&Record::ConnectEnded { serial, may_have_run, may_still_run, is_last, at });
+        if !self.write_over(serial, self.clock.now()) {
+            self.unrecorded.add(serial, MissingRecord::Over);
+        }
+    }
+
+    /// Writes the record that a message must not be called again; false if it could not be written.
+    pub(super) fn write_over(&mut self, serial: u64, at: Time) -> bool {
+        let (may_have_run, may_still_run, is_last) = (true, true, true);
+        self.append_record(&Record::ConnectEnded { serial, may_have_run, may_still_run, is_last, at })
     }
 
     /// An answer that may be another call's says that a message is over whose call had timed out: it is not called again.
