--- a/crates/rig/src/client.rs
+++ b/crates/rig/src/client.rs
@@ -152,6 +152,7 @@
             let mut connection = connection;
             if habits.breaks_off() {
                 break_off(connection, hand, &mail, (end - now, &body), habits.pause()).await;
+                record.add(Observation::BrokenOff { hand });
                 let Some(another) = pool.connect().await else { break };
                 connection = another;
             }
--- a/crates/rig/src/judge.rs
+++ b/crates/rig/src/judge.rs
@@ -249,6 +249,8 @@
     /// Whether a call for it arrived, with any result.
     is_tried: bool,
     is_withdrawn: bool,
+    /// Its request was sent before, on a connection that its client closed.
+    is_broken_off: bool,
     /// When its hand-in was answered as busy.
     refused_at: Option<u64>,
     /// When an endpoint answered that it is over.
@@ -256,6 +258,11 @@
 }
 
 impl MailHistory {
+    /// Whether its request was sent before, and the mail was told of as dead.
+    fn is_copy_of_dead(&self) -> bool {
+        self.is_broken_off && self.notices.iter().any(|notice| notice.1)
+    }
+
     fn end(&self) -> Option<u64> {
         let notice = self.notices.first().map(|notice| notice.0);
         self.relayed_at.into_iter().chain(notice).min()
@@ -415,6 +422,9 @@
                             self.closed_unanswered.push((at, *hand, *courier));
                         }
                     }
+                    // The copy of a request is answered as its notice says.
+                    ClientAnswer::Failed
+                        if self.histories.get(hand).is_some_and(MailHistory::is_copy_of_dead) => {}
                     ClientAnswer::Failed => {
                         let words = format!("mail {} was answered as failed", hand.id());
                         self.breaks(Rule::CouriersSound, at, words);
@@ -432,6 +442,9 @@
             }
             Observation::Notice { hand, dead } => self.notice(at, *hand, *dead),
             Observation::Withdrawn { hand } => self.histories.entry(*hand).or_default().is_withdrawn = true,
+            Observation::BrokenOff { hand } => {
+                self.histories.entry(*hand).or_default().is_broken_off = true;
+            }
             Observation::Connected { endpoint } => {
                 self.verdict.figures.connects += 1;
                 let recent = &mut self.endpoints[*endpoint].recent_connects;
@@ -527,7 +540,10 @@
     fn judge_closed(&mut self) {
         for (at, hand, number) in std::mem::take(&mut self.closed_unanswered) {
             let ended = |&end: &u64| end + CLOSE_TO_END_US > at && end < at + CLOSE_TO_END_US;
-            let is_forwarded = self.histories.get(&hand).is_some_and(|history| history.is_tried);
+            let is_forwarded = self
+                .histories
+                .get(&hand)
+                .is_some_and(|history| history.is_tried && !self.may_be_unread(history, at, number));
             if is_forwarded && !self.couriers[number].ends.iter().any(ended) {
                 let words =
                     format!("mail {} was forwarded, and its connection closed with no answer", hand.id());
@@ -536,6 +552,13 @@
         }
     }
 
+    /// Whether the connection on which a request was sent once more may have been closed unread: where idle clients fill the
+    /// descriptors, or while the courier shuts down and accepts no more. Its first copy may have been forwarded.
+    fn may_be_unread(&self, history: &MailHistory, at: u64, number: usize) -> bool {
+        let is_down = self.couriers[number].outages.iter().any(|&(from, to)| (from..=to).contains(&at));
+        history.is_broken_off && (self.day.mails.idle > 0 || is_down)
+    }
+
     /// Whether a call is out on a connection.
     fn is_busy(&self, link: u64) -> bool {
         let last = self.last_on_link.get(&link).and_then(|call| self.calls.get(call));
--- a/crates/rig/src/judge/tests.rs
+++ b/crates/rig/src/judge/tests.rs
@@ -382,6 +382,19 @@
         1,
         "trouble at endpoints is no excuse"
     );
+    for (idle, is_down, lost) in [(0, false, 1), (120, false, 0), (0, true, 0)] {
+        let broken_off = Observation::BrokenOff { hand: hand(AGAIN) };
+        let calls = [(9, broken_off), (10, called(1, AGAIN, CallResult::Relayed)), (11, replied(1))];
+        let shutdown = is_down.then(|| (12, process(Process::TermSent)));
+        let calls = calls.into_iter().chain(shutdown);
+        let seen = calls.chain([(20, answered(ClientAnswer::Closed))]).collect();
+        let verdict = judged_with(|day| day.mails.idle = idle, seen);
+        assert_eq!(
+            verdict.breaks(Rule::NoMailLost),
+            lost,
+            "the second copy's connection, {idle} idle clients, {is_down}"
+        );
+    }
     let unread = judged_with(|_| (), vec![(20, answered(ClientAnswer::Closed))]);
     assert!(unread.kept(), "{:?}", unread.broken);
 }
--- a/crates/rig/src/record.rs
+++ b/crates/rig/src/record.rs
@@ -109,6 +109,10 @@
         hand: HandIn,
         dead: bool,
     },
+    /// A client has closed its connection under a request without reading the answer, and sends it once more.
+    BrokenOff {
+        hand: HandIn,
+    },
     /// A client has withdrawn a mail that was taken: nothing more is owed for it.
     Withdrawn {
         hand: HandIn,
