--- a/crates/rig/src/judge.rs
+++ b/crates/rig/src/judge.rs
@@ -305,6 +305,14 @@
     term_sent: Vec<u64>,
 }
 
+impl Courier {
+    /// Whether its process was neither ended nor stopped, and its links to endpoints had no fault.
+    fn is_undisturbed(&self) -> bool {
+        let was_signalled = !self.ends.is_empty() || !self.term_sent.is_empty() || self.continued_at > 0;
+        !was_signalled && self.endpoint_link_faults.is_empty()
+    }
+}
+
 /// A call or notice for a mail whose 200 had been read.
 struct Repeat {
     at: u64,
@@ -592,7 +600,9 @@
     /// On a day without any trouble, no mail has two ends and none is called behind its end: nothing excuses doubt.
     fn judge_calm(&mut self) {
         let (told, called) = (self.verdict.figures.told_of_delivered, self.verdict.figures.called_after_end);
-        if self.day.trouble.is_empty() && told + called > 0 {
+        // The scale run has its troubles outside the day.
+        let is_calm = self.day.trouble.is_empty() && self.couriers.iter().all(Courier::is_undisturbed);
+        if is_calm && told + called > 0 {
             let words =
                 format!("{told} relayed mails were told of as failed, {called} calls came behind an end");
             self.breaks(Rule::OneEnd, self.load_start, words);
--- a/crates/rig/src/judge/tests.rs
+++ b/crates/rig/src/judge/tests.rs
@@ -496,5 +496,14 @@
         let state = FinalState { at: 9000 * MS, ..FinalState::default() };
         judge(day, &mails(), 0, &events, &state).breaks(Rule::OneEnd)
     };
-    assert_eq!((breaks(&day()), breaks(&Day { trouble: Vec::new(), ..day() })), (0, 1));
+    let calm = Day { trouble: Vec::new(), ..day() };
+    assert_eq!((breaks(&day()), breaks(&calm)), (0, 1));
+    let killed = [Event { at: 5 * MS, observation: process(Process::Ended) }];
+    let disturbed: Vec<Event> = killed.into_iter().chain(kept()).collect();
+    let state = FinalState { at: 9000 * MS, ..FinalState::default() };
+    assert_eq!(
+        judge(&calm, &mails(), 0, &disturbed, &state).breaks(Rule::OneEnd),
+        0,
+        "a kill outside the day"
+    );
 }
