--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -84,23 +84,29 @@
         return Ok(NOT_RUN);
     }
 
-    // Destination and answer of each message.
-    let mut sent: HashMap<String, (u64, Heard)> = HashMap::new();
-    let mut client = Client::new(courier.listen);
-    let mut number = 0;
-    let mut hand_in = |client: &mut Client, messages: u64| {
-        for _ in 0..messages {
-            number += 1;
-            let (id, group) = (format!("{number:016x}"), 1 + number % 2);
-            let pairs = format!("c=stock-update,d={LIFETIME_MS},dest={group}");
-            record.line(format!("the client hands in {id}, {pairs}"));
-            let heard = client.put(&id, &pairs, format!("for {group}").as_bytes());
-            record.line(format!("the client hears {heard:?} for {id}"));
-            sent.insert(id, (group, heard));
-            sleep_ms(50);
-        }
+    let courier_address = courier.listen;
+    // Destination and answer of each message. Four clients hand in at the same time.
+    let sent: Mutex<HashMap<String, (u64, Heard)>> = Mutex::default();
+    let hand_in = |phase: u64, messages: u64| {
+        thread::scope(|scope| {
+            for client in 0..4 {
+                let (sent, record, listen) = (&sent, &record, courier_address);
+                scope.spawn(move || {
+                    let mut connection = Client::new(listen);
+                    for number in 0..messages {
+                        let (id, group) = (format!("{phase:04x}{client:04x}{number:08x}"), 1 + number % 2);
+                        let pairs = format!("c=stock-update,d={LIFETIME_MS},dest={group}");
+                        record.line(format!("client {client} hands in {id}, {pairs}"));
+                        let heard = connection.put(&id, &pairs, format!("for {group}").as_bytes());
+                        record.line(format!("client {client} hears {heard:?} for {id}"));
+                        sent.lock().unwrap().insert(id, (group, heard));
+                        sleep_ms(50);
+                    }
+                });
+            }
+        });
     };
-    hand_in(&mut client, 40);
+    hand_in(1, 20);
     sleep_ms(2000);
 
     // A quiet time, in which two endpoints give way to new ones, in two steps. The second new one, of destination 2, stands
@@ -126,10 +132,10 @@
             return Ok(NOT_RUN);
         }
     }
-    hand_in(&mut client, 60);
+    hand_in(2, 20);
     sleep_ms(LIFETIME_MS + 1000);
 
-    let calls = calls.lock().unwrap();
+    let (calls, sent) = (calls.lock().unwrap(), sent.into_inner().unwrap());
     // From then on the address is that of an endpoint of destination 2.
     let foreign: Vec<&str> = calls
         .iter()
