--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -151,6 +151,8 @@
     list: Arc<Mutex<List>>,
     /// While discovery is down the agent takes connections, stays silent and learns nothing.
     down: Switch,
+    /// Each request for the list is answered so many ms late.
+    late_ms: Counter,
     record: Record,
 }
 
@@ -187,6 +189,7 @@
             notices: Arc::default(),
             list,
             down: Switch::default(),
+            late_ms: Counter::default(),
             record,
         };
         let served = platform.clone();
@@ -216,6 +219,11 @@
         self.record.line(format!("discovery is down: {down}"));
     }
 
+    pub fn set_late(&self, ms: u64) {
+        self.late_ms.store(ms, Ordering::SeqCst);
+        self.record.line(format!("requests for the list are answered {ms} ms late"));
+    }
+
     fn is_down(&self) -> bool {
         self.down.load(Ordering::SeqCst)
     }
@@ -239,6 +247,7 @@
                 while self.is_down() {
                     sleep_ms(10);
                 }
+                sleep_ms(self.late_ms.load(Ordering::SeqCst));
                 if let Some(after) = request.path().strip_prefix("/catalog/members?watch=1&after=") {
                     return self.tell(&mut out, after.parse().ok()?);
                 }
