--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -64,6 +64,7 @@
         kind: "k".into(),
         group,
         status,
+        weight: 50.0,
     };
     let entries = vec![
         entry("s-1a", 0, 1, "SERVING"),
--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -118,14 +118,16 @@
     pub kind: String,
     pub group: u64,
     pub status: &'static str,
+    /// Calls a second that the destination takes from all couriers together.
+    pub weight: f64,
 }
 
 impl Entry {
     pub fn json(&self) -> String {
         format!(
             "{{\"name\":\"{}\",\"address\":\"{}\",\"zone\":\"a\",\"type\":\"{}\",\"group\":{},\"status\":\"{}\",\
-             \"weight\":50.0,\"since_ms\":0}}",
-            self.name, self.address, self.kind, self.group, self.status
+             \"weight\":{:?},\"since_ms\":0}}",
+            self.name, self.address, self.kind, self.group, self.status, self.weight
         )
     }
 }
