--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -78,7 +78,14 @@
     for (name, group) in [("s-1a", 1), ("s-1b", 1), ("s-2a", 2), ("s-2b", 2)] {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
-        entries.push(Entry { name: name.into(), address, kind: "k".into(), group, status: "SERVING", weight: 50.0 });
+        entries.push(Entry {
+            name: name.into(),
+            address,
+            kind: "k".into(),
+            group,
+            status: "SERVING",
+            weight: 50.0,
+        });
         let (record, delivered, due, spoilt, answers) =
             (record.clone(), delivered.clone(), due.clone(), spoilt.clone(), answers.clone());
         serve(listener, move |stream| {
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -145,7 +145,8 @@
         });
     }
     let platform = Platform::start(record.clone(), 41, entries.clone())?;
-    let classes = "{\"Name\":\"stock-update\",\"Effect\":\"read_like\",\"PromiseUs\":1500000,\"HardLimitUs\":6000000,\
+    let classes =
+        "{\"Name\":\"stock-update\",\"Effect\":\"read_like\",\"PromiseUs\":1500000,\"HardLimitUs\":6000000,\
                    \"Worth\":1.0,\"LateWorth\":0.0},{\"Name\":\"card-capture\",\"Effect\":\"non_idempotent\",\
                    \"PromiseUs\":3000000,\"HardLimitUs\":16000000,\"Worth\":4.0,\"LateWorth\":0.3}";
     let settings = settings(48, 400, false, 1, ",\"MayDuplicate\":true", classes);
@@ -202,7 +203,8 @@
     let (runs, once) = (runs.lock().unwrap(), once.into_inner().unwrap());
     let times = |id: &String| runs.iter().filter(|other| *other == id).count();
     let twice: Vec<&String> = once.iter().filter(|id| times(id) > 1).collect();
-    let words = format!("{} card captures taken on, {} ran more than once: {twice:?}", once.len(), twice.len());
+    let words =
+        format!("{} card captures taken on, {} ran more than once: {twice:?}", once.len(), twice.len());
     record.line(&words);
     println!("{words}");
     if once.iter().all(|id| times(id) == 0) {
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -8,6 +8,9 @@
 export RUN
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout --kill-after=2 115 "$here/../bin/case-$(basename "$here")" "$folder" "$here/record.txt"
+timeout --kill-after=2 115 "$here/../bin/case-$(basename "$here")" "$folder" "$here/record.txt" &
+# Ends the stand-ins and the courier, which are in one process group, also when this script is ended early.
+trap 'kill $! 2>/dev/null; wait $!; exit 2' INT TERM
+wait $!
 code=$?
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -74,7 +74,8 @@
     ];
 
     let platform = Platform::start(record.clone(), 41, entries.clone())?;
-    let class = "{\"Name\":\"stock-update\",\"Effect\":\"read_like\",\"PromiseUs\":1500000,\"HardLimitUs\":6000000,\
+    let class =
+        "{\"Name\":\"stock-update\",\"Effect\":\"read_like\",\"PromiseUs\":1500000,\"HardLimitUs\":6000000,\
                  \"Worth\":1.0,\"LateWorth\":0.0}";
     let settings = settings(8, 100, false, 1, "", class);
     let known = list_json(41, true, &entries);
--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -363,7 +363,9 @@
             Ok(_) if line.starts_with("-BUSY") => Heard::Busy,
             Ok(_) if line.ends_with('\n') => Heard::Failed(line.trim().to_string()),
             Ok(_) => Heard::Ended("end of the connection".to_string()),
-            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => Heard::Nothing,
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+                Heard::Nothing
+            }
             Err(e) => Heard::Ended(e.to_string()),
         };
         if !matches!(heard, Heard::Taken | Heard::Busy | Heard::Failed(_)) {
@@ -402,7 +404,13 @@
 
 impl Courier {
     /// `folder`: a temporary one. `settings`: nested JSON.
-    pub fn new(folder: &Path, platform: &Platform, known: &str, limits: &str, settings: &str) -> io::Result<Courier> {
+    pub fn new(
+        folder: &Path,
+        platform: &Platform,
+        known: &str,
+        limits: &str,
+        settings: &str,
+    ) -> io::Result<Courier> {
         let listen = free_address()?;
         let config = folder.join("config.json");
         std::fs::create_dir_all(folder.join("state"))?;
@@ -483,7 +491,14 @@
 }
 
 /// Settings of a small deployment, with these queue classes.
-pub fn settings(slots: usize, max_open: usize, own_limits: bool, batch: usize, extra: &str, profiles: &str) -> String {
+pub fn settings(
+    slots: usize,
+    max_open: usize,
+    own_limits: bool,
+    batch: usize,
+    extra: &str,
+    profiles: &str,
+) -> String {
     format!(
         "{{\"NInstances\":1,\"Me\":0,\"FamilyInfo\":{{\"Slots\":{slots},\"OwnLimits\":[{own_limits}],\
          \"KindBatch\":[{batch}],\"Late\":\"by_half\"}},\"ResolutionUs\":5000,\"MembershipMode\":\"push\",\
