--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -9,8 +9,11 @@
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
 timeout --kill-after=2 115 "$here/../bin/case-$(basename "$here")" "$folder" "$here/record.txt" &
-# Ends the stand-ins and the courier, which are in one process group, also when this script is ended early.
-trap 'kill $! 2>/dev/null; wait $!; exit 2' INT TERM
-wait $!
+group=$!
+# The stand-ins and the courier are in the process group that `timeout` makes. Nothing of it is left, however this ends.
+end_all() { kill -KILL -- "-$group" 2>/dev/null; }
+trap 'end_all; exit 2' INT TERM
+wait "$group"
 code=$?
+end_all
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
