Link: an endpoint that sends without end keeps nobody else waiting

Cause: HttpConnection::fill waits only where the system would block, and its callers loop over it. timeout_at and the biased select look at the time only where the reading waits, so a far side that sends as fast as it is read keeps the one thread. Interim answers, chunk framing and trailer fields counted towards no limit of bytes.

Change: in the one place that reads from endpoints, other tasks run after 16 reads, and each part of an answer has a budget of bytes as they come on the connection. More than 16 answers that belong to no call close an idle connection.

--- a/crates/courier/src/endpoints/watch.rs
+++ b/crates/courier/src/endpoints/watch.rs
@@ -8,9 +8,12 @@
 use super::answer::MAX_ANSWER;
 use super::Endpoints;
 use crate::exchange::{to_duration, RevokeReason};
-use crate::link::{wait_for_bytes, Rest};
+use crate::link::{wait_for_bytes, HttpConnection, Rest};
 use crate::pool::{CloseReason, Connection};
 
+/// An endpoint that sends more answers than this, although no call is out, is not believed.
+const MAX_SURPLUS_ANSWERS: usize = 16;
+
 impl Endpoints {
     /// Keeps a connection after a call, and watches it if it has provisional outcomes. `is_kept`: it may carry further
     /// calls.
@@ -132,18 +135,8 @@
     async fn listen_out(&self, mut connection: Connection) {
         let periods = self.shared.borrow().quiet_periods(connection.endpoint);
         let until = Instant::now() + to_duration(periods.long);
-        let is_unchanged = loop {
-            let answer = async {
-                let head = connection.link.read_head().await?;
-                connection.link.read_body(head.body, MAX_ANSWER).await?;
-                Ok::<_, std::io::Error>(head.status)
-            };
-            match timeout_at(until, answer).await {
-                Err(_) => break true,
-                Ok(Ok(200)) => {}
-                Ok(_) => break false,
-            }
-        };
+        let surplus = timeout_at(until, read_surplus_answers(&mut connection.link)).await;
+        let is_unchanged = surplus.is_err();
         let mut exchange = self.shared.borrow_mut();
         if is_unchanged && exchange.is_answering(connection.endpoint, connection.order.last_answer()) {
             for message in connection.order.take_all() {
@@ -154,3 +147,15 @@
         self.close(connection, CloseReason::UnsolicitedBytes);
     }
 }
+
+/// Reads answers for as long as each of them says that a message was delivered. Returns once one does not, or once there
+/// are too many.
+async fn read_surplus_answers(link: &mut HttpConnection) {
+    for _ in 0..MAX_SURPLUS_ANSWERS {
+        let Ok(head) = link.read_head().await else { return };
+        let body = link.read_body(head.body, MAX_ANSWER).await;
+        if head.status != 200 || body.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/courier/src/link.rs
+++ b/crates/courier/src/link.rs
@@ -6,10 +6,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 use socket2::SockRef;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout_at, Instant};
 
 use crate::http::{self, Body, Head, Piece};
@@ -18,8 +19,18 @@
 /// Time for the rest of an answer's head after its first byte.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The most bytes of one read.
 const READ_SIZE: usize = 2048;
 
+/// After so many reads other tasks run, although more bytes may be waiting.
+const READS_BETWEEN_YIELDS: usize = 16;
+
+/// The most bytes of an answer's head together with the interim answers before it.
+const MAX_HEADS: usize = 64 << 10;
+
+/// An answer's body may take so many times its largest size on the connection: chunk sizes and trailer fields add to it.
+const MAX_BODY_OVERHEAD: usize = 2;
+
 /// Time for a body after its head.
 const BODY_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -50,6 +61,27 @@
 pub struct HttpConnection {
     stream: Rc<TcpStream>,
     buffer: BytesMut,
+    reads_since_yield: usize,
+}
+
+/// How many more bytes are read of a part of an answer.
+struct ReadBudget {
+    left: usize,
+}
+
+impl ReadBudget {
+    fn new(bytes: usize) -> ReadBudget {
+        ReadBudget { left: bytes }
+    }
+
+    /// Takes the bytes of a read from the budget.
+    fn spend(&mut self, bytes: usize) -> io::Result<()> {
+        self.left = self
+            .left
+            .checked_sub(bytes)
+            .ok_or_else(|| invalid_data(http::Malformed("the answer takes more bytes than an answer may")))?;
+        Ok(())
+    }
 }
 
 fn invalid_data(malformed: http::Malformed) -> io::Error {
@@ -86,7 +118,7 @@
         if let Err(e) = stream.set_nodelay(true) {
             log::debug!("requests to {address} may be held back: {e}");
         }
-        Ok(HttpConnection { stream: Rc::new(stream), buffer: BytesMut::new() })
+        Ok(HttpConnection { stream: Rc::new(stream), buffer: BytesMut::new(), reads_since_yield: 0 })
     }
 
     /// The socket, for `wait_for_bytes` while the connection is idle.
@@ -130,14 +162,23 @@
         Ok(())
     }
 
-    /// Reads what has come; 0 at the end of the connection. As with `try_write`, a short read leaves the socket ready.
-    async fn fill(&mut self) -> io::Result<usize> {
+    /// Reads what has come; 0 at the end of the connection. As with `try_write`, a short read leaves the socket ready. Other
+    /// tasks run from time to time, and so do the timers of the caller, however fast the endpoint sends.
+    async fn fill(&mut self, budget: &mut ReadBudget) -> io::Result<usize> {
+        if self.reads_since_yield >= READS_BETWEEN_YIELDS {
+            self.reads_since_yield = 0;
+            yield_now().await;
+        }
+        self.reads_since_yield += 1;
         loop {
-            self.buffer.reserve(READ_SIZE);
-            match self.stream.try_read_buf(&mut self.buffer) {
+            match self.stream.try_read_buf(&mut (&mut self.buffer).limit(READ_SIZE)) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.stream.readable().await?,
                 Err(e) if is_momentary(&e) => sleep(RETRY_PAUSE).await,
-                read => return read,
+                Err(e) => return Err(e),
+                Ok(read) => {
+                    budget.spend(read)?;
+                    return Ok(read);
+                }
             }
         }
     }
@@ -145,7 +186,7 @@
     /// Reads the head of an answer and skips interim (1xx) answers. There is no limit on the time until its
     /// first byte.
     pub async fn read_head(&mut self) -> io::Result<Head> {
-        let mut deadline = None;
+        let (mut deadline, mut budget) = (None, ReadBudget::new(MAX_HEADS));
         loop {
             if let Some(head) = http::read_head(&mut self.buffer).map_err(invalid_data)? {
                 return Ok(head);
@@ -154,9 +195,9 @@
             deadline =
                 if self.buffer.is_empty() { None } else { deadline.or(Some(Instant::now() + HEAD_TIMEOUT)) };
             let read = match deadline {
-                None => self.fill().await?,
+                None => self.fill(&mut budget).await?,
                 Some(deadline) => {
-                    let read = timeout_at(deadline, self.fill()).await;
+                    let read = timeout_at(deadline, self.fill(&mut budget)).await;
                     read.map_err(|_| invalid_data(http::Malformed("answer head not completed in time")))??
                 }
             };
@@ -167,14 +208,14 @@
     }
 
     /// The next bytes of a body; `None` at its end.
-    pub async fn next_piece(&mut self, body: &mut Body) -> io::Result<Option<Bytes>> {
+    async fn next_piece(&mut self, body: &mut Body, budget: &mut ReadBudget) -> io::Result<Option<Bytes>> {
         loop {
             match body.next(&mut self.buffer).map_err(invalid_data)? {
                 Piece::Bytes(bytes) => return Ok(Some(bytes)),
                 Piece::Ended => return Ok(None),
                 Piece::More => {}
             }
-            if self.fill().await? == 0 {
+            if self.fill(budget).await? == 0 {
                 let complete = *body == Body::UntilClose;
                 return if complete { Ok(None) } else { Err(io::ErrorKind::UnexpectedEof.into()) };
             }
@@ -188,14 +229,14 @@
 
     /// Reads a body of at most `max_size` bytes.
     async fn collect_body(&mut self, mut body: Body, max_size: usize) -> io::Result<BytesMut> {
-        let mut collected = BytesMut::new();
+        let (mut collected, mut budget) = (BytesMut::new(), ReadBudget::new(MAX_BODY_OVERHEAD * max_size));
         if matches!(body, Body::Length(length) if length > max_size as u64) {
             return Err(io::Error::new(
                 io::ErrorKind::InvalidData,
                 "declared length of the answer body exceeds the limit",
             ));
         }
-        while let Some(bytes) = self.next_piece(&mut body).await? {
+        while let Some(bytes) = self.next_piece(&mut body, &mut budget).await? {
             if collected.len() + bytes.len() > max_size {
                 return Err(io::Error::new(io::ErrorKind::InvalidData, "answer body exceeds the limit"));
             }
