List: a change is on file before it is in force, and a failed write is tried again

Cause: ListStore::save returned without a word within a second of the write before, and next_turn did not count what was left to save. It noted a version as saved before the write, so a write that failed was never repeated; another list of the same version counted as saved too.

Change: a turn saves the list before the decisions read it; what is unsaved is known by its content; a failure is tried again after a second, by a turn that it asks for, and counted. The hollow courier's second save is gone.

The unit test "at most once a second" asked for the fault: in its place one asks that each change is saved at once, also of an equal version, and again after a failure.

--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -219,6 +219,8 @@
     pub compactions: u64,
     /// Lists or changes with a lower version than an earlier one.
     pub older: u64,
+    /// Saves of the list that have failed.
+    pub list_saves_failed: u64,
     /// Notes sent to and received from other couriers.
     pub told: u64,
     pub heard: u64,
@@ -957,6 +959,9 @@
         self.revoke_expired(now);
         self.resubmit();
         self.record_ends(now);
+        // A list is on file before it is in force: after a kill the next process goes by the file while discovery is silent.
+        self.keeper.save(now);
+        self.counts.list_saves_failed = self.keeper.failures();
         let mut actions = std::mem::take(&mut self.actions);
         self.wake = self.control.step(now, &self.inputs, &mut actions);
         self.inputs.clear();
@@ -1006,8 +1011,6 @@
                 must!(self.counts.broken, false, "the audit found: {fault}");
             }
         }
-        // Last, since it takes time that would delay the calls.
-        self.keeper.save(now);
     }
 
     /// The unit of limits and waits that an endpoint belongs to.
@@ -1160,7 +1163,9 @@
         // due.
         let owed = self.backlog.wake().filter(|_| self.last_turn > 0);
         let unrecorded = self.unrecorded.next_attempt(self.last_turn);
-        [self.wake, owed, unrecorded, self.provisional.next_deadline()]
+        // While turns are held back nothing is saved.
+        let unsaved = self.keeper.next_attempt().filter(|_| !self.turns_held);
+        [self.wake, owed, unrecorded, unsaved, self.provisional.next_deadline()]
             .into_iter()
             .flatten()
             .min()
--- a/crates/courier/src/hollow.rs
+++ b/crates/courier/src/hollow.rs
@@ -10,7 +10,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use meadowhold::interface::{Time, SECOND};
 use tokio::sync::{watch, Notify};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, Instant};
@@ -26,9 +25,6 @@
 /// Delay between a turn and saving the list. A real courier saves at the end of a turn; here the other couriers in the
 /// process take their turns first, so that the measured time until a list is in force does not include their writes.
 const SAVE_DELAY: Duration = Duration::from_millis(50);
-/// Delay of the second save, for a list that arrived just after the first one: `ListStore` writes at most once a
-/// second.
-const SECOND_SAVE_DELAY: Time = SECOND + SECOND / 50;
 
 /// Receives the list in place of an exchange.
 pub struct Hollow {
@@ -126,23 +122,19 @@
         notify.notified().await;
         sleep(resolution).await;
         hollow.borrow_mut().turn();
-        let mut write_at = Instant::now() + SAVE_DELAY;
-        // Saves twice, because the store skips a save within a second of the last one. Notifications that arrive
-        // meanwhile get their turn at once.
-        for _ in 0..2 {
-            loop {
-                tokio::select! {
-                    () = sleep_until(write_at) => break,
-                    () = notify.notified() => {
-                        sleep(resolution).await;
-                        hollow.borrow_mut().turn();
-                    }
+        let save_at = Instant::now() + SAVE_DELAY;
+        // Notifications that arrive meanwhile get their turn at once.
+        loop {
+            tokio::select! {
+                () = sleep_until(save_at) => break,
+                () = notify.notified() => {
+                    sleep(resolution).await;
+                    hollow.borrow_mut().turn();
                 }
             }
-            let mut hollow = hollow.borrow_mut();
-            let now = hollow.clock.now();
-            hollow.store.save(now);
-            write_at = Instant::now() + to_duration(SECOND_SAVE_DELAY);
         }
+        let mut hollow = hollow.borrow_mut();
+        let now = hollow.clock.now();
+        hollow.store.save(now);
     }
 }
--- a/crates/courier/src/memory.rs
+++ b/crates/courier/src/memory.rs
@@ -27,8 +27,8 @@
 /// The share of the folder's allowance that the file may take, in percent. Rewriting it takes twice as much for a while;
 /// the journal takes up to 80 percent.
 pub const SHARE_PERCENT: u64 = 8;
-/// The least time between two writes, as lists may change many times in a row.
-const SAVE_INTERVAL: Time = SECOND;
+/// How long after a write that failed the next one is tried.
+const SAVE_RETRY_INTERVAL: Time = SECOND;
 const MAX_ENTRIES: usize = 65_536;
 /// A list of up to this many entries is written as JSON, which earlier versions of the program can read too.
 const SHORT_LIST: usize = 256;
@@ -307,21 +307,36 @@
     deployment: String,
     index: u64,
     table: Table,
-    /// The version that was last saved, and when.
-    saved: (u64, Time),
+    /// The list has changed since it was last saved.
+    is_unsaved: bool,
+    /// No save is tried before this time.
+    retry_at: Time,
     /// Where changes are appended, if the file can be continued, and the packed entries to append.
     position: Option<list_file::Position>,
     changes: Vec<u8>,
     /// The last save failed, which is logged only the first time.
     save_failed: bool,
+    /// How many saves have failed.
+    failures: u64,
 }
 
 impl ListStore {
     /// `allowance`: the bytes that the folder may take.
     pub fn new(folder: &Path, allowance: u64, deployment: String) -> ListStore {
         let (folder, table, changes) = (folder.to_path_buf(), Table::default(), Vec::new());
-        let (saved, position, save_failed) = ((0, 0), None, false);
-        ListStore { folder, allowance, deployment, index: 0, table, saved, position, changes, save_failed }
+        ListStore {
+            folder,
+            allowance,
+            deployment,
+            index: 0,
+            table,
+            is_unsaved: false,
+            retry_at: 0,
+            position: None,
+            changes,
+            save_failed: false,
+            failures: 0,
+        }
     }
 
     /// The list to start with: the newer one of the stored list and that of the configuration. `accepts` tells whether a
@@ -335,7 +350,6 @@
                 let mut entries = Entries::default();
                 contents.table.sorted().into_iter().for_each(|packed| entries.push_packed(packed));
                 (self.table, self.position, self.index) = (contents.table, contents.position, contents.index);
-                self.saved = (contents.index, contents.saved_at.min(now));
                 Update { index: contents.index, whole: true, entries }
             }
             Some(Loaded::Whole(memory)) => Update::from(&Memory::newer(Some(memory), known)),
@@ -350,22 +364,25 @@
 
     /// The same for a list as the reader returns it.
     pub fn apply(&mut self, list: &Update) {
+        let ListStore { table, position, changes, is_unsaved, .. } = self;
+        *is_unsaved |= self.index != list.index;
         self.index = list.index;
-        let ListStore { table, position, changes, .. } = self;
-        table.apply(list, |packed| changes.extend_from_slice(packed));
+        // Another list service may use the same version for another list.
+        table.apply(list, |packed| {
+            *is_unsaved = true;
+            changes.extend_from_slice(packed);
+        });
         // Once the pending changes are longer than the base of the file, it is rewritten.
         if position.is_none_or(|position| changes.len() as u64 > position.base_len) {
             (self.position, self.changes) = (None, Vec::new());
         }
     }
 
-    /// Saves the list if its version has changed, at most once in `SAVE_INTERVAL`.
+    /// Saves the list if it has changed since the last save. After a failure it is tried again at `next_attempt`.
     pub fn save(&mut self, now: Time) {
-        // A list without a version is not saved: no changes could be requested from it on.
-        if self.index == self.saved.0 || self.index == 0 || now < self.saved.1 + SAVE_INTERVAL {
+        if self.next_attempt().is_none_or(|at| now < at) {
             return;
         }
-        self.saved = (self.index, now);
         let saved = self.write(now);
         // Logged once for as long as saving keeps failing.
         match &saved {
@@ -373,6 +390,23 @@
             _ => {}
         }
         self.save_failed = saved.is_err();
+        self.is_unsaved = self.save_failed;
+        if self.save_failed {
+            self.failures += 1;
+            self.retry_at = now + SAVE_RETRY_INTERVAL;
+        }
+    }
+
+    /// From when on `save` writes; `None` if there is nothing to save. A list without a version is not saved: no changes
+    /// could be requested from it on.
+    pub fn next_attempt(&self) -> Option<Time> {
+        let is_due = self.is_unsaved && self.index != 0;
+        is_due.then_some(if self.save_failed { self.retry_at } else { 0 })
+    }
+
+    /// How many saves have failed since the start of the process.
+    pub fn failures(&self) -> u64 {
+        self.failures
     }
 
     fn write(&mut self, now: Time) -> io::Result<()> {
--- a/crates/courier/src/memory/tests.rs
+++ b/crates/courier/src/memory/tests.rs
@@ -116,8 +116,10 @@
     }
 }
 
+/// Guards against a change of the list that is not on file although it is in force: right behind another change, with a
+/// version that another list had, or behind a save that failed.
 #[test]
-fn the_list_is_saved_as_it_changes_and_at_most_once_a_second() {
+fn each_change_of_the_list_is_saved_at_once_and_again_after_a_failure() {
     let folder = folder("keeper");
     let entry = |name: &str, status: &str| {
         Entry::from(KeptEntry { name: name.to_string(), status: status.to_string(), ..KeptEntry::default() })
@@ -131,23 +133,37 @@
     let mut store = ListStore::new(&folder, 3_000_000, "ours".to_string());
     store.apply_list(&list(0, true, vec![entry("a", "SERVING")]));
     store.save(NOW);
-    assert_eq!(load_version(NOW), None, "no version");
+    assert_eq!((load_version(NOW), store.next_attempt()), (None, None), "no version");
     store.apply_list(&list(5, true, vec![entry("a", "SERVING"), entry("b", "SERVING")]));
     store.save(NOW);
-    assert_eq!(load_version(NOW), names(5, &["a", "b"]));
+    assert_eq!((load_version(NOW), store.next_attempt()), (names(5, &["a", "b"]), None));
     store.apply_list(&list(6, false, vec![entry("a", "DELETED"), entry("c", "DRAINING")]));
-    store.save(NOW + SAVE_INTERVAL - 1);
-    assert_eq!(load_version(NOW), names(5, &["a", "b"]), "too soon");
-    store.save(NOW + SAVE_INTERVAL);
-    assert_eq!(load_version(NOW + SAVE_INTERVAL), names(6, &["b", "c"]));
+    store.save(NOW);
+    assert_eq!(load_version(NOW), names(6, &["b", "c"]), "right behind the change before");
     // A registry that restarted its versions has a lower one; its whole list replaces the list.
     store.apply_list(&list(2, true, vec![entry("d", "SERVING")]));
-    store.save(NOW + 2 * SAVE_INTERVAL);
-    assert_eq!(load_version(NOW + 2 * SAVE_INTERVAL), names(2, &["d"]));
-    // A list of the same version is not written again.
+    store.save(NOW);
+    assert_eq!(load_version(NOW), names(2, &["d"]));
+    store.apply_list(&list(2, true, vec![entry("e", "SERVING")]));
+    store.save(NOW);
+    assert_eq!(load_version(NOW), names(2, &["e"]), "another list of the same version");
+    // The folder fails for a while.
+    fs::create_dir(folder.join(TEMPORARY_FILE)).unwrap();
+    store.apply_list(&list(7, false, vec![entry("f", "SERVING")]));
+    store.save(NOW);
+    assert_eq!((load_version(NOW), store.failures()), (names(2, &["e"]), 1));
+    let retry_at = NOW + SAVE_RETRY_INTERVAL;
+    assert_eq!(store.next_attempt(), Some(retry_at));
+    fs::remove_dir(folder.join(TEMPORARY_FILE)).unwrap();
+    store.save(retry_at - 1);
+    assert_eq!(load_version(NOW), names(2, &["e"]), "too soon after a failure");
+    store.save(retry_at);
+    assert_eq!((load_version(NOW), store.next_attempt()), (names(7, &["e", "f"]), None));
+    // A list that is on file is not written again.
     fs::remove_file(folder.join(FILE)).unwrap();
-    store.save(NOW + 9 * SAVE_INTERVAL);
-    assert_eq!(load_version(NOW + 9 * SAVE_INTERVAL), None);
+    store.apply_list(&list(7, true, vec![entry("e", "SERVING"), entry("f", "SERVING")]));
+    store.save(NOW + 9 * SECOND);
+    assert_eq!(load_version(NOW + 9 * SECOND), None);
     fs::remove_dir_all(folder).unwrap();
 }
 
