Refusals: one that may be another call's frees no message, and silence never proves it

Cause: an outcome "never ran" that may belong to an earlier call was proven by one tail latency of silence. Silence shows that no delivery is outstanding; it does not show that a call is not running.

Evidence: copied_answers.rs forces the crossing with a call of 1.5 s: the once-only message ran 2 times, with no kill and no timeout; the outcome was Refused, confirmed. Where no two calls of a message may be out, a message was called while its first call was out (test fails without the close).

Change: silence proves no refusal that repeats an earlier answer or follows one that is not final, and none of a once-only message. Such a message may have run: given up at once, sent within its key's window, or called again; without overlap, the connection is closed first. Once-only messages go on a new connection, where the first answer is their own, while refusals in their scope are likelier than a connection costs.

--- a/crates/courier/src/endpoints.rs
+++ b/crates/courier/src/endpoints.rs
@@ -302,7 +302,10 @@
             let mut exchange = self.shared.borrow_mut();
             connection.order.take_all().into_iter().for_each(|message| exchange.confirm(message));
         }
-        self.report_attributed(&mut connection, mails, meaning, attribution);
+        let may_still_run = self.report_attributed(&mut connection, mails, meaning, attribution);
+        if may_still_run && !self.limits.get().may_overlap {
+            return self.close(connection, CloseReason::AmbiguousRefusal);
+        }
         let complete = body.is_some() || connection.link.read_body(head.body, MAX_ANSWER).await.is_ok();
         match (head.keep_alive, complete) {
             (true, true) => self.return_idle(call, connection),
@@ -315,14 +318,15 @@
     }
 
     /// Reports the outcome of each mail: as final, or as provisional if the answer may be another call's and believing it
-    /// could lose the mail or have it run twice.
+    /// could lose the mail or have it run twice. Returns whether a mail's own call may still be out.
     fn report_attributed(
         &self,
         connection: &mut Connection,
         mails: &[CallMail],
         meaning: Meaning,
         attribution: Attribution,
-    ) {
+    ) -> bool {
+        let mut may_still_run = false;
         let now = self.clock.now();
         let mut exchange = self.shared.borrow_mut();
         let periods = exchange.quiet_periods(connection.endpoint);
@@ -351,6 +355,10 @@
                 continue;
             }
             match quiet.and_then(|quiet| Some((quiet, exchange.claim_to_hold(mail.serial, &report)?))) {
+                Some((_, claim)) if !exchange.is_provable_by_silence(mail.serial, attribution, claim) => {
+                    exchange.connect_ended_ambiguously(mail.serial, report, claim);
+                    may_still_run = true;
+                }
                 Some((quiet_period, claim)) => {
                     exchange.connect_ended_provisionally(mail.serial, report, claim);
                     let held = Held {
@@ -366,6 +374,7 @@
                 None => exchange.connect_ended(mail.serial, report),
             }
         }
+        may_still_run
     }
 
     fn log_call(&self, call: &Call, connection: &Connection, mails: &[CallMail]) {
--- a/crates/courier/src/exchange/provisional.rs
+++ b/crates/courier/src/exchange/provisional.rs
@@ -7,7 +7,7 @@
 use std::fmt;
 
 use meadowhold::interface::{Effect, Input, Outcome, Time, SECOND};
-use meadowhold::response_order::{Claim, QuietPeriods};
+use meadowhold::response_order::{Attribution, Claim, QuietPeriods};
 
 use super::lifecycle::Step;
 use super::unrecorded_ends::MissingRecord;
@@ -34,6 +34,8 @@
     /// The connection ended or was closed for another reason.
     pub closed: u64,
     pub unproven: u64,
+    /// A refusal that may be another call's.
+    pub ambiguous: u64,
     pub expired: u64,
     pub shutdown: u64,
 }
@@ -44,6 +46,8 @@
     Closed(CloseReason),
     /// The endpoint has answered nothing since, so that the outcome is neither proven nor refuted.
     Unproven,
+    /// It is a refusal that may be a copy of an earlier one, which nothing can prove.
+    Ambiguous,
     Expired,
     /// The message expires before the next process begins its calls.
     Shutdown,
@@ -54,6 +58,7 @@
         match self {
             RevokeReason::Closed(reason) => reason.fmt(f),
             RevokeReason::Unproven => f.write_str("the endpoint has answered nothing since"),
+            RevokeReason::Ambiguous => f.write_str("the refusal may be another call's"),
             RevokeReason::Expired => f.write_str("its time is up"),
             RevokeReason::Shutdown => f.write_str("it expires before the next process begins its calls"),
         }
@@ -62,8 +67,8 @@
 
 impl RevokedCounts {
     pub fn total(&self) -> u64 {
-        let RevokedCounts { no_room, closed, unproven, expired, shutdown } = self;
-        no_room + closed + unproven + expired + shutdown
+        let RevokedCounts { no_room, closed, unproven, ambiguous, expired, shutdown } = self;
+        no_room + closed + unproven + ambiguous + expired + shutdown
     }
 
     fn add(&mut self, reason: RevokeReason) {
@@ -71,6 +76,7 @@
             RevokeReason::Closed(CloseReason::NoRoom) => &mut self.no_room,
             RevokeReason::Closed(_) => &mut self.closed,
             RevokeReason::Unproven => &mut self.unproven,
+            RevokeReason::Ambiguous => &mut self.ambiguous,
             RevokeReason::Expired => &mut self.expired,
             RevokeReason::Shutdown => &mut self.shutdown,
         };
@@ -149,17 +155,27 @@
         self.control.is_answering(endpoint, since)
     }
 
+    /// The effect of a mail that is owed.
+    fn effect_of(&self, serial: u64) -> Option<Effect> {
+        let class = usize::from(self.owed.get(&serial)?.class);
+        Some(self.classes.classes[class].effect)
+    }
+
     /// Whether a mail may be called again though its call may have run.
     pub fn may_repeat(&self, serial: u64) -> bool {
-        let class = self.owed.get(&serial).map(|owed| usize::from(owed.class));
-        class.is_some_and(|class| self.classes.classes[class].effect != Effect::OnceOnly)
+        self.effect_of(serial).is_some_and(|effect| effect != Effect::OnceOnly)
+    }
+
+    /// Whether silence on its connection can make the held outcome of a mail final.
+    pub fn is_provable_by_silence(&self, serial: u64, attribution: Attribution, claim: Claim) -> bool {
+        let effect = self.effect_of(serial);
+        effect.is_none_or(|effect| attribution.is_provable_by_silence(claim, effect))
     }
 
     /// The claim of an outcome that must be held until it is final; `None` if nothing is lost should it be another
     /// call's.
     pub fn claim_to_hold(&self, serial: u64, report: &ConnectReport) -> Option<Claim> {
-        let class = usize::from(self.owed.get(&serial)?.class);
-        let repeatable = self.classes.classes[class].effect == Effect::Redeliverable;
+        let repeatable = self.effect_of(serial)? == Effect::Redeliverable;
         // A mail that may be in flight twice is sent again at once, whether or not its call runs.
         report.claim().filter(|claim| *claim != Claim::NeverRan || !repeatable || !self.may_overlap)
     }
@@ -169,6 +185,12 @@
         self.end_connect(serial, report, Some(claim));
     }
 
+    /// Takes the outcome of one mail's connect that nothing can prove: the call may have run.
+    pub fn connect_ended_ambiguously(&mut self, serial: u64, report: ConnectReport, claim: Claim) {
+        self.connect_ended_provisionally(serial, report, claim);
+        self.revoke(serial, RevokeReason::Ambiguous);
+    }
+
     pub(super) fn detach(&mut self, serial: u64, claim: Claim) {
         let Some(owed) = self.owed.get(&serial) else { return };
         self.provisional.hold(serial, owed.deadline, claim);
--- a/crates/courier/src/pool.rs
+++ b/crates/courier/src/pool.rs
@@ -39,6 +39,8 @@
     AnswerTooLate,
     /// The answer names messages of another call.
     ForeignAnswer,
+    /// The answer may be a copy of an earlier refusal, and no two calls of a message may be out at once.
+    AmbiguousRefusal,
     /// Its outcomes are final, and no idle connection is kept to this endpoint.
     Confirmed,
     /// Its endpoint has not answered since, so that its outcomes could not become final.
@@ -68,6 +70,7 @@
             CloseReason::WriteFailed => "the request could not be written",
             CloseReason::AnswerTooLate => "the answer came after a message had expired",
             CloseReason::ForeignAnswer => "the answer names messages of another call",
+            CloseReason::AmbiguousRefusal => "the refusal may be another call's",
             CloseReason::Confirmed => "its outcomes are final",
             CloseReason::Unproven => "its outcomes could not be confirmed",
         })
--- a/crates/courier/tests/copied_answers.rs
+++ b/crates/courier/tests/copied_answers.rs
@@ -86,6 +86,64 @@
     }
 }
 
+/// An endpoint that refuses its first call, and writes a second copy of that refusal once it has read a further call on the
+/// connection. All calls but the first run for a time.
+struct CopyingEndpoint {
+    address: SocketAddr,
+    runs: Arc<Mutex<Vec<String>>>,
+    /// The messages that were called while an earlier call of them was out on an open connection.
+    overlapping: Arc<Mutex<Vec<String>>>,
+}
+
+/// Whether the courier has closed a connection or ended its sending on it.
+fn is_abandoned(stream: &TcpStream) -> bool {
+    stream.set_read_timeout(Some(Duration::from_millis(20))).unwrap();
+    matches!(stream.peek(&mut [0]), Ok(0))
+}
+
+impl CopyingEndpoint {
+    fn new(refusal: String, work: Duration) -> CopyingEndpoint {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let runs: Arc<Mutex<Vec<String>>> = Arc::default();
+        let overlapping: Arc<Mutex<Vec<String>>> = Arc::default();
+        let (seen, overlaps, refused_at) = (runs.clone(), overlapping.clone(), Mutex::new(None));
+        let out_now: Mutex<Vec<(String, TcpStream)>> = Mutex::default();
+        serve(listener, move |request, out| {
+            let peer = out.peer_addr().unwrap();
+            let mut refused = refused_at.lock().unwrap();
+            match *refused {
+                None => {
+                    *refused = Some(peer);
+                    return out.write_all(refusal.as_bytes()).is_ok();
+                }
+                Some(refused_peer) if refused_peer == peer => {
+                    let _ = out.write_all(refusal.as_bytes());
+                }
+                Some(_) => {}
+            }
+            drop(refused);
+            let id = request.ids().remove(0);
+            seen.lock().unwrap().push(id.clone());
+            let mut calls = out_now.lock().unwrap();
+            if calls.iter().any(|(other, stream)| *other == id && !is_abandoned(stream)) {
+                overlaps.lock().unwrap().push(id.clone());
+            }
+            calls.push((id.clone(), out.try_clone().unwrap()));
+            drop(calls);
+            thread::sleep(work);
+            out_now.lock().unwrap().retain(|(other, _)| *other != id);
+            out.write_all(ok(&request).as_bytes()).is_ok()
+        });
+        CopyingEndpoint { address, runs, overlapping }
+    }
+
+    /// The messages that have run, in their order.
+    fn runs(&self) -> Vec<String> {
+        self.runs.lock().unwrap().clone()
+    }
+}
+
 /// Status 200, with the state `ok` for each message of a batch.
 fn ok(request: &Request) -> String {
     if request.target == "/hook" {
@@ -214,6 +272,65 @@
     assert!(!shifted || notices.iter().any(|(id, result)| id == "c3" && result == "dead"), "{notices:?}");
 }
 
+/// Guards against a once-only message that runs twice: a second copy of the refusal before it crosses its call, which runs
+/// for much longer than the calls before.
+#[test]
+fn a_copied_refusal_that_crosses_a_once_only_call_does_not_send_it_again() {
+    const WORK: Duration = Duration::from_millis(1500);
+    let refusal = || {
+        (Duration::ZERO, "HTTP/1.1 429 Busy\r\nRetry-After: 0.010\r\nContent-Length: 0\r\n\r\n".to_string())
+    };
+    // Connections that cost nothing are not shared behind a refusal; those that cost more than a message is worth are.
+    for (class, handshake, shares) in
+        [("again", 0.0, false), ("once", 0.0, false), ("again", 2.0, true), ("once", 2.0, true)]
+    {
+        // The copy belongs to the connection of the refusal: it is written there once the next call has been read.
+        let endpoint = CopyingEndpoint::new(refusal().1, WORK);
+        let platform = Platform::new();
+        platform.set_entry("e1", endpoint.address, "single", 7, "SERVING");
+        let courier = Courier::start(&platform, |config| {
+            config["settings"]["Penalties"] = json!({"Handshake": handshake});
+        });
+        let put = |id: &str, class: &str| assert_eq!(courier.client().put(id, class, LIFETIME), "+OK");
+        put("a1", class);
+        put("b2", "once");
+        wait_until("both ends", || courier.owes_nothing());
+        let runs = endpoint.runs();
+        let runs_of = |id: &str| runs.iter().filter(|run| *run == id).count();
+        let what = format!("behind {class}, shared: {shares}");
+        assert!(runs_of("b2") <= 1, "{what}: a once-only message has run {} times", runs_of("b2"));
+        let notices = platform.notices();
+        let end = notices.iter().find(|(id, _)| id == "b2").map(|(_, result)| &result[..]);
+        // Told of as dead, at once, where its answer may be a copy; never as one that may come again.
+        assert!(matches!((end, runs_of("b2")), (Some("dead"), _) | (None, 1)), "{what}: {end:?}");
+        if !shares {
+            assert_eq!(end, None, "{what}: delivered on a connection of its own");
+        }
+    }
+}
+
+/// Guards against two calls of a message at once where the settings forbid that: a copied refusal frees a message whose own call
+/// is still out.
+#[test]
+fn a_copied_refusal_does_not_have_a_message_called_twice_at_once() {
+    const WORK: Duration = Duration::from_millis(1500);
+    let refusal = "HTTP/1.1 429 Busy\r\nRetry-After: 0.010\r\nContent-Length: 0\r\n\r\n";
+    for class in ["again", "tagged"] {
+        let endpoint = CopyingEndpoint::new(refusal.to_string(), WORK);
+        let platform = Platform::new();
+        platform.set_entry("e1", endpoint.address, "single", 7, "SERVING");
+        let courier = Courier::start(&platform, |config| {
+            config["settings"]["Limits"]["MayDuplicate"] = json!(false);
+        });
+        let put = |id: &str| assert_eq!(courier.client().put(id, class, LIFETIME), "+OK");
+        put("a1");
+        put("b2");
+        wait_until("both ends", || courier.owes_nothing());
+        let overlapping = endpoint.overlapping.lock().unwrap().clone();
+        assert_eq!(overlapping, Vec::<String>::new(), "{class}: {:?}", endpoint.runs());
+    }
+}
+
 #[test]
 fn a_copied_answer_to_a_batch_ends_no_message_of_the_next_and_shifts_none() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/courier/tests/provisional.rs
+++ b/crates/courier/tests/provisional.rs
@@ -82,6 +82,43 @@
     }
 }
 
+/// Guards against a message that is called again as one that never ran, behind a refusal that may be another call's.
+#[test]
+fn behind_an_ambiguous_refusal_a_mail_may_have_run_at_once_and_after_a_kill() {
+    for is_killed in [false, true] {
+        for class in EFFECTS {
+            let mut fixture = start(Folder::new(), Clock::still(START), "single", ALLOWANCE);
+            let serial = serial(fixture.put("01", class, 1));
+            let call = fixture.call();
+            assert_eq!(fixture.exchange.begin(&call, call.mails.clone()).len(), 1);
+            let refused = ConnectReport::of(Outcome::Unsent);
+            fixture.exchange.connect_ended_ambiguously(serial, refused, Claim::NeverRan);
+            assert!(!fixture.exchange.is_held(serial), "nothing is waited for");
+            assert_eq!(fixture.exchange.counts.provisional.revoked.ambiguous, 1);
+            if is_killed {
+                fixture = after_a_kill(fixture);
+            }
+            let expected = if class == "once" { "dead" } else { "called again" };
+            assert_eq!(came_of(&mut fixture), expected, "{class}, killed: {is_killed}");
+        }
+    }
+}
+
+/// Guards against a tagged message that is sent when its endpoint may have forgotten its key: the window counts from the first
+/// call that may have run.
+#[test]
+fn behind_an_ambiguous_refusal_the_window_of_a_key_counts() {
+    let mut fixture = start(Folder::new(), Clock::still(START), "single", ALLOWANCE);
+    let serial = serial(fixture.put("01", "tagged", 1));
+    let call = fixture.call();
+    assert_eq!(fixture.exchange.begin(&call, call.mails.clone()).len(), 1);
+    let refused = ConnectReport::of(Outcome::Unsent);
+    fixture.exchange.connect_ended_ambiguously(serial, refused, Claim::NeverRan);
+    let again = fixture.calls().into_iter().chain(fixture.calls()).next().unwrap();
+    // The settings' window is 5 s.
+    assert_eq!(again.mails[0].send_before, START + 5 * SECOND);
+}
+
 #[test]
 fn an_outcome_is_confirmed_or_revoked_once_also_before_the_decisions_have_read_it() {
     for confirmed_first in [true, false] {
--- a/src/control.rs
+++ b/src/control.rs
@@ -619,6 +619,7 @@
                 // A call from before an outage does not show that the outage is over.
                 let predates_outage = e.health == Health::Down && started_at < e.health_since;
                 (e.last_success, e.failed_since_success, scope.refusals) = (now, false, 0);
+                scope.refusal_rate -= NEWEST_WEIGHT * scope.refusal_rate;
                 e.error_rate -= NEWEST_WEIGHT * e.error_rate;
                 e.latency.update(duration as f64, NEWEST_WEIGHT);
                 let d = &mut self.destinations[e.destination];
@@ -637,8 +638,12 @@
                     .for_each(|signal| self.apply_signal(endpoint, signal));
             }
             // Calls that are refused together count as one refusal.
-            Outcome::Refused if started_at < scope.last_refused_at => e.failed_since_success = true,
+            Outcome::Refused if started_at < scope.last_refused_at => {
+                e.failed_since_success = true;
+                scope.refusal_rate += NEWEST_WEIGHT * (1.0 - scope.refusal_rate);
+            }
             Outcome::Refused => {
+                scope.refusal_rate += NEWEST_WEIGHT * (1.0 - scope.refusal_rate);
                 self.outgoing_notes.push((endpoint, PeerNote::Refusing(retry_after)));
                 (e.failed_since_success, scope.last_refused_at) = (true, now);
                 scope.refusing_since = if scope.refusals == 0 { now } else { scope.refusing_since };
@@ -898,11 +903,10 @@
             let m = &mut self.mails[mail];
             (m.state, m.call) = (MailState::InFlight, slot);
             m.connects_used += 1;
-            // A break of a kept connection would lose a once-only mail. An ordered mail needs an outcome that is
-            // final at once, or the next of its key would be sent before it is over.
-            let new_connection = m.key.is_some()
-                || self.broken_reused > NEWEST_WEIGHT
-                    && self.settings.classes[m.class].effect == Effect::OnceOnly;
+            // An ordered mail needs an outcome that is final at once, or the next of its key would be sent before it is
+            // over.
+            let is_once_only = self.settings.classes[m.class].effect == Effect::OnceOnly;
+            let new_connection = m.key.is_some() || is_once_only && self.risks_kept_connection(endpoint);
             actions.push(Action::Connect { mail, endpoint, timeout, new_connection });
             sent += 1;
         }
@@ -919,6 +923,13 @@
         true
     }
 
+    /// Whether a once-only mail is likely to be lost on a kept connection to an endpoint: by a break, or by a refusal, which
+    /// may be a copy of an earlier one there, so that the mail may have run.
+    fn risks_kept_connection(&self, endpoint: usize) -> bool {
+        let refusal_rate = self.limit_scopes[self.endpoints[endpoint].limit_scope].refusal_rate;
+        self.broken_reused > NEWEST_WEIGHT || refusal_rate > self.settings.handshake_cost
+    }
+
     /// The most urgent mail that this endpoint may get. Repeated connects go only when no first connect can.
     fn select_mail(&self, destination: usize, endpoint: usize) -> Option<(usize, usize)> {
         let e = &self.endpoints[endpoint];
--- a/src/response_order.rs
+++ b/src/response_order.rs
@@ -7,7 +7,7 @@
 
 use smallvec::SmallVec;
 
-use crate::interface::Time;
+use crate::interface::{Effect, Time};
 
 /// Distinct answers that are remembered of a connection. Beyond them each answer counts as one that has come before.
 const MAX_KNOWN_ANSWERS: usize = 16;
@@ -83,6 +83,18 @@
     }
 }
 
+impl Attribution {
+    /// Whether silence on the connection can make an outcome that is not final at once final for a message of this effect.
+    /// Behind a refusal that may be a copy of an earlier one, the call of the message may still run, for longer than any
+    /// quiet period. An endpoint that refuses unasked sends no copy, and only a once-only message must not rely on that.
+    pub fn is_provable_by_silence(self, claim: Claim, effect: Effect) -> bool {
+        match claim {
+            Claim::Delivered | Claim::Over => true,
+            Claim::NeverRan => self == Attribution::NoCopy && effect != Effect::OnceOnly,
+        }
+    }
+}
+
 /// An outcome that is to be held until it is final.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Held {
--- a/src/state.rs
+++ b/src/state.rs
@@ -117,6 +117,8 @@
     pub refusing_since: Time,
     /// Time of the last refusal. One of a call that began before it adds no information.
     pub last_refused_at: Time,
+    /// The share of the latest calls that were refused.
+    pub refusal_rate: f64,
     /// Refusals that were observed or reported, decaying.
     pub refusal_notes: DecayingCount,
     /// Calls saved up at the rate.
@@ -153,6 +155,7 @@
         refusals: 0,
         refusing_since: 0,
         last_refused_at: 0,
+        refusal_rate: 0.0,
         refusal_notes: DecayingCount::ZERO,
         pace_tokens: TokenBucket::EMPTY,
         sent_calls: DecayingCount::ZERO,
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -196,6 +196,40 @@
     }
 }
 
+/// Guards against a once-only mail on a connection on which a copy of a refusal may come: behind a refusal it goes on a new one
+/// for as long as a further refusal is likelier than a connection costs.
+#[test]
+fn behind_a_refusal_once_only_mails_use_new_connections_for_a_while() {
+    for (handshake_cost, relayed, new_connection) in
+        [(0.0, 6, true), (0.04, 1, true), (0.04, 30, false), (0.5, 1, false)]
+    {
+        let settings = Settings { handshake_cost, ..settings() };
+        let mut courier = TestCourier::new(settings, SINGLE, 1, 0.0);
+        let mut ms = courier.relay_calls(0, 100, 6);
+        let sent = connects(&courier.submit(ms, REDELIVERABLE, 1));
+        courier.step(ms + 20, &[result(sent[0].0, Outcome::Refused, 20)]);
+        let again = connects(&courier.step(ms + 1000, &[]));
+        courier.step(ms + 1100, &[result(again[0].0, Outcome::Relayed, 100)]);
+        // Behind a refusal the courier goes slowly for a while.
+        ms += 1200;
+        for _ in 0..relayed {
+            ms += 1000;
+            ms = courier.relay_calls(ms, 100, 1);
+        }
+        let mut actions = courier.submit(ms, ONCE_ONLY, 1);
+        while connects(&actions).is_empty() {
+            ms += 100;
+            actions = courier.step(ms, &[]);
+        }
+        let is_new = |action: &Action| matches!(action, Action::Connect { new_connection: true, .. });
+        assert_eq!(
+            (connects(&actions).len(), actions.iter().any(is_new)),
+            (1, new_connection),
+            "{handshake_cost} {relayed}"
+        );
+    }
+}
+
 #[test]
 fn calls_refused_together_are_one_refusal_and_one_call_goes_first_after_it() {
     for wait in [0, 300] {
--- a/tests/response_order.rs
+++ b/tests/response_order.rs
@@ -1,7 +1,7 @@
 //! Which answers on a kept connection are believed: tables of cases, and a model of connections with copied answers.
 
 use fastrand::Rng;
-use meadowhold::interface::Time;
+use meadowhold::interface::{Effect, Time};
 use meadowhold::response_order::{
     AnswerTraits, Attribution, Claim, Held, NamedMessages, QuietPeriods, ResponseOrder, Settled,
 };
@@ -96,6 +96,25 @@
     }
 }
 
+/// Guards against a message that runs twice: a copy of an earlier refusal is followed by silence for as long as its call runs.
+#[test]
+fn silence_proves_no_refusal_that_may_be_a_copy_and_none_of_a_once_only_message() {
+    use Attribution::{Foreign, NoCopy, OutOfStep, Repeated};
+    let effects = [Effect::Redeliverable, Effect::Tagged, Effect::OnceOnly];
+    for (attribution, provable) in [
+        (NoCopy, [true, true, false]),
+        (Repeated, [false; 3]),
+        (OutOfStep, [false; 3]),
+        (Foreign, [false; 3]),
+    ] {
+        for (effect, provable) in effects.into_iter().zip(provable) {
+            let proven = |claim| attribution.is_provable_by_silence(claim, effect);
+            assert_eq!(proven(Claim::NeverRan), provable, "{attribution:?} {effect:?}");
+            assert!(proven(Claim::Delivered) && proven(Claim::Over));
+        }
+    }
+}
+
 #[test]
 fn more_answers_than_are_remembered_count_as_known() {
     let mut order = ResponseOrder::default();
