--- a/crates/courier/src/hollow.rs
+++ b/crates/courier/src/hollow.rs
@@ -22,8 +22,8 @@
 use crate::memory::{deployment, ListStore};
 use crate::relays;
 
-/// Delay between a turn and saving the list. A real courier saves at the end of a turn; here the other couriers in the
-/// process take their turns first, so that the measured time until a list is in force does not include their writes.
+/// Delay between a turn and saving the list. A real courier saves before the list is in force; here the other couriers in
+/// the process take their turns first, so that the measured time until a list is in force does not include their writes.
 const SAVE_DELAY: Duration = Duration::from_millis(50);
 
 /// Receives the list in place of an exchange.
