--- a/crates/rig/src/scripted.rs
+++ b/crates/rig/src/scripted.rs
@@ -513,6 +513,29 @@
         fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
     }
 
+    /// Largest resident memory of the process so far, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        let kibibytes: u64 = line.trim().trim_end_matches(" kB").parse().unwrap();
+        kibibytes << 10
+    }
+
+    /// Bytes that the system holds for it in the buffers of its clients' connections.
+    pub fn queued_bytes(&self) -> u64 {
+        let SocketAddr::V4(listen) = self.listen else { return 0 };
+        let local = format!("{:08X}:{:04X}", u32::from_le_bytes(listen.ip().octets()), listen.port());
+        let table = fs::read_to_string(format!("/proc/{}/net/tcp", self.child.id())).unwrap();
+        let fields = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+        // The queue of the listener itself is a count of connections. "0A" is the state of a listener.
+        let own = fields.filter(|fields| fields.get(1) == Some(&&local[..]) && fields[3] != "0A");
+        let queues = own.filter_map(|fields| {
+            fields[4].split_once(':').map(|(out, unread)| (out.to_string(), unread.to_string()))
+        });
+        let bytes = |text: &str| u64::from_str_radix(text, 16).unwrap();
+        queues.map(|(out, unread)| bytes(&out) + bytes(&unread)).sum()
+    }
+
     /// Sends a signal, given by its name with a dash, such as `-TERM`.
     pub fn signal(&self, name: &str) {
         let signal = match name {
