Crowds of clients: memory by a limit, and places given to those who make progress

Causes: limits.memory_mb was read by nobody, so that each of 341 clients could hold a buffer of up to 128 KiB; a client in the middle of a command could not be evicted, and was dropped from the order of eviction when it was tried, so that idle clients in good standing went first; the listener's queue had 128 places, beyond which the system drops requests that come again after a second.

Change: memory_mb is divided by name; a command longer than 4 KiB needs one of a fixed number of buffers; connections are evicted in the order turned away, in a first command, silent, in a further command, idle, with 50 ms for a command, and hear -BUSY within one; receive buffers are bounded; 1,024 places in the queue. Counts of evictions.

An idle connection holds no buffer now.

--- a/crates/courier/src/clients.rs
+++ b/crates/courier/src/clients.rs
@@ -1,7 +1,7 @@
 //! Accepts client connections, reads their commands and answers them.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::HashSet;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,9 +16,13 @@
 use crate::system_errors::is_momentary;
 use crate::{link, resp, system_errors};
 
+mod input_memory;
+mod open_connections;
 mod requests;
 mod turns;
 
+use input_memory::{Grant, InputMemory};
+use open_connections::{EvictionClass, EvictionKey, OpenConnections};
 use requests::{parse_offer, ID_PLACE, MAX_ID};
 use turns::{Turn, Turns, READ_SIZE};
 
@@ -28,9 +32,9 @@
 const LINGER: Duration = Duration::from_secs(3);
 /// How long to wait for an evicted connection to close before the next is evicted.
 const EVICTION_WAIT: Duration = Duration::from_millis(10);
-/// How many connections that were never answered are evicted together.
-const EVICTED_AT_ONCE: usize = 4;
 const DISCARD_SIZE: usize = 1 << 16;
+/// The answer to a command that is not read to its end for want of room.
+const REFUSAL: &[u8] = b"-BUSY\r\n";
 /// Time limit for the rest of a command after its first byte, and for a client to read its answers. Clients
 /// give up sooner.
 const COMMAND_TIMEOUT: Duration = Duration::from_secs(1);
@@ -68,9 +72,7 @@
 struct Clients {
     shared: Shared,
     max_sockets: usize,
-    /// Open connections, in the order in which they are evicted.
-    open: RefCell<BTreeMap<EvictionKey, Rc<Notify>>>,
-    touches: Cell<u64>,
+    open: RefCell<OpenConnections>,
     /// Number of client sockets, including evicted ones that are not closed yet.
     sockets: Rc<Cell<usize>>,
     ended: Notify,
@@ -79,21 +81,17 @@
     /// Buffer for input that is discarded.
     discard: RefCell<Vec<u8>>,
     turns: Turns,
+    input: InputMemory,
 }
 
-/// Which connections are evicted first. Connections that were already shut down on this side come first: if
-/// idle clients keep theirs open and they came last, every idle client would be closed before the first
-/// descriptor is free.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum EvictionClass {
-    TurnedAway,
-    Unanswered,
-    Answered,
+/// What clients may use of the process.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    pub sockets: usize,
+    /// For commands that are longer than one read, in bytes.
+    pub input_memory: u64,
 }
 
-/// A connection's class, and a counter of when it was last used.
-type EvictionKey = (EvictionClass, u64);
-
 /// Answers that are not written yet, and the mails whose acceptance they report.
 #[derive(Default)]
 struct Answers {
@@ -120,23 +118,23 @@
 pub async fn listen(
     shared: Shared,
     listener: TcpListener,
-    max_sockets: usize,
+    limits: Limits,
     sockets: Rc<Cell<usize>>,
     mut phase: watch::Receiver<Phase>,
 ) {
-    let (touches, discard) = (Cell::new(0), RefCell::new(vec![0; DISCARD_SIZE]));
+    let discard = RefCell::new(vec![0; DISCARD_SIZE]);
     let (open, unacknowledged, ended) = (RefCell::default(), RefCell::default(), Notify::new());
     let turns = Turns::new();
     let clients = Rc::new(Clients {
         shared,
-        max_sockets,
+        max_sockets: limits.sockets,
         open,
-        touches,
         sockets,
         ended,
         unacknowledged,
         discard,
         turns,
+        input: InputMemory::new(limits.input_memory),
     });
     let each = phase.clone();
     let mut out_of_descriptors = false;
@@ -181,6 +179,33 @@
     }
 }
 
+/// A connection's place in the order of eviction, given up when it is dropped.
+struct Place<'a> {
+    clients: &'a Clients,
+    key: EvictionKey,
+    /// Notified when the connection is evicted.
+    closed: Rc<Notify>,
+}
+
+impl<'a> Place<'a> {
+    fn new(clients: &'a Clients) -> Place<'a> {
+        let closed = Rc::new(Notify::new());
+        let key = clients.open.borrow_mut().place(None, EvictionClass::Silent, &closed);
+        Place { clients, key, closed }
+    }
+
+    /// Makes the connection the last one of a class.
+    fn change(&mut self, class: EvictionClass) {
+        self.key = self.clients.open.borrow_mut().place(Some(self.key), class, &self.closed);
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.clients.open.borrow_mut().remove(self.key);
+    }
+}
+
 impl Clients {
     /// Waits until a further connection fits. A burst stays in the listen backlog until evicted connections
     /// are closed, so that it does not take the descriptors of the notices and the journal.
@@ -197,43 +222,28 @@
     }
 
     async fn serve(self: Rc<Self>, mut stream: TcpStream, phase: watch::Receiver<Phase>) {
-        let (closed, mut eviction_key) = (Rc::new(Notify::new()), (EvictionClass::Unanswered, 0));
-        self.touch(&mut eviction_key, &closed, EvictionClass::Unanswered);
-        match self.serve_commands(&mut stream, phase, &closed, &mut eviction_key).await {
+        let mut place = Place::new(&self);
+        match self.serve_commands(&mut stream, phase, &mut place).await {
             Ok(true) => {
-                self.touch(&mut eviction_key, &closed, EvictionClass::TurnedAway);
-                self.drain_and_close(stream, &closed).await;
+                place.change(EvictionClass::TurnedAway);
+                self.drain_and_close(stream, &place.closed).await;
             }
             Ok(false) => {}
             Err(e) => log::debug!("a client's connection ended: {e}"),
         }
-        self.open.borrow_mut().remove(&eviction_key);
+        drop(place);
         self.sockets.set(self.sockets.get() - 1);
         self.ended.notify_one();
     }
 
-    /// Evicts the connections that have been idle for longest, so that a flood does not keep others out. A
-    /// client whose connection is closed between requests connects again.
+    /// Evicts connections, so that a flood does not keep others out. A client whose connection is closed between requests
+    /// connects again.
     fn evict(&self) {
-        let mut open = self.open.borrow_mut();
-        for first in 0..EVICTED_AT_ONCE {
-            let unanswered = open.first_key_value().is_some_and(|(key, _)| key.0 < EvictionClass::Answered);
-            if first > 0 && !unanswered {
-                return;
-            }
-            if let Some((_, oldest)) = open.pop_first() {
-                oldest.notify_one();
-            }
-        }
-    }
-
-    /// Marks the connection as the most recently used one of its class.
-    fn touch(&self, eviction_key: &mut EvictionKey, closed: &Rc<Notify>, class: EvictionClass) {
-        let mut open = self.open.borrow_mut();
-        open.remove(eviction_key);
-        self.touches.set(self.touches.get() + 1);
-        *eviction_key = (class, self.touches.get());
-        open.insert(*eviction_key, closed.clone());
+        let evicted = self.open.borrow_mut().evict();
+        let counts = &mut self.shared.borrow_mut().counts.clients;
+        counts.evicted_idle += evicted.idle as u64;
+        counts.evicted_unserved += evicted.unserved as u64;
+        counts.evicted_for_memory = self.input.evicted.get();
     }
 
     /// Shuts down this side and discards input for a while. Closing with unread input would send a reset, by
@@ -264,8 +274,7 @@
         &self,
         stream: &mut TcpStream,
         mut phase: watch::Receiver<Phase>,
-        closed: &Rc<Notify>,
-        eviction_key: &mut EvictionKey,
+        place: &mut Place<'_>,
     ) -> io::Result<bool> {
         if let Err(e) = stream.set_nodelay(true) {
             log::debug!("answers to a client may be held back: {e}");
@@ -277,6 +286,8 @@
         // closing.
         let (mut unanswered, mut answered, mut closing) = (0, false, 0);
         let mut is_readable = false;
+        let closed = place.closed.clone();
+        let mut grant: Option<Grant> = None;
         loop {
             let mut turn = self.turns.next().await;
             let read = if is_readable { read_some(stream, &mut buffer)? } else { None };
@@ -292,6 +303,11 @@
             answers.written = stream.try_write(&answers.bytes).unwrap_or(0);
             turn.end().await;
             is_readable = false;
+            if buffer.len() < READ_SIZE && grant.is_some() || buffer.is_empty() {
+                // An idle connection holds no buffer.
+                buffer = BytesMut::from(&buffer[..]);
+                grant = None;
+            }
             if !answers.bytes.is_empty() {
                 match self.write(stream, &mut answers).await {
                     Ok(true) => {}
@@ -299,7 +315,7 @@
                     Ok(false) => return Ok(true),
                     Err(_) => return Ok(false),
                 }
-                self.touch(eviction_key, closed, EvictionClass::Answered);
+                place.change(EvictionClass::Idle);
                 (answered, last_answer) = (true, Instant::now());
                 command_begun = (!buffer.is_empty()).then_some(last_answer);
                 unanswered = buffer.len();
@@ -326,12 +342,21 @@
             if idle && Instant::now() >= end + COMMAND_TIMEOUT {
                 return Ok(true);
             }
+            let in_command = if answered { EvictionClass::Continuing } else { EvictionClass::Beginning };
+            if command_begun.is_some() && place.key.0 != in_command {
+                place.change(in_command);
+            }
+            let needs_grant = buffer.len() >= READ_SIZE && grant.is_none();
             tokio::select! {
                 biased;
-                readable = stream.readable() => {
+                readable = stream.readable(), if !needs_grant => {
                     readable?;
                     is_readable = true;
                 }
+                granted = self.input.grant(&closed), if needs_grant => {
+                    granted.move_into_buffer(&mut buffer);
+                    grant = Some(granted);
+                }
                 () = tokio::time::sleep_until(end) => {
                     // Input that is already waiting is read, like a request on an idle connection.
                     if idle || !waits(stream) {
@@ -340,10 +365,16 @@
                     command_begun = Some(Instant::now());
                     is_readable = true;
                 }
-                () = closed.notified(), if command_begun.is_none() => {
-                    if !waits(stream) {
+                () = closed.notified() => {
+                    if needs_grant || !waits(stream) {
+                        if !buffer.is_empty() {
+                            log::debug!("a client is refused within a command, of which {} bytes were read", buffer.len());
+                            let _ = stream.try_write(REFUSAL);
+                        }
                         return Ok(true);
                     }
+                    place.change(place.key.0);
+                    grant.iter().for_each(Grant::goes_on);
                     is_readable = true;
                 }
                 changed = phase.changed(), if command_begun.is_none() => {
--- a/crates/courier/src/config.rs
+++ b/crates/courier/src/config.rs
@@ -25,6 +25,8 @@
     pub discovery: SocketAddr,
     pub state: PathBuf,
     pub sockets: usize,
+    /// Maximum memory of the process in bytes.
+    pub memory: u64,
     /// Maximum size of the state folder in bytes.
     pub disk: u64,
     /// A list beyond these limits is not applied.
@@ -79,6 +81,8 @@
 struct Limits {
     #[garde(custom(validate_sockets))]
     sockets: usize,
+    #[garde(custom(validate_memory))]
+    memory_mb: f64,
     #[garde(custom(validate_megabytes))]
     disk_mb: f64,
     #[garde(custom(validate_list_entries))]
@@ -90,7 +94,13 @@
 impl Default for Limits {
     fn default() -> Self {
         let reader::Limits { entries, bytes } = reader::Limits::default();
-        Limits { sockets: 1024, disk_mb: 3.0, list_entries: entries, list_mb: bytes as f64 / 1e6 }
+        Limits {
+            sockets: 1024,
+            memory_mb: 192.0,
+            disk_mb: 3.0,
+            list_entries: entries,
+            list_mb: bytes as f64 / 1e6,
+        }
     }
 }
 
@@ -126,6 +136,11 @@
     ensure(*sockets >= 64, || "is under 64".to_string())
 }
 
+/// With less, hardly any would be left besides the program itself.
+fn validate_memory(megabytes: &f64, (): &()) -> garde::Result {
+    ensure(*megabytes >= 16.0 && *megabytes < 1e9, || "is under 16 or no size".to_string())
+}
+
 fn validate_list_entries(entries: &usize, (): &()) -> garde::Result {
     ensure(*entries > 0, || "must be at least 1".to_string())
 }
@@ -412,6 +427,7 @@
             discovery,
             state: state.into(),
             sockets: file.limits.sockets,
+            memory: (file.limits.memory_mb * 1e6) as u64,
             disk: (file.limits.disk_mb * 1e6) as u64,
             list_limits: reader::Limits {
                 entries: file.limits.list_entries,
--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -199,6 +199,17 @@
     ready: bool,
 }
 
+/// Connections of clients that were closed for want of room.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClientCounts {
+    /// Between two commands.
+    pub evicted_idle: u64,
+    /// Before the first answer, or within a command.
+    pub evicted_unserved: u64,
+    /// Within a long command, for want of memory.
+    pub evicted_for_memory: u64,
+}
+
 /// Counts since the start of the process, for the log.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -226,6 +237,7 @@
     pub heard: u64,
     pub connections: ConnectionCounts,
     pub provisional: ProvisionalCounts,
+    pub clients: ClientCounts,
     /// Violated invariants.
     pub broken: u64,
 }
@@ -276,6 +288,8 @@
     journal: Journal,
     keeper: ListStore,
     journal_failed: bool,
+    /// The most bytes that messages in hand may take.
+    max_message_bytes: u64,
     inputs: Vec<Input>,
     actions: Vec<Action>,
     wake: Option<Time>,
@@ -442,6 +456,7 @@
             next_incarnation: 1,
             journal,
             journal_failed: false,
+            max_message_bytes: u64::MAX,
             inputs: Vec::new(),
             actions: Vec::new(),
             wake: None,
@@ -464,6 +479,11 @@
         exchange
     }
 
+    /// Limits the bytes of the messages in hand; those that are held already stay.
+    pub fn limit_message_bytes(&mut self, bytes: u64) {
+        self.max_message_bytes = bytes;
+    }
+
     /// Restores the mails of an earlier process, in the order of acceptance, or by importance and then
     /// deadline.
     fn restore(&mut self, mut found: JournalContents) {
@@ -604,6 +624,7 @@
         log::debug!("mail {serial} of class {class} for destination {} received", owed.destination);
         if self.open_mails >= self.max_open
             || self.control.would_reject(destination, class, owed.deadline)
+            || self.journal.owed_bytes() + owed.body.len() as u64 > self.max_message_bytes
             || !self.journal.has_room(&owed)
             || !self.append_record(&Record::Accepted { serial, owed: &owed })
         {
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod list_file;
 pub mod members;
 pub mod memory;
+pub mod memory_budget;
 pub mod notes;
 pub mod notices;
 pub mod numbers;
@@ -42,7 +43,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout, Instant};
@@ -52,6 +53,7 @@
 use config::Config;
 use exchange::{Exchange, Shared};
 use journal::Journal;
+use memory_budget::MemoryBudget;
 use settings_changes::{Change, SettingsState, Start};
 
 /// Checks an invariant: asserts it in debug builds, counts and logs a violation in release builds.
@@ -68,6 +70,9 @@
 
 /// File descriptors reserved for the process itself, the journal, discovery and notices.
 const RESERVED_DESCRIPTORS: usize = 32;
+/// Connections that wait to be accepted. Beyond it the system drops requests for a connection, which clients repeat only a
+/// second later.
+const LISTEN_BACKLOG: u32 = 1024;
 /// Periods of a shutdown, from the request on: new clients are accepted (`ACCEPT_PERIOD`), calls are started and the
 /// last clients served (`CALL_START_PERIOD`), calls in flight are awaited (`CALL_WAIT_PERIOD`), and the notices are sent
 /// of mails that expire before the next process begins its calls (`CALL_END_PERIOD`). The platform kills the process no
@@ -100,9 +105,11 @@
     changes: mpsc::UnboundedReceiver<Change>,
     stop: impl Future<Output = ()>,
 ) -> io::Result<()> {
-    let Config { name, listen, state, sockets, disk, known, decoded, peers, relays, list_limits, .. } =
-        config;
+    let Config {
+        name, listen, state, sockets, memory, disk, known, decoded, peers, relays, list_limits, ..
+    } = config;
     let client_sockets = sockets / 3;
+    let budget = MemoryBudget::of(memory, sockets);
     let limits = endpoints::Limits {
         connect_timeout: exchange::to_duration(decoded.settings.connection_timeout),
         idle_timeout: exchange::to_duration(decoded.settings.idle_timeout),
@@ -110,7 +117,7 @@
         may_overlap: decoded.may_overlap,
     };
     // Bound first, so that a courier started twice by mistake fails before it touches any file.
-    let bound = TcpListener::bind(listen).await;
+    let bound = listen_for_clients(listen, &budget);
     let listener = bound.map_err(|e| io::Error::new(e.kind(), format!("cannot listen at {listen}: {e}")))?;
     let journal = Journal::open(&state, disk);
     let journal =
@@ -137,6 +144,7 @@
     // Uses the list version of the configuration, not the saved one: if the registry has restarted its numbering, its
     // lists would be taken for older ones.
     let index = known.index;
+    exchange.limit_message_bytes(budget.messages);
     exchange.restore_list(known, |kept| settings.accepts_list_of(kept));
     settings_changes::record_start(&mut exchange, &mut settings, &state, disk);
     let shared: Shared = Rc::new(RefCell::new(exchange));
@@ -158,7 +166,7 @@
     let listening = tasks.spawn_local(clients::listen(
         shared.clone(),
         listener,
-        client_sockets,
+        clients::Limits { sockets: client_sockets, input_memory: budget.client_input },
         clients.clone(),
         phase_in,
     ));
@@ -210,6 +218,17 @@
     Ok(())
 }
 
+/// Binds the clients' listener. Its connections inherit the size of the receive buffer.
+fn listen_for_clients(address: SocketAddr, budget: &MemoryBudget) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    if let Err(e) = socket.set_recv_buffer_size(budget.receive_buffer_setting()) {
+        log::warn!("the receive buffers of clients cannot be limited: {e}");
+    }
+    socket.bind(address)?;
+    socket.listen(LISTEN_BACKLOG)
+}
+
 /// Saves the time for the next process, and again from time to time: after a reboot only the system time tells how much has
 /// passed since.
 async fn keep_clock_saved(clock: Clock, folder: PathBuf) {
--- a/crates/courier/tests/crossing_clients.rs
+++ b/crates/courier/tests/crossing_clients.rs
@@ -15,7 +15,7 @@
 use common::{
     command, put, settings, unique_address, wait_until, Client, Courier, Endpoint, Folder, Platform, Reply,
 };
-use meadowhold_courier::clients::{listen, Phase};
+use meadowhold_courier::clients::{listen, Limits, Phase};
 use meadowhold_courier::discovery::List;
 use meadowhold_courier::exchange::{Exchange, Shared};
 use meadowhold_courier::journal::Journal;
@@ -72,7 +72,13 @@
         let listener = tokio::net::TcpListener::from_std(socket.into()).unwrap();
         let address = listener.local_addr().unwrap();
         let (phase, phase_in) = watch::channel(Phase::Serving);
-        tokio::task::spawn_local(listen(shared.clone(), listener, 64, Rc::default(), phase_in));
+        tokio::task::spawn_local(listen(
+            shared.clone(),
+            listener,
+            Limits { sockets: 64, input_memory: 1 << 20 },
+            Rc::default(),
+            phase_in,
+        ));
         InProcess { shared, address, phase, _folder: folder }
     }
 
