A message whose client has ended its connection before it was read is refused

Cause: a connection was read to its end before its close was seen, so that all requests before the close were taken on; their answers can still be written, so nothing was withdrawn.

Fix: the end of the client's sending is seen from the socket's readiness, also with unread bytes before it; from then on its messages are answered -BUSY, other commands as before. A copy of an earlier request still gets the answer to that one. A client that has closed all of its connection reads nothing; one that has only ended its sending reads that it may hand the message in again.

Price: a client that ends its side right behind a request and waits for the answer is refused, as it can't be told from one that has left; the README's example keeps its side open.

--- a/crates/courier/src/clients.rs
+++ b/crates/courier/src/clients.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
 use tokio::time::{timeout, Instant};
@@ -98,6 +98,8 @@
     bytes: BytesMut,
     /// How many of the bytes are written.
     written: usize,
+    /// The client has closed its side, or all of the connection.
+    client_has_ended: bool,
     /// For each accepted mail: the end of its answer in `bytes`, its serial number and its id.
     taken: Vec<(usize, u64, Bytes)>,
 }
@@ -298,6 +300,7 @@
                 unanswered += read;
                 command_begun = command_begun.or(Some(Instant::now()));
             }
+            answers.client_has_ended = has_ended_sending(stream).await;
             let stopped = self.answer_all(&mut buffer, &mut answers, &mut turn);
             // Before the decisions can have a message called: one is withdrawn only if it was not.
             answers.written = stream.try_write(&answers.bytes).unwrap_or(0);
@@ -439,6 +442,9 @@
         if is("MSG.PUT") {
             turn.add_request();
             let (id, answer) = match parse_offer(words) {
+                Ok(offer) if answers.client_has_ended => {
+                    (offer.id.clone(), self.shared.borrow_mut().refuse_ended_client(&offer))
+                }
                 Ok(offer) => (offer.id.clone(), self.shared.borrow_mut().hand_in(offer)),
                 Err(text) => (words.get(ID_PLACE).cloned().unwrap_or_default(), Answer::Failed(text)),
             };
@@ -472,6 +478,17 @@
     }
 }
 
+/// Whether the end of the client's sending has come, although there may be unread bytes before it.
+async fn has_ended_sending(stream: &TcpStream) -> bool {
+    tokio::select! {
+        biased;
+        ready = tokio::task::unconstrained(stream.ready(Interest::READABLE)) => {
+            ready.is_ok_and(|ready| ready.is_read_closed())
+        }
+        () = std::future::ready(()) => false,
+    }
+}
+
 /// Reads what has come, of at most `READ_SIZE` bytes; `None` if there is nothing yet, 0 at the end of the connection.
 fn read_some(stream: &TcpStream, buffer: &mut BytesMut) -> io::Result<Option<usize>> {
     buffer.reserve(READ_SIZE);
--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -208,6 +208,8 @@
     pub evicted_unserved: u64,
     /// Within a long command, for want of memory.
     pub evicted_for_memory: u64,
+    /// Requests that were refused since their client had ended its connection.
+    pub refused_ended: u64,
 }
 
 /// Counts since the start of the process, for the log.
@@ -649,6 +651,14 @@
         Answer::Taken(serial)
     }
 
+    /// Refuses a message whose client has ended its connection, or its side of it, before the request was read: a client
+    /// that has closed all of it cannot read the answer, and may hand the message in again. A copy of an earlier request
+    /// gets the answer to that one.
+    pub fn refuse_ended_client(&mut self, offer: &Offer) -> Answer {
+        self.counts.clients.refused_ended += 1;
+        self.answer_to_copy(offer).unwrap_or(Answer::Busy)
+    }
+
     /// Computes the class numbers under other settings, without changing anything.
     ///
     /// # Errors
