Refused requests are remembered apart, so that a flood does not push out ended messages

Cause: one table of 8,192 places held refused requests and ended messages, and a client that is refused at full speed turns it over in a second; the copy of a delivered request was then a new one. Evidence: client_left, the copy behind 9,000 refusals was answered as new.

Fix: refused and ended requests have a table each. A flood of sound requests can still push out ended ones, at the rate at which messages end.

--- a/crates/courier/src/exchange/answered_requests.rs
+++ b/crates/courier/src/exchange/answered_requests.rs
@@ -13,7 +13,7 @@
 /// How long after the answer a copy of a request may come: clients wait 0.4 s, and a copy may wait in the backlog of a
 /// process that is busy or starts.
 const COPY_WINDOW: Time = 10 * SECOND;
-/// Bounds the memory under a flood of requests; the oldest are forgotten first.
+/// Bounds the memory for ended messages, and under a flood for refused requests; the oldest of each are forgotten first.
 pub const MAX_REMEMBERED: usize = 8192;
 
 /// What became of a request.
@@ -56,9 +56,17 @@
     hasher.finish()
 }
 
-/// The latest of these requests, by id.
+/// The latest requests that were answered. Refused ones are kept apart, so that a flood of them does not push out the ended
+/// messages, which must not run again.
 #[derive(Default)]
 pub struct AnsweredRequests {
+    ended: LatestRequests,
+    refused: LatestRequests,
+}
+
+/// The latest requests, by id.
+#[derive(Default)]
+struct LatestRequests {
     by_id: HashMap<Bytes, (Time, RequestEnd)>,
     /// In the order of their ends. An id may stand here more than once.
     oldest_first: VecDeque<(Time, Bytes)>,
@@ -66,6 +74,24 @@
 
 impl AnsweredRequests {
     pub fn remember(&mut self, now: Time, id: &Bytes, end: RequestEnd) {
+        match end {
+            RequestEnd::Refused(_) => self.refused.remember(now, id, end),
+            RequestEnd::Delivered | RequestEnd::GivenUp(_) => {
+                self.refused.by_id.remove(id);
+                self.ended.remember(now, id, end);
+            }
+        }
+    }
+
+    /// The answer to a request that is a copy of one of these.
+    pub fn answer_to(&self, now: Time, offer: &Offer) -> Option<Answer> {
+        let ended = self.ended.answer_to(now, offer);
+        ended.or_else(|| self.refused.answer_to(now, offer))
+    }
+}
+
+impl LatestRequests {
+    fn remember(&mut self, now: Time, id: &Bytes, end: RequestEnd) {
         self.forget(now);
         // Copied, since the id is a slice of a larger buffer.
         let id = Bytes::copy_from_slice(id);
@@ -73,8 +99,7 @@
         self.by_id.insert(id, (now, end));
     }
 
-    /// The answer to a request that is a copy of one of these.
-    pub fn answer_to(&self, now: Time, offer: &Offer) -> Option<Answer> {
+    fn answer_to(&self, now: Time, offer: &Offer) -> Option<Answer> {
         let &(at, end) = self.by_id.get(&offer.id)?;
         (now < at + COPY_WINDOW).then(|| end.answer_to(offer)).flatten()
     }
