The process tells how late its event loop runs, and of its memory before the limit

Change: process_watch checks ten times a second how late it runs (histogram in the minute's counts, a line from 50 ms on) and once a second its resident memory against limits.memory_mb (a line at half, three quarters and nine tenths, the last a warning, with messages in hand and evictions; the peak in the counts).

--- a/crates/courier/src/exchange.rs
+++ b/crates/courier/src/exchange.rs
@@ -30,6 +30,7 @@
 use crate::memory::{deployment, ListStore};
 use crate::numbers::Classes;
 use crate::pool::ConnectionCounts;
+use crate::process_watch::ProcessCounts;
 use crate::{http, must};
 
 pub mod answered_requests;
@@ -240,6 +241,7 @@
     pub connections: ConnectionCounts,
     pub provisional: ProvisionalCounts,
     pub clients: ClientCounts,
+    pub process: ProcessCounts,
     /// Violated invariants.
     pub broken: u64,
 }
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod numbers;
 pub mod platform;
 pub mod pool;
+pub mod process_watch;
 pub mod reader;
 pub mod relay;
 pub mod relays;
@@ -171,6 +172,7 @@
         phase_in,
     ));
     tasks.spawn_local(log_counts(shared.clone()));
+    tasks.spawn_local(process_watch::run(shared.clone(), budget.limit));
     tasks.spawn_local(settings_changes::follow(shared.clone(), settings, (state, disk), changes));
     if let Some((socket, others)) = notes {
         tasks.spawn_local(notes::run(shared.clone(), socket, others, peer_notes_in));
@@ -246,7 +248,8 @@
         sleep(COUNTS_LOG_INTERVAL).await;
         let exchange = shared.borrow();
         let (counts, in_hand) = (exchange.counts, exchange.in_hand());
-        if counts != last {
+        // The event loop's delays change all the time.
+        if (exchange::Counts { process: last.process, ..counts }) != last {
             let versions = exchange.versions.summary(exchange.clock.now());
             let versions = versions.map(|summary| format!("; {summary}")).unwrap_or_default();
             log::info!("{in_hand} mails in hand, {counts:?}{versions}");
--- a/crates/courier/tests/client_crowds.rs
+++ b/crates/courier/tests/client_crowds.rs
@@ -3,13 +3,15 @@
 
 mod common;
 
+use std::io::Read;
 use std::net::SocketAddr;
+use std::process::Stdio;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use common::{put, Client, Courier, Endpoint, Platform};
+use common::{command, put, unique_address, wait_until_ready, Client, Courier, Endpoint, Folder, Platform};
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -186,3 +188,26 @@
     let request = format!("*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$1\r\nx\r\n${}\r\n{fields}", fields.len() + 9);
     check_crowd("many words", Habit { at_once: request.into_bytes(), dripped: Vec::new() });
 }
+
+/// Guards against a process that says nothing of its memory before the system ends it.
+#[test]
+fn a_courier_that_nears_its_memory_limit_says_so() {
+    let (platform, folder) = (Platform::new(), Folder::new());
+    let listen = unique_address();
+    let mut config = common::config(&platform, listen);
+    // Less than half of what the program takes alone is not accepted as a limit; a debug build is over half of this.
+    config["limits"]["memory_mb"] = json!(16);
+    let mut command = command(&folder, &config, "serve");
+    let mut child = command.env("RUST_LOG", "info").stderr(Stdio::piped()).spawn().unwrap();
+    let mut log = child.stderr.take().unwrap();
+    wait_until_ready(listen);
+    let ids: Vec<u8> =
+        (0..40).flat_map(|i| put("0", &format!("m{i}"), "again", "d=5000", &[b'x'; LARGE_BODY])).collect();
+    let _ = Client::connect(listen).unwrap().request(&ids);
+    thread::sleep(Duration::from_millis(2500));
+    child.kill().unwrap();
+    child.wait().unwrap();
+    let mut text = String::new();
+    log.read_to_string(&mut text).unwrap();
+    assert!(text.contains("MB of 16.0 MB are used (limits.memory_mb)"), "{text}");
+}
