--- a/crates/rig/src/day.rs
+++ b/crates/rig/src/day.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use toml::{Table, Value};
 
+use crate::crowd::Habit;
 use crate::relay::AnswerFault;
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -37,6 +38,9 @@
     pub spare: usize,
     /// Additional clients per courier that connect, send no request and stay connected for as long as they can.
     pub idle: usize,
+    /// Additional clients per courier that hold its places, memory and time for as long as they can, and what they do.
+    pub crowd: usize,
+    pub crowd_habit: Habit,
     /// Shortest and longest lifetime of a mail, in milliseconds.
     pub time_ms: [u64; 2],
     /// Size of a mail's body in bytes.
@@ -93,6 +97,8 @@
     pub slots: usize,
     pub room: usize,
     pub sockets: usize,
+    /// Memory limit in millions of bytes.
+    pub memory_mb: f64,
     /// Size limit of its folder, in millions of bytes.
     pub disk_mb: f64,
     pub connect_ms: u64,
@@ -281,6 +287,8 @@
             clients: 2,
             spare: 0,
             idle: 0,
+            crowd: 0,
+            crowd_habit: Habit::default(),
             time_ms: [2000, 5000],
             body: 64,
             again,
@@ -319,7 +327,15 @@
 
 impl Default for Courier {
     fn default() -> Courier {
-        Courier { slots: 16, room: 400, sockets: 256, disk_mb: 3.0, connect_ms: 1000, clock_step_s: 0 }
+        Courier {
+            slots: 16,
+            room: 400,
+            sockets: 256,
+            memory_mb: 192.0,
+            disk_mb: 3.0,
+            connect_ms: 1000,
+            clock_step_s: 0,
+        }
     }
 }
 
@@ -414,6 +430,7 @@
         bound("mails.time_ms", m.time_ms[0] as f64, 100.0, m.time_ms[1] as f64);
         bound("mails.spare", m.spare as f64, 0.0, 32.0);
         bound("mails.idle", m.idle as f64, 0.0, 1000.0);
+        bound("mails.crowd", m.crowd as f64, 0.0, 1000.0);
         bound("mails.body", m.body as f64, 0.0, 60_000.0);
         bound("mails.keys", m.keys as f64, 1.0, 1000.0);
         let shares = [("withdrawn", m.withdrawn), ("resent", m.resent)];
@@ -437,6 +454,7 @@
         bound("courier.slots", self.courier.slots as f64, 1.0, 1000.0);
         bound("courier.room", self.courier.room as f64, 1.0, 100_000.0);
         bound("courier.sockets", self.courier.sockets as f64, 64.0, 4096.0);
+        bound("courier.memory_mb", self.courier.memory_mb, 16.0, 100_000.0);
         bound("courier.disk_mb", self.courier.disk_mb, 0.005, 1000.0);
         bound("courier.connect_ms", self.courier.connect_ms as f64, 10.0, 60_000.0);
         let n = &self.notes;
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod client;
 pub mod command;
+pub mod crowd;
 pub mod day;
 pub mod endpoint;
 pub mod fit;
--- a/crates/rig/src/soak/draw.rs
+++ b/crates/rig/src/soak/draw.rs
@@ -4,6 +4,7 @@
 
 use fastrand::Rng;
 
+use crate::crowd::Habit;
 use crate::day::{Courier, Day, Endpoints, Link, List, Mails, Rules, Sent, Trouble, What};
 use crate::relay::AnswerFault;
 
@@ -31,6 +32,12 @@
 /// Shares of the mails that are withdrawn, and of the requests that are sent twice.
 const WITHDRAWN: [f64; 3] = [0.0, 0.02, 0.1];
 const RESENT: [f64; 3] = [0.0, 0.02, 0.1];
+/// Share of the seeds with a crowd, its size where the clients are slow and where they send at full speed, and the memory
+/// limit then.
+const CROWD_SHARE: f64 = 0.4;
+const CROWD_CLIENTS: usize = 400;
+const FLOODING_CLIENTS: usize = 12;
+const LEAST_MEMORY_MB: f64 = 32.0;
 /// Shares of the answers that are spoilt, of endpoints and of the list.
 const SPOILT_SHARE: [f64; 2] = [0.03, 0.06];
 const LIST_SPOILT_SHARE: f64 = 0.2;
@@ -81,6 +88,7 @@
         day.mails.resent = RESENT[chance.usize(..RESENT.len())];
         day.trouble.extend(failing_disk(&mut chance, at));
         day.trouble.extend(late_kills(&mut chance, at));
+        draw_crowd(&mut chance, &mut day);
         DrawnDay { seed, day }
     }
 }
@@ -207,6 +215,17 @@
     })
 }
 
+/// On some seeds, clients that hold the courier's places, memory and time; its memory limit is then the platform's least.
+fn draw_crowd(chance: &mut Rng, day: &mut Day) {
+    if chance.f64() >= CROWD_SHARE {
+        return;
+    }
+    let habit = Habit::ALL[chance.usize(..Habit::ALL.len())];
+    day.mails.crowd = if habit.is_at_full_speed() { FLOODING_CLIENTS } else { CROWD_CLIENTS };
+    day.mails.crowd_habit = habit;
+    day.courier.memory_mb = LEAST_MEMORY_MB;
+}
+
 /// Answers that are copied, missing or out of order, for the whole day: those of the endpoints, and on half of the seeds
 /// those to notices and list requests too.
 fn spoilt_answers(chance: &mut Rng, day: &Day) -> Vec<Trouble> {
@@ -243,6 +262,9 @@
             day.mails.withdrawn,
             day.mails.resent
         )?;
+        if day.mails.crowd > 0 {
+            write!(f, ", {} clients: {:?}", day.mails.crowd, day.mails.crowd_habit)?;
+        }
         for trouble in &day.trouble {
             let Some(what) = trouble.what else { continue };
             write!(f, ", {what:?} at {:.2}", trouble.at_s[0])?;
--- a/crates/rig/tests/soak.rs
+++ b/crates/rig/tests/soak.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 
 use common::binary;
+use meadowhold_rig::crowd::Habit;
 use meadowhold_rig::day::{Day, Link, Sent, Trouble, What};
 use meadowhold_rig::judge::{Rule, Verdict};
 use meadowhold_rig::run::{run_with, Defect, Options};
@@ -53,6 +54,10 @@
         days.iter().any(|day| day.mails.withdrawn > 0.0) && days.iter().any(|day| day.mails.resent > 0.0)
     );
     assert!(days.iter().any(|day| day.courier.sockets == 200) && has(What::DiskFails) >= 20);
+    for habit in Habit::ALL {
+        let crowded = days.iter().filter(|day| day.mails.crowd > 0 && day.mails.crowd_habit == habit).count();
+        assert!(crowded >= 5, "{habit:?}: {crowded}");
+    }
     let late =
         days.iter().flat_map(|day| &day.trouble[1..]).filter(|t| t.what == Some(What::Signals)).count();
     assert!(late >= 20, "{late}");
