A new agent at the address of one that has gone is not taken for the old one

Cause: a whole list of a lower version than the one that is held was passed over for ever unless the address changed; an agent that starts anew at its address and counts from 1 was taken for the old one with old news. Evidence: restarted_agent failed before: 20 calls in a second at an address that was another destination's by then, later than 6 s after the new agent's start.

Fix: a refused connection shows that the agent's process has gone. From then on lists of a lower version are passed over only for as long as after a change of the address (2.1 s, 3 s where lists are asked for), and one that comes on a watch has the whole list asked for. An agent that lags and was never gone is treated as before.

Left: an agent that is replaced so fast that no connection is refused.

--- a/crates/courier/src/discovery.rs
+++ b/crates/courier/src/discovery.rs
@@ -164,6 +164,13 @@
     Status(u16),
 }
 
+impl Event {
+    /// Nobody listens at the source's address.
+    fn is_refused(&self) -> bool {
+        matches!(self, Event::Failed(e) if e.kind() == io::ErrorKind::ConnectionRefused)
+    }
+}
+
 /// Sends one request and reports its response. Dropping the future cancels the request and closes its connection.
 async fn send_request(address: SocketAddr, path: String, out: &mpsc::Sender<Event>) -> io::Result<Event> {
     let mut connection = Connection::open(address).await?;
@@ -270,10 +277,12 @@
         let mut input = Input::Headers;
         let separated = reader.read(bytes, |list| {
             match self.apply(&list)? {
-                Verdict::AcceptAndRefetch | Verdict::IgnoreAndRefetch => input = Input::VersionGap,
-                Verdict::Accept | Verdict::Ignore | Verdict::IgnoreAndRetry if input == Input::VersionGap => {
+                // A source whose whole list is of a lower version may have started anew: its list is asked for again.
+                Verdict::AcceptAndRefetch | Verdict::IgnoreAndRefetch | Verdict::IgnoreAndRetry => {
+                    input = Input::VersionGap;
                 }
-                Verdict::Accept | Verdict::Ignore | Verdict::IgnoreAndRetry => input = Input::WatchData,
+                Verdict::Accept | Verdict::Ignore if input == Input::VersionGap => {}
+                Verdict::Accept | Verdict::Ignore => input = Input::WatchData,
             }
             Ok(())
         })?;
@@ -348,10 +357,14 @@
     async fn run(mut self) {
         loop {
             let due = self.clock.instant(self.schedule.due());
+            let mut is_refused = false;
             let (input, reason) = tokio::select! {
                 biased;
                 () = address_changed(&mut self.address) => (Input::AddressChanged, String::new()),
-                event = next_event(&mut self.events) => self.read(event),
+                event = next_event(&mut self.events) => {
+                    is_refused = event.is_refused();
+                    self.read(event)
+                }
                 () = tokio::time::sleep_until(due.into()) => (Input::Timer, "discovery is silent".to_string()),
             };
             let (now, failed) = (self.clock.now(), self.schedule.consecutive_failures());
@@ -359,6 +372,10 @@
             if input == Input::AddressChanged {
                 self.version.address_changed(self.schedule.ignores_lower_until(now));
             }
+            if is_refused {
+                let until = self.schedule.ignores_lower_until(now);
+                self.version.source_is_gone(until);
+            }
             let effect = self.schedule.handle(now, input, self.rng.f64());
             self.last_heard.note(now, input, effect);
             match effect {
--- a/crates/courier/src/schedule.rs
+++ b/crates/courier/src/schedule.rs
@@ -344,6 +344,12 @@
         self.accept_lower_from = Some(until);
     }
 
+    /// Nobody listens at the source's address: the next process there may count its versions anew. Whole lists of a lower
+    /// version are ignored until then.
+    pub fn source_is_gone(&mut self, until: Time) {
+        self.accept_lower_from.get_or_insert(until);
+    }
+
     /// Decides what to do with a list or change of this version. `first`: it is the first object of a watch, which covers
     /// all changes after the version in the request.
     pub fn judge(&mut self, now: Time, index: u64, whole: bool, entries: usize, first: bool) -> Verdict {
