--- a/crates/courier/src/clients.rs
+++ b/crates/courier/src/clients.rs
@@ -287,25 +287,27 @@
         // Bytes received since the last answer, whether any answer was written, and answers written while
         // closing.
         let (mut unanswered, mut answered, mut closing) = (0, false, 0);
-        let mut is_readable = false;
+        let (mut is_readable, mut stopped) = (false, Stopped::Nothing);
         let closed = place.closed.clone();
         let mut grant: Option<Grant> = None;
         loop {
-            let mut turn = self.turns.next().await;
-            let read = if is_readable { read_some(stream, &mut buffer)? } else { None };
-            if read == Some(0) {
-                return Ok(false);
-            }
-            if let Some(read) = read {
-                unanswered += read;
-                command_begun = command_begun.or(Some(Instant::now()));
+            if is_readable || stopped == Stopped::More {
+                let mut turn = self.turns.next().await;
+                let read = if is_readable { read_some(stream, &mut buffer)? } else { None };
+                if read == Some(0) {
+                    return Ok(false);
+                }
+                if let Some(read) = read {
+                    unanswered += read;
+                    command_begun = command_begun.or(Some(Instant::now()));
+                }
+                answers.client_has_ended = has_ended_sending(stream).await;
+                stopped = self.answer_all(&mut buffer, &mut answers, &mut turn);
+                // Before the decisions can have a message called: one is withdrawn only if it was not.
+                answers.written = stream.try_write(&answers.bytes).unwrap_or(0);
+                turn.end().await;
+                is_readable = false;
             }
-            answers.client_has_ended = has_ended_sending(stream).await;
-            let stopped = self.answer_all(&mut buffer, &mut answers, &mut turn);
-            // Before the decisions can have a message called: one is withdrawn only if it was not.
-            answers.written = stream.try_write(&answers.bytes).unwrap_or(0);
-            turn.end().await;
-            is_readable = false;
             if buffer.len() < READ_SIZE && grant.is_some() || buffer.is_empty() {
                 // An idle connection holds no buffer.
                 buffer = BytesMut::from(&buffer[..]);
@@ -492,9 +494,18 @@
 /// Reads what has come, of at most `READ_SIZE` bytes; `None` if there is nothing yet, 0 at the end of the connection.
 fn read_some(stream: &TcpStream, buffer: &mut BytesMut) -> io::Result<Option<usize>> {
     buffer.reserve(READ_SIZE);
-    match stream.try_read_buf(&mut buffer.limit(READ_SIZE)) {
-        Ok(read) => Ok(Some(read)),
-        Err(e) if e.kind() == io::ErrorKind::WouldBlock || is_momentary(&e) => Ok(None),
-        Err(e) => Err(e),
+    let mut total = 0;
+    // Up to the read that finds nothing: only that one tells the runtime that the socket is not ready any more.
+    while total < READ_SIZE {
+        match stream.try_read_buf(&mut buffer.limit(READ_SIZE - total)) {
+            // The end is found again by the next read.
+            Ok(0) if total > 0 => break,
+            Ok(0) => return Ok(Some(0)),
+            Ok(read) => total += read,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock || is_momentary(&e) => break,
+            Err(e) if total == 0 => return Err(e),
+            Err(_) => break,
+        }
     }
+    Ok((total > 0).then_some(total))
 }
--- a/crates/courier/src/clients/open_connections.rs
+++ b/crates/courier/src/clients/open_connections.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 /// A connection is not closed for want of room before its client had this time to send a command.
-pub const MIN_COMMAND_TIME: Duration = Duration::from_millis(50);
+pub const MIN_COMMAND_TIME: Duration = Duration::from_millis(20);
 /// How many connections without an answer are evicted together.
 const EVICTED_AT_ONCE: usize = 4;
 
