A client that gets no memory for its command in its time is refused, not read on

Cause, found by reading: a connection that waits for a buffer has unread input, which at the end of a command's time counted as progress, and 4 KiB more were read without a buffer. Change: it is answered -BUSY and closed.

--- a/crates/courier/src/clients.rs
+++ b/crates/courier/src/clients.rs
@@ -234,6 +234,7 @@
             Err(e) => log::debug!("a client's connection ended: {e}"),
         }
         drop(place);
+        self.shared.borrow_mut().counts.clients.evicted_for_memory = self.input.evicted.get();
         self.sockets.set(self.sockets.get() - 1);
         self.ended.notify_one();
     }
@@ -245,7 +246,6 @@
         let counts = &mut self.shared.borrow_mut().counts.clients;
         counts.evicted_idle += evicted.idle as u64;
         counts.evicted_unserved += evicted.unserved as u64;
-        counts.evicted_for_memory = self.input.evicted.get();
     }
 
     /// Shuts down this side and discards input for a while. Closing with unread input would send a reset, by
@@ -363,6 +363,11 @@
                     grant = Some(granted);
                 }
                 () = tokio::time::sleep_until(end) => {
+                    if needs_grant {
+                        log::debug!("a client is refused: there was no memory for its command in its time");
+                        let _ = stream.try_write(REFUSAL);
+                        return Ok(true);
+                    }
                     // Input that is already waiting is read, like a request on an idle connection.
                     if idle || !waits(stream) {
                         return Ok(true);
