Test: a stopped courier has stopped before its client sends and leaves

Traced: 12 is what one turn of the loop takes on from one read; SIGSTOP takes a moment to arrive, and the courier had read the first bytes before the client closed, which is allowed. The test now waits until the process is in the stopped state; it wants 0 of 200 as before.

--- a/crates/courier/tests/client_left.rs
+++ b/crates/courier/tests/client_left.rs
@@ -35,7 +35,7 @@
     let mut client = TcpStream::connect(courier.listen).unwrap();
     // The connection is accepted and waits for its first byte.
     thread::sleep(Duration::from_millis(50));
-    courier.signal("-STOP");
+    courier.stop();
     client.write_all(bytes).unwrap();
     leave(client);
     thread::sleep(Duration::from_millis(20));
@@ -71,7 +71,7 @@
     let courier = courier_with(&endpoint, &platform);
     let mut client = courier.client();
     thread::sleep(Duration::from_millis(50));
-    courier.signal("-STOP");
+    courier.stop();
     client.stream.get_mut().write_all(&requests("a")).unwrap();
     client.stream.get_mut().write_all(b"PING\r\n").unwrap();
     client.stream.get_mut().shutdown(Shutdown::Write).unwrap();
--- a/crates/rig/src/scripted.rs
+++ b/crates/rig/src/scripted.rs
@@ -550,6 +550,16 @@
         kill_process(Pid::from_child(&self.child), signal).unwrap();
     }
 
+    /// Stops the process, and returns once it runs no more: a signal takes a moment to arrive.
+    pub fn stop(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        wait_until("the process to stop", || {
+            let text = fs::read_to_string(&stat).unwrap();
+            text.rsplit_once(") ").is_some_and(|(_, fields)| fields.starts_with('T'))
+        });
+    }
+
     /// From now on, all writes of the process to files fail or succeed. A process that was not started by
     /// `start_with_failing_disk` is ended by the first that fails.
     pub fn fail_writes(&self, fails: bool) {
