--- a/review/stand-2/stand.rs
+++ b/review/stand-2/stand.rs
@@ -159,12 +159,6 @@
         self.child.as_ref().map_or(0, Child::id)
     }
 
-    pub fn signal(&self, name: &str) {
-        if self.child.is_some() {
-            let _ = Command::new("/bin/kill").arg(format!("-{name}")).arg(self.pid().to_string()).status();
-        }
-    }
-
     /// Whether the process has ended by itself.
     pub fn has_ended(&mut self) -> Option<String> {
         let child = self.child.as_mut()?;
