--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -61,6 +61,11 @@
     }
 }
 
+/// Whether the disruption takes place: not with `TROUBLE=0`.
+fn trouble() -> bool {
+    std::env::var("TROUBLE").map_or(true, |value| value != "0")
+}
+
 fn main() {
     let record = Record::open();
     let folder = Folder::new();
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -111,6 +111,11 @@
     }
 }
 
+/// Whether the disruption takes place: not with `TROUBLE=0`.
+fn trouble() -> bool {
+    std::env::var("TROUBLE").map_or(true, |value| value != "0")
+}
+
 fn main() {
     let record = Record::open();
     let folder = Folder::new();
--- a/review/stand-2/stand.rs
+++ b/review/stand-2/stand.rs
@@ -48,11 +48,6 @@
     }
 }
 
-/// Whether the disruption takes place: not with `TROUBLE=0`.
-pub fn trouble() -> bool {
-    std::env::var("TROUBLE").map_or(true, |value| value != "0")
-}
-
 /// A small generator of chance with a fixed seed.
 pub struct Chance(pub u64);
 
