--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -7,6 +7,7 @@
 
 mod copied_answer;
 mod disk_lowered;
+mod endless_answers;
 mod slow_discovery;
 
 fn main() {
@@ -22,6 +23,7 @@
     let result = match case.as_str() {
         "disk-lowered" => disk_lowered::run(&mut play),
         "copied-answer" => copied_answer::run(&mut play),
+        "endless-answers" => endless_answers::run(&mut play),
         "slow-discovery" => slow_discovery::run(&mut play),
         _ => Err(format!("no case {case}")),
     };
--- a/review/stand-3/play.rs
+++ b/review/stand-3/play.rs
@@ -64,6 +64,18 @@
         f(&mut self.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner()))
     }
 
+    /// Notes a message that is handed in now.
+    pub fn hand_in(&self, id: &str, now: Seconds, lifetime_ms: u64) {
+        let message = Message {
+            deadline: now + lifetime_ms as f64 / 1000.0,
+            answer: String::new(),
+            delivered_at: None,
+            notice: None,
+            runs: 0,
+        };
+        self.with(|all| all.insert(id.to_string(), message));
+    }
+
     pub fn change(&self, id: &str, f: impl FnOnce(&mut Message)) {
         self.with(|all| all.get_mut(id).map(f));
     }
@@ -149,6 +161,18 @@
         }
     }
 
+    /// Resident memory of the courier now and at most, in KiB.
+    pub fn memory_kib(&self) -> Result<(u64, u64), String> {
+        let courier = self.couriers.last().ok_or("no courier runs")?;
+        let status =
+            fs::read_to_string(format!("/proc/{}/status", courier.id())).map_err(|e| e.to_string())?;
+        let value = |name: &str| {
+            let line = status.lines().find_map(|line| line.strip_prefix(name))?;
+            line.split_whitespace().next()?.parse().ok()
+        };
+        value("VmRSS:").zip(value("VmHWM:")).ok_or("the courier's memory is not told".to_string())
+    }
+
     /// What `owed` says of the folder.
     pub fn owed(&self) -> String {
         let output =
@@ -180,15 +204,7 @@
     ) {
         let (key, lifetime_ms, body) = more;
         let pairs = format!("c={class},d={lifetime_ms},dest={destination},k=k{id}");
-        let sent_at = self.log.now();
-        let message = Message {
-            deadline: sent_at + lifetime_ms as f64 / 1000.0,
-            answer: String::new(),
-            delivered_at: None,
-            notice: None,
-            runs: 0,
-        };
-        self.messages.with(|all| all.insert(id.to_string(), message));
+        self.messages.hand_in(id, self.log.now(), lifetime_ms);
         let answer =
             request(courier, &["MSG.PUT", key, id, &pairs], body).unwrap_or_else(|e| format!("none: {e}"));
         self.log.say(&format!("message {id} for destination {destination}, {pairs}: {answer}"));
