--- a/review/stand-3/play.rs
+++ b/review/stand-2/play.rs
@@ -1,4 +1,4 @@
-//! What the cases share: the record, the courier's process, and plain stand-ins for clients, endpoints and the platform.
+//! What cases 9 and 10 share: the record, the courier's process, and plain stand-ins for clients, endpoints and the platform.
 
 use std::collections::{BTreeMap, HashMap};
 use std::fs::{self, File};
@@ -93,9 +93,11 @@
 }
 
 impl Play {
-    pub fn new(folder: &str) -> io::Result<Play> {
+    /// Reads what `run.sh` has set: the case's folder, a temporary one, and whether there is a disruption.
+    pub fn new() -> io::Result<Play> {
+        let folder = std::env::var("CASE_FOLDER").map_err(io::Error::other)?;
         let record = File::create(PathBuf::from(folder).join("record.txt"))?;
-        let temp = std::env::temp_dir().join(format!("review-{}", std::process::id()));
+        let temp = std::env::temp_dir().join("case");
         fs::create_dir_all(&temp)?;
         let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
         let log = Log(Arc::new((Instant::now(), Mutex::new(record))));
@@ -121,9 +123,7 @@
 
     /// Starts a courier with the command of the deploy file and waits until it is in use.
     pub fn start_courier(&mut self, listen: SocketAddr) -> Result<(), String> {
-        let deploy = fs::read_to_string("deploy/balancer.toml").map_err(|e| format!("deploy file: {e}"))?;
-        let run = deploy.lines().find_map(|line| line.strip_prefix("run = \"")?.split('"').next());
-        let run = run.ok_or("the deploy file has no run")?.to_string();
+        let run = std::env::var("CASE_RUN").map_err(|e| format!("the deploy file's run: {e}"))?;
         let errors = File::options().create(true).append(true).open(self.temp.join("courier.log"));
         let errors = errors.map_err(|e| e.to_string())?;
         let child = Command::new("/bin/sh")
@@ -161,18 +161,6 @@
         }
     }
 
-    /// Resident memory of the courier now and at most, in KiB.
-    pub fn memory_kib(&self) -> Result<(u64, u64), String> {
-        let courier = self.couriers.last().ok_or("no courier runs")?;
-        let status =
-            fs::read_to_string(format!("/proc/{}/status", courier.id())).map_err(|e| e.to_string())?;
-        let value = |name: &str| {
-            let line = status.lines().find_map(|line| line.strip_prefix(name))?;
-            line.split_whitespace().next()?.parse().ok()
-        };
-        value("VmRSS:").zip(value("VmHWM:")).ok_or("the courier's memory is not told".to_string())
-    }
-
     /// What `owed` says of the folder.
     pub fn owed(&self) -> String {
         let output =
@@ -408,3 +396,26 @@
         }
     }
 }
+
+/// Plays a case and ends the process: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
+pub fn play_case(run: impl FnOnce(&mut Play) -> Result<bool, String>) -> ! {
+    let Ok(mut play) = Play::new() else {
+        eprintln!("no record can be written: start the case by its run.sh");
+        std::process::exit(2);
+    };
+    let code = match run(&mut play) {
+        Ok(true) => 0,
+        Ok(false) => 1,
+        Err(problem) => {
+            play.log.say(&format!("the case could not run: {problem}"));
+            2
+        }
+    };
+    play.end();
+    play.log.say(match code {
+        0 => "HELD",
+        1 => "BROKEN",
+        _ => "COULD NOT RUN",
+    });
+    std::process::exit(code);
+}
