Connections rest until a copied answer has shown itself, and only then silence proves

Cause: a connection carried its next call while a copy of its last answer was still on its way. The call took the copy for its answer, and a quiet second confirmed the delivery, though the own answer came later, or never. No length of silence behind an answer is a proof, since a call may take as long as it likes; how late copies come behind their answers is what bounds a silence.

Change: a connection rests between calls for 100 ms, and for a minute behind a surplus answer for twice its delay; without room for a further connection the 100 ms may be undercut until a copy has been seen. Silence proves a delivery only behind the required rest, in all places that confirm one. Idle connections are watched, so that surplus answers are timed. A connection without messages that stays unproven is closed.

Changed tests: copied_answers.rs and two of courier.rs called again on a connection at once. They rest now before that; what they count is as before, and one more row asserts that the connection is kept. tests/response_order.rs passes a silence, not a time.

--- a/crates/courier/src/endpoints.rs
+++ b/crates/courier/src/endpoints.rs
@@ -15,7 +15,9 @@
 use tokio::time::error::Elapsed;
 use tokio::time::{timeout_at, Interval, MissedTickBehavior};
 
-use crate::exchange::{Call, CallMail, Clock, ConnectReport, Order, RevokeReason, Shared};
+use crate::exchange::{
+    to_duration, to_time, Call, CallMail, Clock, ConnectReport, Order, RevokeReason, Shared,
+};
 use crate::http::{self, Head};
 use crate::link::{HttpConnection, SendError};
 use crate::pool::{CloseReason, Connection, Pool};
@@ -131,6 +133,9 @@
         let released = self.pool.borrow_mut().take_released();
         (0..released.connections).for_each(|_| self.freed.notify_one());
         let mut exchange = self.shared.borrow_mut();
+        for delay in released.surplus_delays {
+            exchange.note_surplus_answer(delay);
+        }
         for (message, reason) in released.revoked {
             exchange.revoke(message, RevokeReason::Closed(reason));
         }
@@ -153,12 +158,20 @@
         }
     }
 
-    /// Takes an idle connection for a call.
+    /// Takes an idle connection for a call: one that has rested as is preferred, or as is required if there may be no further
+    /// connection.
     fn take_idle(&self, call: &Call) -> Option<Connection> {
         if call.new_connection {
             return None;
         }
-        let connection = self.pool.borrow_mut().take(call.incarnation, self.clock.now());
+        let rest = self.shared.borrow().rest_between_calls();
+        let now = self.clock.now();
+        let mut pool = self.pool.borrow_mut();
+        let mut connection = pool.take(call.incarnation, now, to_duration(rest.preferred));
+        if connection.is_none() && !pool.has_room(self.limits.get().max_connections) {
+            connection = pool.take(call.incarnation, now, to_duration(rest.required));
+        }
+        drop(pool);
         self.handle_released();
         connection
     }
@@ -328,6 +341,7 @@
     ) -> bool {
         let mut may_still_run = false;
         let now = self.clock.now();
+        let rested = to_time(connection.rested);
         let mut exchange = self.shared.borrow_mut();
         let periods = exchange.quiet_periods(connection.endpoint);
         if let Some(quiet_period) = attribution.quiet_period(meaning.claim, periods) {
@@ -338,6 +352,7 @@
                 min_quiet_period: periods.short,
                 deadline: Time::MAX,
                 may_repeat: false,
+                rested,
             };
             connection.order.hold(now, held);
         }
@@ -368,6 +383,7 @@
                         min_quiet_period: periods.short,
                         deadline: mail.deadline,
                         may_repeat: exchange.may_repeat(mail.serial),
+                        rested,
                     };
                     connection.order.hold(now, held);
                 }
--- a/crates/courier/src/endpoints/watch.rs
+++ b/crates/courier/src/endpoints/watch.rs
@@ -15,24 +15,25 @@
 const MAX_SURPLUS_ANSWERS: usize = 16;
 
 impl Endpoints {
-    /// Keeps a connection after a call, and watches it if it has provisional outcomes. `is_kept`: it may carry further
-    /// calls.
+    /// Keeps a connection after a call, and watches it. `is_kept`: it may carry further calls.
     pub(super) fn keep(self: &Rc<Self>, connection: Connection, is_kept: bool) {
         let (incarnation, number) = (connection.incarnation, connection.number);
-        let is_in_step = connection.order.is_in_step();
-        let watch = || tokio::task::spawn_local(self.clone().watch(incarnation, number)).abort_handle();
-        let watcher = (!is_in_step).then(watch);
+        let watcher = tokio::task::spawn_local(self.clone().watch(incarnation, number)).abort_handle();
         self.pool.borrow_mut().keep(connection, is_kept, watcher);
         self.freed.notify_one();
     }
 
-    /// Watches an idle connection until its outcomes are final or something has come. Ended when a call takes it.
+    /// Watches an idle connection: what comes on it, and when its outcomes are final. Ended when a call takes it.
     async fn watch(self: Rc<Self>, incarnation: u64, number: u64) {
         while let Some((rest, socket, due)) = self.watched(incarnation, number) {
             // Bytes may have come together with the last answer.
             if rest != Rest::Quiet {
                 return self.end_rest(incarnation, number).await;
             }
+            let Some(due) = due else {
+                wait_for_bytes(&socket).await;
+                continue;
+            };
             if Instant::now() >= due {
                 self.confirm_due(incarnation, number);
                 continue;
@@ -44,12 +45,13 @@
         }
     }
 
-    /// The state of an idle connection, its socket, and when the next of its outcomes is final; `None` if all are.
-    fn watched(&self, incarnation: u64, number: u64) -> Option<(Rest, Rc<TcpStream>, Instant)> {
+    /// The state of an idle connection, its socket, and when the next of its provisional outcomes is final; `None` if it is
+    /// idle no longer.
+    fn watched(&self, incarnation: u64, number: u64) -> Option<(Rest, Rc<TcpStream>, Option<Instant>)> {
         let mut pool = self.pool.borrow_mut();
         let connection = pool.watched(incarnation, number)?;
-        let due = self.clock.instant(connection.order.due()?);
-        Some((connection.link.rest(), connection.link.socket(), due.into()))
+        let due = connection.order.due().map(|due| self.clock.instant(due).into());
+        Some((connection.link.rest(), connection.link.socket(), due))
     }
 
     /// Confirms the outcomes that are final by now, and closes the connection if it was open only for them, or if nothing
@@ -61,12 +63,13 @@
         let mut exchange = self.shared.borrow_mut();
         order.retain(|message| exchange.is_held(message));
         let endpoint = connection.endpoint;
-        let settled = order.take_final(self.clock.now(), |since| exchange.is_answering(endpoint, since));
+        let now = self.clock.now();
+        let settled = order.take_final(now, |silence| exchange.is_proof(endpoint, silence));
         settled.confirmed.into_iter().for_each(|message| exchange.confirm(message));
         let is_doubted = !settled.doubtful.is_empty();
         settled.doubtful.into_iter().for_each(|message| exchange.revoke(message, RevokeReason::Unproven));
         drop(exchange);
-        let is_unproven = is_doubted && !order.holds_messages();
+        let is_unproven = is_doubted && !order.holds_messages() || order.is_unprovable(now);
         let is_retired = order.is_in_step() && pool.is_retired(incarnation, number);
         let reason = match () {
             () if is_unproven => CloseReason::Unproven,
@@ -95,8 +98,8 @@
         let mut exchange = self.shared.borrow_mut();
         let (now, endpoint) = (self.clock.now(), connection.endpoint);
         let short = exchange.quiet_periods(endpoint).short;
-        let is_answering = |since| exchange.is_answering(endpoint, since);
-        let confirmed = connection.order.take_final_at_close(now, short, is_answering);
+        let is_proof = |silence| exchange.is_proof(endpoint, silence);
+        let confirmed = connection.order.take_final_at_close(now, short, is_proof);
         let is_in_step = connection.order.is_in_step();
         confirmed.into_iter().for_each(|message| exchange.confirm(message));
         drop(exchange);
@@ -110,9 +113,17 @@
     /// Ends the rest of a connection on which bytes have come or which has ended.
     async fn end_rest(&self, incarnation: u64, number: u64) {
         let connection = self.pool.borrow_mut().take_watched(incarnation, number);
-        let Some(connection) = connection else { return };
-        match connection.link.rest() {
-            Rest::Bytes if connection.order.are_all_delivered() => self.listen_out(connection).await,
+        let Some(mut connection) = connection else { return };
+        let rest = connection.link.rest();
+        if rest == Rest::Bytes {
+            let delay = connection.note_surplus_answer();
+            let mut exchange = self.shared.borrow_mut();
+            delay.into_iter().for_each(|delay| exchange.note_surplus_answer(delay));
+        }
+        match rest {
+            Rest::Bytes if !connection.order.is_in_step() && connection.order.are_all_delivered() => {
+                self.listen_out(connection).await
+            }
             Rest::Bytes => self.close(connection, CloseReason::UnsolicitedBytes),
             Rest::Quiet | Rest::Ended => self.close_ended(connection, CloseReason::ClosedByEndpoint),
         }
@@ -123,8 +134,8 @@
         let mut exchange = self.shared.borrow_mut();
         let periods = exchange.quiet_periods(connection.endpoint);
         let (now, endpoint) = (self.clock.now(), connection.endpoint);
-        let is_answering = |since| exchange.is_answering(endpoint, since);
-        let confirmed = connection.order.take_final_at_close(now, periods.short, is_answering);
+        let is_proof = |silence| exchange.is_proof(endpoint, silence);
+        let confirmed = connection.order.take_final_at_close(now, periods.short, is_proof);
         confirmed.into_iter().for_each(|message| exchange.confirm(message));
         drop(exchange);
         self.close(connection, reason);
@@ -138,7 +149,8 @@
         let surplus = timeout_at(until, read_surplus_answers(&mut connection.link)).await;
         let is_unchanged = surplus.is_err();
         let mut exchange = self.shared.borrow_mut();
-        if is_unchanged && exchange.is_answering(connection.endpoint, connection.order.last_answer()) {
+        let is_proof = |silence| exchange.is_proof(connection.endpoint, silence);
+        if is_unchanged && connection.order.is_proven(is_proof) {
             for message in connection.order.take_all() {
                 exchange.confirm(message);
             }
--- a/crates/courier/src/exchange/provisional.rs
+++ b/crates/courier/src/exchange/provisional.rs
@@ -5,13 +5,16 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::time::Duration;
 
+use meadowhold::control::attribution::Rest;
 use meadowhold::interface::{Effect, Input, Outcome, Time, SECOND};
-use meadowhold::response_order::{Attribution, Claim, QuietPeriods};
+use meadowhold::response_order::{Attribution, Claim, QuietPeriods, Silence};
 
 use super::lifecycle::Step;
 use super::unrecorded_ends::MissingRecord;
 use super::{ConnectReport, Exchange};
+use crate::clock::to_time;
 use crate::journal::{Record, Sent, NO_CONNECTS_LEFT};
 use crate::pool::CloseReason;
 
@@ -150,9 +153,20 @@
         self.control.quiet_periods(endpoint)
     }
 
-    /// Whether silence on a connection to an endpoint since a time shows that no answer has been outstanding since then.
-    pub fn is_answering(&self, endpoint: usize, since: Time) -> bool {
-        self.control.is_answering(endpoint, since)
+    /// Whether silence on a connection to an endpoint shows that the answer before it belongs to its call.
+    pub fn is_proof(&self, endpoint: usize, silence: Silence) -> bool {
+        self.control.is_proof(endpoint, silence, self.clock.now())
+    }
+
+    /// How long connections to endpoints rest between calls.
+    pub fn rest_between_calls(&self) -> Rest {
+        self.control.rest_between_calls(self.clock.now())
+    }
+
+    /// An answer that belongs to no call came so long after the answer before it.
+    pub fn note_surplus_answer(&mut self, delay: Duration) {
+        log::debug!("a surplus answer came {} ms after the one before it", delay.as_millis());
+        self.control.note_surplus_answer(to_time(delay), self.clock.now());
     }
 
     /// The effect of a mail that is owed.
--- a/crates/courier/src/pool.rs
+++ b/crates/courier/src/pool.rs
@@ -86,12 +86,24 @@
     pub link: HttpConnection,
     pub calls: u32,
     pub order: ResponseOrder,
+    /// When the last answer had been read to its end.
+    answered_at: Option<Instant>,
+    /// How long it had rested before the last call; zero for the first.
+    pub rested: Duration,
+    /// How long after an answer another one came that belongs to no call.
+    surplus_delay: Option<Duration>,
 }
 
 impl Connection {
     pub fn is_reused(&self) -> bool {
         self.calls > 0
     }
+
+    /// Notes that an answer has come now that belongs to no call. Returns how long after the answer before it came.
+    pub fn note_surplus_answer(&mut self) -> Option<Duration> {
+        self.surplus_delay = self.surplus_delay.or_else(|| Some(self.answered_at?.elapsed()));
+        self.surplus_delay
+    }
 }
 
 struct Idle {
@@ -99,7 +111,7 @@
     since: Instant,
     /// It may carry further calls; otherwise it is only open until its outcomes are final.
     is_kept: bool,
-    /// Waits for bytes and for outcomes to become final, if there are provisional ones.
+    /// Waits for bytes, and for provisional outcomes to become final.
     watcher: Option<AbortHandle>,
 }
 
@@ -118,6 +130,8 @@
     pub connections: usize,
     /// Messages whose provisional outcomes cannot be confirmed any more, and why.
     pub revoked: Vec<(u64, CloseReason)>,
+    /// How long after an answer those came that belong to no call.
+    pub surplus_delays: Vec<Duration>,
 }
 
 /// Counts since the start of the process, for the log.
@@ -165,7 +179,17 @@
         let number = self.next_number;
         self.next_number += 1;
         self.counts.opened += 1;
-        Connection { number, endpoint, incarnation, link, calls: 0, order: ResponseOrder::default() }
+        Connection {
+            number,
+            endpoint,
+            incarnation,
+            link,
+            calls: 0,
+            order: ResponseOrder::default(),
+            answered_at: None,
+            rested: Duration::ZERO,
+            surplus_delay: None,
+        }
     }
 
     pub fn not_opened(&mut self) {
@@ -184,6 +208,9 @@
         let revoked = connection.order.take_all();
         let is_surplus = reason.is_surplus_answer();
         self.counts.surplus += u64::from(is_surplus);
+        if is_surplus {
+            self.released.surplus_delays.extend(connection.note_surplus_answer());
+        }
         let level = if is_surplus { self.warning_level() } else { log::Level::Debug };
         log::log!(
             level,
@@ -220,6 +247,7 @@
     pub fn close_idle(&mut self, incarnation: u64) {
         for mut idle in self.idle.remove(&incarnation).unwrap_or_default() {
             if idle.connection.order.is_in_step() {
+                idle.stop_watcher();
                 self.close(idle.connection, CloseReason::NotKept);
             } else {
                 idle.is_kept = false;
@@ -229,8 +257,10 @@
     }
 
     /// Keeps a connection for later calls, or only until its outcomes are final. `watcher` waits for that.
-    pub fn keep(&mut self, connection: Connection, is_kept: bool, watcher: Option<AbortHandle>) {
-        let idle = Idle { since: Instant::now(), is_kept, watcher, connection };
+    pub fn keep(&mut self, mut connection: Connection, is_kept: bool, watcher: AbortHandle) {
+        let since = Instant::now();
+        connection.answered_at = Some(since);
+        let idle = Idle { since, is_kept, watcher: Some(watcher), connection };
         self.idle.entry(idle.connection.incarnation).or_default().push(idle);
     }
 
@@ -264,13 +294,14 @@
         }
     }
 
-    /// Takes an idle connection for a call: of those whose outcomes are all final the one that has rested longest, since a late
+    /// Takes an idle connection that has rested for a time, for a call: of those whose outcomes are all final the one that has rested longest, since a late
     /// copy of an answer has had the most time to show itself there; otherwise the one that was used last, since the others
     /// are nearer to having their outcomes final.
-    pub fn take(&mut self, incarnation: u64, now: Time) -> Option<Connection> {
-        let place =
-            self.place_in_step(incarnation).or_else(|| self.last_provisional_place(incarnation, now))?;
-        let Idle { connection, since, .. } = self.remove(incarnation, place)?;
+    pub fn take(&mut self, incarnation: u64, now: Time, rest: Duration) -> Option<Connection> {
+        let in_step = self.place_in_step(incarnation, rest);
+        let place = in_step.or_else(|| self.last_provisional_place(incarnation, now, rest))?;
+        let Idle { mut connection, since, .. } = self.remove(incarnation, place)?;
+        connection.rested = since.elapsed();
         self.counts.reused += 1;
         log::debug!(
             "connection {} is reused after {} calls and {} ms at rest, {}",
@@ -282,12 +313,15 @@
         Some(connection)
     }
 
-    /// The place of the kept connection in step that has rested longest. Those before it that can carry no call are closed.
-    fn place_in_step(&mut self, incarnation: u64) -> Option<usize> {
+    /// The place of the kept connection in step that has rested longest, if it has for this time. Those before it that can
+    /// carry no call are closed.
+    fn place_in_step(&mut self, incarnation: u64, rest: Duration) -> Option<usize> {
         loop {
             let idle = self.idle.get(&incarnation)?;
             let place = idle.iter().position(|one| one.is_kept && one.connection.order.is_in_step())?;
-            let Some(reason) = self.defect(&idle[place]) else { return Some(place) };
+            let Some(reason) = self.defect(&idle[place]) else {
+                return (idle[place].since.elapsed() >= rest).then_some(place);
+            };
             let defective = self.remove(incarnation, place)?;
             self.close(defective.connection, reason);
         }
@@ -295,18 +329,24 @@
 
     /// The place of the kept connection with provisional outcomes that was used last and may carry a further call. What
     /// becomes of the outcomes on those that cannot, their watchers decide.
-    fn last_provisional_place(&self, incarnation: u64, now: Time) -> Option<usize> {
+    fn last_provisional_place(&self, incarnation: u64, now: Time, rest: Duration) -> Option<usize> {
+        let is_reusable = |order: &ResponseOrder| !order.is_in_step() && order.is_reusable(now);
         let suits = |one: &Idle| {
-            let order = &one.connection.order;
-            one.is_kept && !order.is_in_step() && order.is_reusable(now) && self.defect(one).is_none()
+            let is_rested = one.since.elapsed() >= rest;
+            one.is_kept && is_rested && is_reusable(&one.connection.order) && self.defect(one).is_none()
         };
         self.idle.get(&incarnation)?.iter().rposition(suits)
     }
 
+    /// Whether there may be one more connection.
+    pub fn has_room(&self, limit: usize) -> bool {
+        self.open < limit
+    }
+
     /// Makes room for one more connection by closing the one that has been idle longest, if the limit is reached. One with
     /// provisional outcomes stays open: its messages would be called again, or be told of as failed, for want of room alone.
     pub fn make_room(&mut self, limit: usize) -> bool {
-        if self.open < limit {
+        if self.has_room(limit) {
             return true;
         }
         let oldest = self
--- a/crates/courier/tests/copied_answers.rs
+++ b/crates/courier/tests/copied_answers.rs
@@ -15,6 +15,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const LIFETIME: &str = "d=4000,k=5c0f";
+/// A connection that has rested for so long takes the next call, where no answer has come late.
+const REST: Duration = Duration::from_millis(200);
 /// How long after the foreign answer the endpoint writes the call's own one.
 const OWN_ANSWER_DELAY: Duration = Duration::from_millis(40);
 const EFFECTS: [&str; 3] = ["again", "tagged", "once"];
@@ -183,6 +185,7 @@
     let (platform, courier) = courier_at(endpoint.address, "single");
     send(&courier, &endpoint, "a1", "again", 1);
     wait_until("the first answer", || courier.owes_nothing());
+    thread::sleep(REST);
     send(&courier, &endpoint, "b2", class, 2);
     assert_eq!(endpoint.connection_of(0), endpoint.connection_of(1), "the connection is kept");
     (platform, endpoint, courier)
@@ -246,7 +249,9 @@
         };
         send(&courier, &endpoint, "a1", "again", 1);
         wait_until("the first answer", || courier.owes_nothing());
+        thread::sleep(REST);
         send(&courier, &endpoint, "b2", class, 2);
+        assert_eq!(endpoint.connection_of(0), endpoint.connection_of(1), "the connection is kept");
         wait_until("the end", || courier.owes_nothing());
         let expected = if class == "once" { "dead" } else { "called again" };
         assert_eq!(end_of(&platform, &endpoint, "b2"), expected, "{class}");
@@ -262,7 +267,9 @@
     let (platform, courier) = courier_at(endpoint.address, "single");
     send(&courier, &endpoint, "a1", "again", 1);
     wait_until("the first answer", || courier.owes_nothing());
+    thread::sleep(REST);
     send(&courier, &endpoint, "b2", "once", 2);
+    thread::sleep(REST);
     send(&courier, &endpoint, "c3", "once", 3);
     wait_until("both ends", || courier.owes_nothing());
     assert_eq!((endpoint.calls_of("b2"), endpoint.calls_of("c3")), (1, 1), "neither is sent again");
@@ -293,6 +300,7 @@
         });
         let put = |id: &str, class: &str| assert_eq!(courier.client().put(id, class, LIFETIME), "+OK");
         put("a1", class);
+        thread::sleep(REST);
         put("b2", "once");
         wait_until("both ends", || courier.owes_nothing());
         let runs = endpoint.runs();
@@ -324,6 +332,7 @@
         });
         let put = |id: &str| assert_eq!(courier.client().put(id, class, LIFETIME), "+OK");
         put("a1");
+        thread::sleep(REST);
         put("b2");
         wait_until("both ends", || courier.owes_nothing());
         let overlapping = endpoint.overlapping.lock().unwrap().clone();
@@ -361,6 +370,7 @@
     };
     submit(["a1", "a2"], "again");
     wait_until("the first batch", || courier.owes_nothing());
+    thread::sleep(REST);
     submit(["b1", "b2"], "once");
     wait_until("the ends of the second batch", || courier.owes_nothing());
     let mut notices = platform.notices();
@@ -412,6 +422,7 @@
     let mut client = courier.client();
     assert_eq!(client.put("a1", "again", LIFETIME), "+OK");
     wait_until("the first answer", || courier.owes_nothing());
+    thread::sleep(REST);
     let body = vec![b'x'; LARGE_BODY];
     assert_eq!(client.request(&put("0000000000000000", "b2", "again", "d=4000", &body)), "+OK");
     wait_until_within(Duration::from_secs(20), "the end", || courier.owes_nothing());
--- a/crates/courier/tests/courier.rs
+++ b/crates/courier/tests/courier.rs
@@ -15,6 +15,8 @@
 use serde_json::{json, Value};
 
 const LIFETIME: &str = "d=4000";
+/// A connection that has rested for so long takes the next call, where no answer has come late.
+const REST: Duration = Duration::from_millis(200);
 
 fn unchanged(_: &mut Value) {}
 
@@ -522,10 +524,13 @@
     let (_platform, endpoint, courier) = setup("single", &[]);
     let mut client = courier.client();
     for i in 0..5 {
+        if i > 0 {
+            thread::sleep(REST);
+        }
         assert_eq!(client.put(&i.to_string(), "again", LIFETIME), "+OK");
         wait_until("the call", || endpoint.calls().len() == i + 1);
     }
-    // One connection carries consecutive calls; it is closed within two seconds of idleness.
+    // One connection carries consecutive calls, with a rest between them; it is closed within two seconds of idleness.
     assert_eq!(endpoint.connections(), (1, 1));
     let idle = Instant::now();
     wait_until("the close", || endpoint.connections() == (1, 0));
@@ -583,6 +588,7 @@
         assert_eq!(client.put(&i.to_string(), class, "d=4000,k=77"), "+OK");
         wait_until("the mail to be finished", || courier.owes_nothing());
         assert_eq!(endpoint.connections().0, *connections, "{i}");
+        thread::sleep(REST);
     }
     assert_eq!((endpoint.calls().len(), platform.notices()), (5, vec![]));
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -4,6 +4,7 @@
 //! In the ordinary case each destination has a cap on its calls in flight, and mails above the cap are
 //! queued.
 
+use crate::control::attribution::SurplusDelay;
 use crate::interface::{AcceptedMail, Settings, Time, SECOND};
 use crate::interface::{
     Action, ConnectResult, Effect, EndpointStatus, Input, ListEntry, Outcome, PeerNote, Shutdown,
@@ -11,7 +12,7 @@
 use crate::state::{ensure_index, is_in_state, queued_mails, sum_fair_shares, to_seconds};
 use crate::state::{Call, Destination, Endpoint, Key, LimitScope, LimitScopes, Mail, MailState, TokenBucket};
 
-mod attribution;
+pub mod attribution;
 mod inspect;
 
 /// Headroom over Little's law in the cap on calls in flight, for mails that arrive in batches.
@@ -156,6 +157,7 @@
     outgoing_notes: Vec<(usize, PeerNote)>,
     /// Endpoints that left the list and whose index is not released yet.
     removed_endpoints: Vec<usize>,
+    surplus_delay: SurplusDelay,
     shutdown: Option<Shutdown>,
     dispatch_order: Vec<(f64, usize)>,
     quiet_keys: Vec<usize>,
--- a/src/control/attribution.rs
+++ b/src/control/attribution.rs
@@ -3,13 +3,52 @@
 use std::ops::Range;
 
 use super::{Control, TAIL_DEVIATIONS, TIMEOUT_TAILS};
-use crate::interface::Time;
+use crate::interface::{Time, SECOND};
 use crate::liveness::KEPT_ANSWERS;
-use crate::response_order::QuietPeriods;
+use crate::response_order::{QuietPeriods, Silence};
 use crate::state::Call;
 
 /// Part of the connection timeout below which a short quiet period does not fall.
 const MIN_SHORT_PERIOD: Time = 4;
+/// How long a connection rests before a call where there may be another one: longer than the delays of a link differ.
+const MIN_PREFERRED_REST: Time = SECOND / 10;
+/// A connection must have rested for so many times the longest delay of a surplus answer.
+const REST_PER_SURPLUS_DELAY: Time = 2;
+/// How long the delay of a surplus answer counts.
+const SURPLUS_MEMORY: Time = 60 * SECOND;
+
+/// How long a connection rests between an answer and the next call, so that a copy of the answer shows itself before the
+/// call rather than in the place of the call's own answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rest {
+    /// Without it no call goes out on the connection.
+    pub required: Time,
+    /// With less, a call takes another connection, if there may be one more.
+    pub preferred: Time,
+}
+
+/// The longest delay behind an earlier answer with which a surplus answer came of late, from any endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SurplusDelay {
+    longest: Time,
+    seen_at: Time,
+}
+
+impl SurplusDelay {
+    fn add(&mut self, delay: Time, now: Time) {
+        if delay >= self.longest_at(now) {
+            *self = SurplusDelay { longest: delay, seen_at: now };
+        }
+    }
+
+    fn longest_at(&self, now: Time) -> Time {
+        if now < self.seen_at + SURPLUS_MEMORY {
+            self.longest
+        } else {
+            0
+        }
+    }
+}
 
 impl Control {
     /// How long a connection to an endpoint must be quiet after an answer until its outcomes are final: as long as a
@@ -29,6 +68,25 @@
         }
     }
 
+    /// An answer that belongs to no call has come so long after the answer before it. Connections of all endpoints rest
+    /// longer from now on: what copies answers, or delays them, need not be the endpoint.
+    pub fn note_surplus_answer(&mut self, delay: Time, now: Time) {
+        self.surplus_delay.add(delay, now);
+    }
+
+    /// How long connections rest between calls.
+    pub fn rest_between_calls(&self, now: Time) -> Rest {
+        let required = REST_PER_SURPLUS_DELAY * self.surplus_delay.longest_at(now);
+        Rest { required, preferred: required.max(MIN_PREFERRED_REST) }
+    }
+
+    /// Whether silence on a connection to an endpoint shows that the answer before it belongs to its call: an earlier answer's
+    /// copy would have come before the call, and no other answer is outstanding.
+    pub fn is_proof(&self, endpoint: usize, silence: Silence, now: Time) -> bool {
+        silence.before_call >= self.rest_between_calls(now).required
+            && self.is_answering(endpoint, silence.since)
+    }
+
     /// Whether silence on a connection since a time shows that no answer has been outstanding there since then: the endpoint
     /// leaves no call unanswered, or it has answered later, when the answer would have come before. As copies may come from
     /// an endpoint that hangs, one later answer does not count if calls from around that time are unanswered; many do.
--- a/src/response_order.rs
+++ b/src/response_order.rs
@@ -4,6 +4,10 @@
 //! later answer on the connection to the call after its own. So an outcome is final at once only if its answer can
 //! belong to no other call. Otherwise it is provisional until the connection has been quiet for as long as an answer may
 //! still be outstanding. If an answer too many comes before that, any provisional outcome may be another call's.
+//!
+//! The own answer of a call may take longer than any quiet period, or never come. So silence after an answer proves a
+//! delivery only together with the silence before the call: a copy of an earlier answer would have come in that time
+//! (`Silence::before_call`).
 
 use smallvec::SmallVec;
 
@@ -83,6 +87,16 @@
     }
 }
 
+/// A time in which no byte came on a connection, before a call and after its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Silence {
+    /// When the answer came, or a later one that is no delivery and might be the call's own.
+    pub since: Time,
+    /// How long the connection had rested before the call, or before the shortest rested of the calls with provisional
+    /// outcomes that it may have been shifted by.
+    pub before_call: Time,
+}
+
 impl Attribution {
     /// Whether silence on the connection can make an outcome that is not final at once final for a message of this effect.
     /// Behind a refusal that may be a copy of an earlier one, the call of the message may still run, for longer than any
@@ -107,6 +121,8 @@
     pub deadline: Time,
     /// The message may be called again though its call may have run.
     pub may_repeat: bool,
+    /// How long the connection had rested before the call.
+    pub rested: Time,
 }
 
 impl Held {
@@ -156,6 +172,12 @@
     due: Time,
 }
 
+impl Provisional {
+    fn silence(&self) -> Silence {
+        Silence { since: self.answered_at, before_call: self.held.rested }
+    }
+}
+
 /// What has become of the messages with provisional outcomes.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Settled {
@@ -200,9 +222,17 @@
         self.has_answered
     }
 
-    /// When the last answer with a held outcome came.
-    pub fn last_answer(&self) -> Time {
-        self.last_answer
+    /// Whether nothing more can be learned from the connection: no message waits for it, and its silence could not show in
+    /// time that no answer is outstanding.
+    pub fn is_unprovable(&self, now: Time) -> bool {
+        let is_overdue =
+            |one: &Provisional| now >= self.last_answer + DOUBT_QUIET_PERIODS * one.held.quiet_period;
+        !self.is_in_step() && !self.holds_messages() && self.provisional.iter().any(is_overdue)
+    }
+
+    /// Whether every provisional outcome is proven by the silence since its answer.
+    pub fn is_proven(&self, is_proof: impl Fn(Silence) -> bool) -> bool {
+        self.provisional.iter().all(|one| is_proof(one.silence()))
     }
 
     /// Whether each answer so far surely belongs to its call.
@@ -217,7 +247,10 @@
 
     /// Holds an outcome of the answer that has just come until the connection has been quiet for a period. Without a
     /// message only the connection waits. The quiet periods of earlier outcomes begin anew.
-    pub fn hold(&mut self, now: Time, held: Held) {
+    pub fn hold(&mut self, now: Time, mut held: Held) {
+        // Whatever shifted an earlier answer has shifted this one too.
+        let rested_before = self.provisional.iter().map(|one| one.held.rested).min();
+        held.rested = held.rested.min(rested_before.unwrap_or(held.rested));
         let until = held.reusable_until(now);
         self.reusable_until = if self.is_in_step() { until } else { self.reusable_until.min(until) };
         if held.claim != Some(Claim::Delivered) {
@@ -233,16 +266,16 @@
         self.provisional.iter().map(|one| one.due).min()
     }
 
-    /// Takes the messages whose outcomes are final, since no byte has come until now. An end is proven by silence only
-    /// if the endpoint would have answered (`is_answering`, since a time). Otherwise it is looked at again later.
-    pub fn take_final(&mut self, now: Time, is_answering: impl Fn(Time) -> bool) -> Settled {
+    /// Takes the messages whose outcomes are final, since no byte has come until now. An end is proven only by a silence in
+    /// which other answers would have come (`is_proof`). Otherwise it is looked at again later.
+    pub fn take_final(&mut self, now: Time, is_proof: impl Fn(Silence) -> bool) -> Settled {
         let mut settled = Settled::default();
         let last_answer = self.last_answer;
         self.provisional.retain_mut(|one| {
             if now < one.due {
                 return true;
             }
-            if !one.held.needs_proof() || is_answering(one.answered_at) {
+            if !one.held.needs_proof() || is_proof(one.silence()) {
                 settled.confirmed.extend(one.held.message);
                 return false;
             }
@@ -262,14 +295,14 @@
         &mut self,
         now: Time,
         short: Time,
-        is_answering: impl Fn(Time) -> bool,
+        is_proof: impl Fn(Silence) -> bool,
     ) -> Vec<u64> {
         if now < self.last_answer + short {
             return Vec::new();
         }
         let mut confirmed = Vec::new();
         self.provisional.retain(|one| {
-            let is_proven = is_answering(one.answered_at);
+            let is_proven = is_proof(one.silence());
             confirmed.extend(one.held.message.filter(|_| is_proven));
             !is_proven
         });
--- a/tests/control_attribution.rs
+++ b/tests/control_attribution.rs
@@ -1,11 +1,12 @@
 //! When the silence of an endpoint shows that no answer is outstanding, and how long that takes.
 
+use meadowhold::control::attribution::Rest;
 use meadowhold::control::Control;
 use meadowhold::interface::{
     AcceptedMail, Action, ConnectResult, Effect, EndpointStatus, Input, Kind, ListEntry, Outcome, QueueClass,
     Settings, Time, SECOND,
 };
-use meadowhold::response_order::QuietPeriods;
+use meadowhold::response_order::{QuietPeriods, Silence};
 
 const START: Time = 1000 * SECOND;
 const CONNECT: Time = SECOND;
@@ -215,3 +216,37 @@
     let QuietPeriods { short, long } = periods(&world);
     assert!(short >= 2 * SECOND && long >= 3 * short - 3, "{short} {long}");
 }
+
+/// Guards against calls on a connection to which a copy of its last answer is still on its way: they rest for twice as long as
+/// copies came late within a minute.
+#[test]
+fn connections_rest_for_longer_than_surplus_answers_come_late() {
+    let mut world = World::new();
+    let rest = |world: &World, after: Time| world.control.rest_between_calls(START + after);
+    let unseen = Rest { required: 0, preferred: SECOND / 10 };
+    assert_eq!(rest(&world, 0), unseen);
+    world.control.note_surplus_answer(SECOND / 50, START);
+    assert_eq!(rest(&world, 0), Rest { required: SECOND / 25, preferred: SECOND / 10 });
+    world.control.note_surplus_answer(SECOND, START + SECOND);
+    world.control.note_surplus_answer(SECOND / 50, START + 2 * SECOND);
+    let longest = Rest { required: 2 * SECOND, preferred: 2 * SECOND };
+    assert_eq!((rest(&world, 2 * SECOND), rest(&world, 61 * SECOND - 1)), (longest, longest));
+    assert_eq!(rest(&world, 61 * SECOND), unseen, "it is forgotten");
+    world.control.note_surplus_answer(SECOND / 50, START + 61 * SECOND);
+    assert_eq!(rest(&world, 61 * SECOND).required, SECOND / 25);
+}
+
+#[test]
+fn silence_at_an_endpoint_that_answers_is_a_proof_behind_the_required_rest_alone() {
+    let mut world = World::new();
+    world.control.note_surplus_answer(SECOND, START);
+    for (rested, expected) in [(2 * SECOND - 1, false), (2 * SECOND, true)] {
+        let silence = Silence { since: START, before_call: rested };
+        assert_eq!(world.control.is_proof(ENDPOINT, silence, START + SECOND), expected, "{rested}");
+    }
+    world.call();
+    world.now += 10 * SECOND;
+    world.step(&[Input::Wakeup]);
+    let silence = Silence { since: START, before_call: 2 * SECOND };
+    assert!(!world.control.is_proof(ENDPOINT, silence, world.now), "a call is out for long");
+}
--- a/tests/response_order.rs
+++ b/tests/response_order.rs
@@ -3,10 +3,12 @@
 use fastrand::Rng;
 use meadowhold::interface::{Effect, Time};
 use meadowhold::response_order::{
-    AnswerTraits, Attribution, Claim, Held, NamedMessages, QuietPeriods, ResponseOrder, Settled,
+    AnswerTraits, Attribution, Claim, Held, NamedMessages, QuietPeriods, ResponseOrder, Settled, Silence,
 };
 
 const PERIODS: QuietPeriods = QuietPeriods { short: 100, long: 300 };
+/// How long a connection rests between calls.
+const RESTED: Time = 50;
 const UNNAMED: NamedMessages = NamedMessages::Unnamed;
 
 fn traits(fingerprint: u64, names: NamedMessages) -> AnswerTraits {
@@ -16,7 +18,7 @@
 /// An outcome of a message with much time left.
 fn held(message: Option<u64>, claim: Option<Claim>, quiet_period: Time) -> Held {
     let (min_quiet_period, deadline, may_repeat) = (PERIODS.short, Time::MAX, false);
-    Held { message, claim, quiet_period, min_quiet_period, deadline, may_repeat }
+    Held { message, claim, quiet_period, min_quiet_period, deadline, may_repeat, rested: RESTED }
 }
 
 fn confirmed<const N: usize>(messages: [u64; N]) -> Settled {
@@ -24,12 +26,12 @@
 }
 
 /// The endpoint answers all the time.
-fn answering(_since: Time) -> bool {
+fn answering(_silence: Silence) -> bool {
     true
 }
 
 /// The endpoint has answered nothing.
-fn silent(_since: Time) -> bool {
+fn silent(_silence: Silence) -> bool {
     false
 }
 
@@ -177,7 +179,7 @@
 
 #[test]
 fn later_deliveries_on_a_connection_leave_the_time_of_an_earlier_answer_but_other_answers_move_it() {
-    let answered_at_100 = |since: Time| since < 50;
+    let answered_at_100 = |silence: Silence| silence.since < 50;
     for (later, expected) in
         [(Some(Claim::Delivered), vec![7]), (Some(Claim::NeverRan), vec![]), (None, vec![])]
     {
@@ -188,6 +190,51 @@
     }
 }
 
+/// Guards against a delivery that a copy of an earlier answer claims, while the own answer takes longer than the quiet
+/// period: the connection must have rested before the call for longer than copies come late.
+#[test]
+fn silence_proves_no_delivery_behind_a_rest_in_which_a_copy_could_have_been_on_its_way() {
+    for (copies_come_within, expected) in [(0, vec![7]), (RESTED, vec![7]), (RESTED + 1, vec![])] {
+        let is_proof = |silence: Silence| silence.before_call >= copies_come_within;
+        let order = || {
+            let mut order = used_once();
+            order.hold(0, held(Some(7), Some(Claim::Delivered), PERIODS.long));
+            order
+        };
+        assert_eq!(order().take_final(300, is_proof).confirmed, expected, "{copies_come_within}");
+        assert_eq!(
+            order().take_final_at_close(300, PERIODS.short, is_proof),
+            expected,
+            "{copies_come_within}"
+        );
+        assert_eq!(order().is_proven(is_proof), !expected.is_empty(), "{copies_come_within}");
+    }
+}
+
+/// Guards against a long rest that hides a shift: the call before took a copy, and its own answer came in the place of this
+/// one's.
+#[test]
+fn a_shift_before_a_call_counts_however_long_the_connection_rested_then() {
+    let mut order = used_once();
+    order.hold(0, held(Some(7), Some(Claim::Delivered), PERIODS.long));
+    order.hold(100, Held { rested: 10 * RESTED, ..held(Some(8), Some(Claim::Delivered), PERIODS.long) });
+    let needs_longer_rest = |silence: Silence| silence.before_call > RESTED;
+    assert_eq!(order.take_final(400, needs_longer_rest), confirmed([]));
+}
+
+/// Guards against a connection that is kept for nothing: no message waits for it, and its silence proves nothing.
+#[test]
+fn a_connection_without_messages_that_stays_unproven_is_told_of() {
+    let mut order = used_once();
+    order.hold(0, held(Some(7), Some(Claim::Delivered), PERIODS.long));
+    order.hold(0, held(None, Some(Claim::Delivered), PERIODS.long));
+    order.take_final(600, silent);
+    assert!(!order.is_unprovable(600), "a message waits for it");
+    order.retain(|_| false);
+    assert!(!order.is_unprovable(599) && order.is_unprovable(600));
+    assert!(!used_once().is_unprovable(Time::MAX), "nothing is to be proven");
+}
+
 #[test]
 fn a_connection_that_ends_has_final_outcomes_if_it_was_quiet_for_the_short_period() {
     let rows = [(99, true, vec![]), (100, true, vec![7]), (100, false, vec![])];
