A connection is closed before a message is called again whose answer may still come on it

Cause: an answer was looked at for whether it may be believed, not for whether its call may still be out. An error needs no proof, so that one which may be another call's freed the message, and its connection stayed open.

Change: the connection is closed first, behind any answer that may be another call's and does not end the message, when silence frees a refused message, and when a held delivery becomes doubtful. Only where overlap is forbidden.

Tests, copied_answers.rs: the test of copied refusals has rows for 500, 409 and answers that nobody asked for (failed before: "500 Error, then 500 Error", b2 called twice at once), and one for doubtful deliveries (failed before: "b2 is called while its call is out"). Its messages have 6 s in place of 4, so that a further call fits.

--- a/crates/courier/src/endpoints.rs
+++ b/crates/courier/src/endpoints.rs
@@ -312,12 +312,11 @@
         }
         if meaning.traits.names == NamedMessages::Own {
             // As many answers as calls, and the last one is its own: all before it were.
-            let mut exchange = self.shared.borrow_mut();
-            connection.order.take_all().into_iter().for_each(|message| exchange.confirm(message));
+            self.shared.borrow_mut().confirm_all(connection.order.take_all());
         }
         let may_still_run = self.report_attributed(&mut connection, mails, meaning, attribution);
         if may_still_run && !self.limits.get().may_overlap {
-            return self.close(connection, CloseReason::AmbiguousRefusal);
+            return self.close(connection, CloseReason::CallMayBeOut);
         }
         let complete = body.is_some() || connection.link.read_body(head.body, MAX_ANSWER).await.is_ok();
         match (head.keep_alive, complete) {
@@ -331,7 +330,8 @@
     }
 
     /// Reports the outcome of each mail: as final, or as provisional if the answer may be another call's and believing it
-    /// could lose the mail or have it run twice. Returns whether a mail's own call may still be out.
+    /// could lose the mail or have it run twice. Returns whether a mail may be called again now though its own call may still
+    /// be out on the connection.
     fn report_attributed(
         &self,
         connection: &mut Connection,
@@ -387,7 +387,10 @@
                     };
                     connection.order.hold(now, held);
                 }
-                None => exchange.connect_ended(mail.serial, report),
+                None => {
+                    may_still_run |= quiet.is_some() && !report.finished;
+                    exchange.connect_ended(mail.serial, report);
+                }
             }
         }
         may_still_run
--- a/crates/courier/src/endpoints/watch.rs
+++ b/crates/courier/src/endpoints/watch.rs
@@ -65,13 +65,16 @@
         let endpoint = connection.endpoint;
         let now = self.clock.now();
         let settled = order.take_final(now, |silence| exchange.is_proof(endpoint, silence));
-        settled.confirmed.into_iter().for_each(|message| exchange.confirm(message));
+        let is_called_again = exchange.confirm_all(settled.confirmed);
         let is_doubted = !settled.doubtful.is_empty();
         settled.doubtful.into_iter().for_each(|message| exchange.revoke(message, RevokeReason::Unproven));
         drop(exchange);
         let is_unproven = is_doubted && !order.holds_messages() || order.is_unprovable(now);
         let is_retired = order.is_in_step() && pool.is_retired(incarnation, number);
+        // A message that is called again behind silence may have a call out here that takes longer.
+        let may_be_out = (is_called_again || is_doubted) && !self.limits.get().may_overlap;
         let reason = match () {
+            () if may_be_out => CloseReason::CallMayBeOut,
             () if is_unproven => CloseReason::Unproven,
             () if is_retired => CloseReason::Confirmed,
             () => return,
@@ -101,13 +104,15 @@
         let is_proof = |silence| exchange.is_proof(endpoint, silence);
         let confirmed = connection.order.take_final_at_close(now, short, is_proof);
         let is_in_step = connection.order.is_in_step();
-        confirmed.into_iter().for_each(|message| exchange.confirm(message));
+        let is_called_again = exchange.confirm_all(confirmed);
         drop(exchange);
+        let may_be_out = is_called_again && !self.limits.get().may_overlap;
         let is_retired = is_in_step && pool.is_retired(incarnation, number);
-        let retired = if is_retired { pool.take_watched(incarnation, number) } else { None };
+        let closed = if may_be_out || is_retired { pool.take_watched(incarnation, number) } else { None };
         drop(pool);
-        retired.into_iter().for_each(|connection| self.close(connection, CloseReason::Confirmed));
-        is_in_step
+        let reason = if may_be_out { CloseReason::CallMayBeOut } else { CloseReason::Confirmed };
+        closed.into_iter().for_each(|connection| self.close(connection, reason));
+        is_in_step || may_be_out
     }
 
     /// Ends the rest of a connection on which bytes have come or which has ended.
@@ -136,7 +141,7 @@
         let (now, endpoint) = (self.clock.now(), connection.endpoint);
         let is_proof = |silence| exchange.is_proof(endpoint, silence);
         let confirmed = connection.order.take_final_at_close(now, periods.short, is_proof);
-        confirmed.into_iter().for_each(|message| exchange.confirm(message));
+        exchange.confirm_all(confirmed);
         drop(exchange);
         self.close(connection, reason);
     }
@@ -151,9 +156,7 @@
         let mut exchange = self.shared.borrow_mut();
         let is_proof = |silence| exchange.is_proof(connection.endpoint, silence);
         if is_unchanged && connection.order.is_proven(is_proof) {
-            for message in connection.order.take_all() {
-                exchange.confirm(message);
-            }
+            exchange.confirm_all(connection.order.take_all());
         }
         drop(exchange);
         self.close(connection, CloseReason::UnsolicitedBytes);
--- a/crates/courier/src/exchange/provisional.rs
+++ b/crates/courier/src/exchange/provisional.rs
@@ -257,19 +257,28 @@
         self.provisional.held.contains_key(&serial)
     }
 
-    /// The outcome of a held mail is final.
-    pub fn confirm(&mut self, serial: u64) {
-        let Some(&claim) = self.provisional.held.get(&serial) else { return };
+    /// The outcome of a held mail is final. Returns whether the mail may be called again now.
+    pub fn confirm(&mut self, serial: u64) -> bool {
+        let Some(&claim) = self.provisional.held.get(&serial) else { return false };
         self.counts.provisional.confirmed += 1;
         match claim {
-            Claim::Delivered | Claim::Over => self.finish(serial, Step::Answered, &"confirmed"),
+            Claim::Delivered | Claim::Over => {
+                self.finish(serial, Step::Answered, &"confirmed");
+                false
+            }
             Claim::NeverRan => {
                 self.give_back(serial, &"confirmed");
                 self.record_connect_end(serial, false);
+                true
             }
         }
     }
 
+    /// The outcomes of held mails are final. Returns whether any of them may be called again now.
+    pub fn confirm_all(&mut self, serials: Vec<u64>) -> bool {
+        serials.into_iter().fold(false, |is_called_again, serial| self.confirm(serial) | is_called_again)
+    }
+
     /// The outcome of a held mail may be another call's: its own call may have run.
     pub fn revoke(&mut self, serial: u64, reason: RevokeReason) {
         let Some(&claim) = self.provisional.held.get(&serial) else { return };
--- a/crates/courier/src/pool.rs
+++ b/crates/courier/src/pool.rs
@@ -39,8 +39,8 @@
     AnswerTooLate,
     /// The answer names messages of another call.
     ForeignAnswer,
-    /// The answer may be a copy of an earlier refusal, and no two calls of a message may be out at once.
-    AmbiguousRefusal,
+    /// A message is called again whose call may still be out on it, and no two calls of a message may be out at once.
+    CallMayBeOut,
     /// Its outcomes are final, and no idle connection is kept to this endpoint.
     Confirmed,
     /// Its endpoint has not answered since, so that its outcomes could not become final.
@@ -70,7 +70,7 @@
             CloseReason::WriteFailed => "the request could not be written",
             CloseReason::AnswerTooLate => "the answer came after a message had expired",
             CloseReason::ForeignAnswer => "the answer names messages of another call",
-            CloseReason::AmbiguousRefusal => "the refusal may be another call's",
+            CloseReason::CallMayBeOut => "a call may be out on it whose message is called again",
             CloseReason::Confirmed => "its outcomes are final",
             CloseReason::Unproven => "its outcomes could not be confirmed",
         })
--- a/crates/courier/tests/copied_answers.rs
+++ b/crates/courier/tests/copied_answers.rs
@@ -15,6 +15,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const LIFETIME: &str = "d=4000,k=5c0f";
+/// Leaves time for a further call behind one that is crossed.
+const CROSSED_LIFETIME: &str = "d=6000,k=5c0f";
 /// A connection that has rested for so long takes the next call, where no answer has come late.
 const REST: Duration = Duration::from_millis(200);
 /// How long after the foreign answer the endpoint writes the call's own one.
@@ -88,8 +90,8 @@
     }
 }
 
-/// An endpoint that refuses its first call, and writes a second copy of that refusal once it has read a further call on the
-/// connection. All calls but the first run for a time.
+/// An endpoint that answers its first call at once, and writes an answer too many once it has read a further call on the
+/// connection: a second copy, or one that nobody asked for. All calls but the first run for a time.
 struct CopyingEndpoint {
     address: SocketAddr,
     runs: Arc<Mutex<Vec<String>>>,
@@ -104,7 +106,7 @@
 }
 
 impl CopyingEndpoint {
-    fn new(refusal: String, work: Duration) -> CopyingEndpoint {
+    fn new(first: String, crossing: String, work: Duration) -> CopyingEndpoint {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let runs: Arc<Mutex<Vec<String>>> = Arc::default();
@@ -117,10 +119,10 @@
             match *refused {
                 None => {
                     *refused = Some(peer);
-                    return out.write_all(refusal.as_bytes()).is_ok();
+                    return out.write_all(first.as_bytes()).is_ok();
                 }
                 Some(refused_peer) if refused_peer == peer => {
-                    let _ = out.write_all(refusal.as_bytes());
+                    let _ = out.write_all(crossing.as_bytes());
                 }
                 Some(_) => {}
             }
@@ -292,7 +294,7 @@
         [("again", 0.0, false), ("once", 0.0, false), ("again", 2.0, true), ("once", 2.0, true)]
     {
         // The copy belongs to the connection of the refusal: it is written there once the next call has been read.
-        let endpoint = CopyingEndpoint::new(refusal().1, WORK);
+        let endpoint = CopyingEndpoint::new(refusal().1, refusal().1, WORK);
         let platform = Platform::new();
         platform.set_entry("e1", endpoint.address, "single", 7, "SERVING");
         let courier = Courier::start(&platform, |config| {
@@ -317,29 +319,99 @@
     }
 }
 
-/// Guards against two calls of a message at once where the settings forbid that: a copied refusal frees a message whose own call
-/// is still out.
+/// Guards against two calls of a message at once where the settings forbid that: a copied refusal or error, or an unasked one,
+/// frees a message whose own call is still out.
 #[test]
-fn a_copied_refusal_does_not_have_a_message_called_twice_at_once() {
+fn an_answer_of_another_call_does_not_have_a_message_called_twice_at_once() {
+    let refusal = "HTTP/1.1 429 Busy\r\nRetry-After: 0.010\r\nContent-Length: 0\r\n\r\n".to_string();
+    let (ok, error, conflict) = (response(OK, ""), response("500 Error", ""), response("409 Conflict", ""));
+    let rows = [
+        (&refusal, &refusal),
+        (&error, &error),
+        (&conflict, &conflict),
+        (&ok, &refusal),
+        (&ok, &error),
+        (&ok, &conflict),
+    ];
+    for (first, crossing) in rows {
+        expect_one_call_at_a_time(first, crossing);
+    }
+}
+
+fn expect_one_call_at_a_time(first: &str, crossing: &str) {
     const WORK: Duration = Duration::from_millis(1500);
-    let refusal = "HTTP/1.1 429 Busy\r\nRetry-After: 0.010\r\nContent-Length: 0\r\n\r\n";
     for class in ["again", "tagged"] {
-        let endpoint = CopyingEndpoint::new(refusal.to_string(), WORK);
+        let endpoint = CopyingEndpoint::new(first.to_string(), crossing.to_string(), WORK);
         let platform = Platform::new();
         platform.set_entry("e1", endpoint.address, "single", 7, "SERVING");
         let courier = Courier::start(&platform, |config| {
             config["settings"]["Limits"]["MayDuplicate"] = json!(false);
         });
-        let put = |id: &str| assert_eq!(courier.client().put(id, class, LIFETIME), "+OK");
+        let put = |id: &str| assert_eq!(courier.client().put(id, class, CROSSED_LIFETIME), "+OK");
         put("a1");
         thread::sleep(REST);
         put("b2");
         wait_until("both ends", || courier.owes_nothing());
         let overlapping = endpoint.overlapping.lock().unwrap().clone();
-        assert_eq!(overlapping, Vec::<String>::new(), "{class}: {:?}", endpoint.runs());
+        let what = format!("{class}, {first:?}, then {crossing:?}");
+        assert_eq!(overlapping, Vec::<String>::new(), "{what}: {:?}", endpoint.runs());
     }
 }
 
+/// Guards against two calls of a message at once where the settings forbid that: a held delivery becomes doubtful while the
+/// connection stays open for another message.
+#[test]
+fn a_doubtful_delivery_does_not_have_a_message_called_twice_at_once() {
+    let copy_at_once = vec![at_once(OK)];
+    // The last copy comes at rest, and shows that the connection of the others had not rested for long enough.
+    let late_copy = vec![at_once(OK), (Duration::from_millis(150), response(OK, ""))];
+    let scripts = [vec![at_once(OK)], copy_at_once.clone(), copy_at_once, late_copy];
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let calls: Arc<Mutex<Vec<(String, TcpStream)>>> = Arc::default();
+    let seen = calls.clone();
+    serve(listener, move |request, out| {
+        let mut seen = seen.lock().unwrap();
+        let script = scripts.get(seen.len()).cloned().unwrap_or_else(|| vec![at_once(OK)]);
+        seen.push((request.ids().remove(0), out.try_clone().unwrap()));
+        drop(seen);
+        let mut out = out.try_clone().unwrap();
+        thread::spawn(move || {
+            for (pause, text) in script {
+                thread::sleep(pause);
+                let _ = out.write_all(text.as_bytes());
+            }
+        });
+        true
+    });
+    let platform = Platform::new();
+    platform.set_entry("e1", address, "single", 7, "SERVING");
+    let courier = Courier::start(&platform, |config| {
+        config["settings"]["Limits"]["MayDuplicate"] = json!(false);
+        config["settings"]["Limits"]["ConnectTimeoutUs"] = json!(500_000);
+    });
+    let count = || calls.lock().unwrap().len();
+    for (number, (id, class)) in
+        [("a1", "again"), ("b2", "again"), ("c3", "once"), ("d4", "again")].into_iter().enumerate()
+    {
+        assert_eq!(courier.client().put(id, class, LIFETIME), "+OK");
+        wait_until("the call", || count() > number);
+        // The last one goes on a connection of its own, at once.
+        if id != "c3" {
+            thread::sleep(REST);
+        }
+    }
+    let connection = |call: usize| calls.lock().unwrap()[call].1.peer_addr().unwrap();
+    assert_eq!((connection(0), connection(1)), (connection(2), connection(2)), "the connection is kept");
+    wait_until("the second call of b2", || count() > 4);
+    let (again, earlier) = {
+        let calls = calls.lock().unwrap();
+        (calls[4].0.clone(), calls[1].1.try_clone().unwrap())
+    };
+    assert!(again == "b2" && is_abandoned(&earlier), "{again} is called while its call is out");
+    wait_until("all ends", || courier.owes_nothing());
+}
+
 #[test]
 fn a_copied_answer_to_a_batch_ends_no_message_of_the_next_and_shifts_none() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
