--- a/crates/courier/src/exchange/provisional.rs
+++ b/crates/courier/src/exchange/provisional.rs
@@ -257,8 +257,13 @@
         self.provisional.held.contains_key(&serial)
     }
 
-    /// The outcome of a held mail is final. Returns whether the mail may be called again now.
-    pub fn confirm(&mut self, serial: u64) -> bool {
+    /// The outcome of a held mail is final.
+    pub fn confirm(&mut self, serial: u64) {
+        self.confirm_all(vec![serial]);
+    }
+
+    /// Returns whether the mail may be called again now.
+    fn confirm_one(&mut self, serial: u64) -> bool {
         let Some(&claim) = self.provisional.held.get(&serial) else { return false };
         self.counts.provisional.confirmed += 1;
         match claim {
@@ -276,7 +281,7 @@
 
     /// The outcomes of held mails are final. Returns whether any of them may be called again now.
     pub fn confirm_all(&mut self, serials: Vec<u64>) -> bool {
-        serials.into_iter().fold(false, |is_called_again, serial| self.confirm(serial) | is_called_again)
+        serials.into_iter().fold(false, |is_called_again, serial| self.confirm_one(serial) | is_called_again)
     }
 
     /// The outcome of a held mail may be another call's: its own call may have run.
