Bodies of answers that nobody uses are not kept, and the others take their share of memory

Cause: one function read every body and returned it, up to 1 MiB a connection, though only a batch's 200 is used; neither slots nor the memory's budget counted who reads.

Change: unused bodies are read to their end and dropped, with the protocol's 64 KiB as their limit; a batch's 200 takes 128 KiB of a tenth of limits.memory_mb before it is read. Surplus answers are skipped likewise.

No test was changed.

--- a/crates/courier/src/endpoints.rs
+++ b/crates/courier/src/endpoints.rs
@@ -27,7 +27,7 @@
 mod expiry;
 mod watch;
 
-use answer::{read_answer, report_with_head, Answer, Meaning, MAX_ANSWER};
+use answer::{read_answer, report_with_head, Answer, AnswerBody, AnswerMemory, Meaning, MAX_ANSWER};
 use expiry::{Expiry, ExpirySender};
 
 /// How often a call that waits for room looks whether a connection has rested long enough meanwhile.
@@ -41,6 +41,8 @@
     pub max_connections: usize,
     /// Whether a mail may have two connects in flight at once.
     pub may_overlap: bool,
+    /// Bytes that bodies of answers may take while they are read.
+    pub answer_memory: u64,
 }
 
 struct Endpoints {
@@ -48,6 +50,7 @@
     clock: Clock,
     limits: Cell<Limits>,
     pool: RefCell<Pool>,
+    answer_memory: AnswerMemory,
     /// Notified when a connection was closed or became idle, so that it can be closed.
     freed: Notify,
     /// Mails with earlier deadlines are not waited for.
@@ -89,6 +92,7 @@
         clock,
         limits: Cell::new(limits),
         pool: RefCell::new(Pool::new(limits.idle_timeout)),
+        answer_memory: AnswerMemory::new(limits.answer_memory),
         freed: Notify::new(),
         expire_before: ExpirySender::new(0),
     };
@@ -260,7 +264,8 @@
             return self.close_ended(connection, reason);
         }
         let is_batch = mails.len() > 1;
-        let answer = self.wait_for_answer(&mut mails, read_answer(&mut connection.link, is_batch)).await;
+        let reading = read_answer(&mut connection.link, is_batch, &self.answer_memory);
+        let answer = self.wait_for_answer(&mut mails, reading).await;
         // An answer that comes after a mail of the call has expired may belong to that mail, so it does not
         // count for the others.
         let now = self.clock.now();
@@ -301,10 +306,16 @@
         mut connection: Connection,
         mails: &[CallMail],
         head: &Head,
-        body: Option<BytesMut>,
+        body: AnswerBody,
     ) {
         let reused = connection.calls > 1;
-        let meaning = Meaning::of(mails, head, body.as_deref(), reused);
+        let text = match &body {
+            AnswerBody::Read(body) => Some(&body.bytes[..]),
+            AnswerBody::NotRead | AnswerBody::Skipped => None,
+        };
+        let meaning = Meaning::of(mails, head, text, reused);
+        let is_read = !matches!(body, AnswerBody::NotRead);
+        drop(body);
         let attribution = connection.order.attribute(meaning.traits);
         if attribution == Attribution::Foreign {
             self.report_outcome(mails, &ConnectReport::of(Outcome::Spoilt));
@@ -318,7 +329,7 @@
         if may_still_run && !self.limits.get().may_overlap {
             return self.close(connection, CloseReason::CallMayBeOut);
         }
-        let complete = body.is_some() || connection.link.read_body(head.body, MAX_ANSWER).await.is_ok();
+        let complete = is_read || connection.link.skip_body(head.body, MAX_ANSWER).await.is_ok();
         match (head.keep_alive, complete) {
             (true, true) => self.return_idle(call, connection),
             (false, true) if connection.order.is_in_step() => {
--- a/crates/courier/src/endpoints/answer.rs
+++ b/crates/courier/src/endpoints/answer.rs
@@ -1,22 +1,62 @@
 //! The meaning of an answer for the mails of its call.
 
 use std::io;
+use std::sync::Arc;
 
 use bytes::BytesMut;
 use meadowhold::interface::Outcome;
 use meadowhold::response_order::{AnswerTraits, Claim, NamedMessages};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout;
 
 use crate::exchange::{CallMail, ConnectReport};
 use crate::http::{self, Body, Head, Item};
-use crate::link::HttpConnection;
+use crate::link::{HttpConnection, BODY_TIMEOUT};
 
 /// Largest body of an answer, in bytes.
-pub const MAX_ANSWER: usize = 1 << 20;
+pub const MAX_ANSWER: usize = http::MAX_BODY;
+/// What reading the largest body may take, in bytes: the buffer doubles as it grows.
+const MAX_ANSWER_BUFFER: usize = 2 * MAX_ANSWER;
+
+/// The memory for bodies of answers that are read at a time.
+#[derive(Clone)]
+pub struct AnswerMemory {
+    free: Arc<Semaphore>,
+}
+
+impl AnswerMemory {
+    /// Memory of so many bytes, but for one body at least.
+    pub fn new(bytes: u64) -> AnswerMemory {
+        let bytes = usize::try_from(bytes).unwrap_or(Semaphore::MAX_PERMITS);
+        AnswerMemory {
+            free: Arc::new(Semaphore::new(bytes.clamp(MAX_ANSWER_BUFFER, Semaphore::MAX_PERMITS))),
+        }
+    }
+
+    /// Waits for the memory for one body, for as long as a body may take.
+    async fn reserve(&self) -> io::Result<OwnedSemaphorePermit> {
+        let share = self.free.clone().acquire_many_owned(MAX_ANSWER_BUFFER as u32);
+        timeout(BODY_TIMEOUT, share).await?.map_err(io::Error::other)
+    }
+}
+
+/// A body that was read, and its share of the memory.
+pub struct ReadBody {
+    pub bytes: BytesMut,
+    _share: OwnedSemaphorePermit,
+}
+
+/// How far the body of an answer has been read.
+pub enum AnswerBody {
+    NotRead,
+    /// To its end; nothing in it counts.
+    Skipped,
+    Read(ReadBody),
+}
 
 /// The answer to a call.
 pub enum Answer {
-    /// The head, and the body if it has been read.
-    Read(Head, Option<BytesMut>),
+    Read(Head, AnswerBody),
     /// No readable answer, and the outcome that follows from that.
     Unread(Outcome),
 }
@@ -24,7 +64,7 @@
 /// Reads an answer as far as its meaning depends on it. A single mail is relayed as soon as the status line
 /// says so. An answer to a batch, or one that says that nothing has run, counts only if it is read to its
 /// end: after a malformed answer the mails may have run.
-pub async fn read_answer(link: &mut HttpConnection, is_batch: bool) -> Answer {
+pub async fn read_answer(link: &mut HttpConnection, is_batch: bool, memory: &AnswerMemory) -> Answer {
     let head = match link.read_head().await {
         Ok(head) => head,
         Err(_) if !is_batch && link.has_ok_status_line() => return Answer::Unread(Outcome::Relayed),
@@ -32,13 +72,20 @@
     };
     // A body that ends with the connection is not waited for.
     let unrun = head.status != 200 && head.body != Body::UntilClose;
-    if unrun || (is_batch && head.status == 200) {
-        return match link.read_body(head.body, MAX_ANSWER).await {
-            Ok(body) => Answer::Read(head, Some(body)),
-            Err(e) => Answer::Unread(read_error_outcome(&e)),
-        };
+    let body = match head.status {
+        200 if is_batch => read_body(link, head.body, memory).await.map(AnswerBody::Read),
+        _ if unrun => link.skip_body(head.body, MAX_ANSWER).await.map(|()| AnswerBody::Skipped),
+        _ => Ok(AnswerBody::NotRead),
+    };
+    match body {
+        Ok(body) => Answer::Read(head, body),
+        Err(e) => Answer::Unread(read_error_outcome(&e)),
     }
-    Answer::Read(head, None)
+}
+
+async fn read_body(link: &mut HttpConnection, body: Body, memory: &AnswerMemory) -> io::Result<ReadBody> {
+    let share = memory.reserve().await?;
+    Ok(ReadBody { bytes: link.read_body(body, MAX_ANSWER).await?, _share: share })
 }
 
 fn read_error_outcome(e: &io::Error) -> Outcome {
--- a/crates/courier/src/endpoints/watch.rs
+++ b/crates/courier/src/endpoints/watch.rs
@@ -168,7 +168,7 @@
 async fn read_surplus_answers(link: &mut HttpConnection) {
     for _ in 0..MAX_SURPLUS_ANSWERS {
         let Ok(head) = link.read_head().await else { return };
-        let body = link.read_body(head.body, MAX_ANSWER).await;
+        let body = link.skip_body(head.body, MAX_ANSWER).await;
         if head.status != 200 || body.is_err() {
             return;
         }
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -117,6 +117,7 @@
         idle_timeout: exchange::to_duration(decoded.settings.idle_timeout),
         max_connections: sockets - RESERVED_DESCRIPTORS - client_sockets,
         may_overlap: decoded.may_overlap,
+        answer_memory: budget.answers,
     };
     // Bound first, so that a courier started twice by mistake fails before it touches any file.
     let bound = listen_for_clients(listen, &budget);
--- a/crates/courier/src/link.rs
+++ b/crates/courier/src/link.rs
@@ -32,7 +32,7 @@
 const MAX_BODY_OVERHEAD: usize = 2;
 
 /// Time for a body after its head.
-const BODY_TIMEOUT: Duration = Duration::from_secs(1);
+pub const BODY_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The state of a connection on which no call is out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -222,14 +222,28 @@
         }
     }
 
-    /// Reads the body that follows a head, of at most `max_size` bytes, within `BODY_TIMEOUT`.
+    /// Reads the body that follows a head, of at most `max_size` bytes, within `BODY_TIMEOUT`. It is kept only here: the caller
+    /// has taken the memory for it.
     pub async fn read_body(&mut self, body: Body, max_size: usize) -> io::Result<BytesMut> {
-        timeout_at(Instant::now() + BODY_TIMEOUT, self.collect_body(body, max_size)).await?
+        let mut collected = BytesMut::new();
+        let take = |bytes: &[u8]| collected.extend_from_slice(bytes);
+        timeout_at(Instant::now() + BODY_TIMEOUT, self.read_pieces(body, max_size, take)).await??;
+        Ok(collected)
+    }
+
+    /// Reads the body that follows a head as `read_body` does, and keeps nothing of it.
+    pub async fn skip_body(&mut self, body: Body, max_size: usize) -> io::Result<()> {
+        timeout_at(Instant::now() + BODY_TIMEOUT, self.read_pieces(body, max_size, |_| {})).await?
     }
 
-    /// Reads a body of at most `max_size` bytes.
-    async fn collect_body(&mut self, mut body: Body, max_size: usize) -> io::Result<BytesMut> {
-        let (mut collected, mut budget) = (BytesMut::new(), ReadBudget::new(MAX_BODY_OVERHEAD * max_size));
+    /// Reads a body of at most `max_size` bytes piece by piece.
+    async fn read_pieces(
+        &mut self,
+        mut body: Body,
+        max_size: usize,
+        mut take: impl FnMut(&[u8]),
+    ) -> io::Result<()> {
+        let (mut size, mut budget) = (0, ReadBudget::new(MAX_BODY_OVERHEAD * max_size));
         if matches!(body, Body::Length(length) if length > max_size as u64) {
             return Err(io::Error::new(
                 io::ErrorKind::InvalidData,
@@ -237,11 +251,12 @@
             ));
         }
         while let Some(bytes) = self.next_piece(&mut body, &mut budget).await? {
-            if collected.len() + bytes.len() > max_size {
+            size += bytes.len();
+            if size > max_size {
                 return Err(io::Error::new(io::ErrorKind::InvalidData, "answer body exceeds the limit"));
             }
-            collected.extend_from_slice(&bytes);
+            take(&bytes);
         }
-        Ok(collected)
+        Ok(())
     }
 }
--- a/crates/courier/src/memory_budget.rs
+++ b/crates/courier/src/memory_budget.rs
@@ -4,6 +4,7 @@
 const CLIENT_INPUT_PERCENT: u64 = 20;
 const MESSAGES_PERCENT: u64 = 15;
 const RECEIVE_BUFFERS_PERCENT: u64 = 25;
+const ANSWERS_PERCENT: u64 = 10;
 /// Bounds of a socket's receive buffer, in bytes.
 const RECEIVE_BUFFER: (u64, u64) = (16 << 10, 64 << 10);
 
@@ -15,6 +16,8 @@
     pub client_input: u64,
     /// Messages in hand.
     pub messages: u64,
+    /// Bodies of endpoints' answers while they are read.
+    pub answers: u64,
     /// What the system holds for one connection until it is read.
     pub receive_buffer: u64,
 }
@@ -28,6 +31,7 @@
             limit,
             client_input: percent(CLIENT_INPUT_PERCENT),
             messages: percent(MESSAGES_PERCENT),
+            answers: percent(ANSWERS_PERCENT),
             receive_buffer: (percent(RECEIVE_BUFFERS_PERCENT) / sockets.max(1) as u64).clamp(least, most),
         }
     }
