A list that comes later than its request's time-out is taken

What callers saw: with a list service that answers after 0.5 s, 80 of 80 messages for one destination went to the endpoint of another, 56 of them later than 6 s after the start (the play made here before any change).

Cause: a time-out stood for when to ask again and for when to stop listening, so that an answer which always takes longer was never heard. In ask mode the same at 3 s, and in both with a slow body.

A watch has twice the time that the last list took, up to 2 s.

No test was changed.

--- a/crates/courier/src/discovery.rs
+++ b/crates/courier/src/discovery.rs
@@ -8,7 +8,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::StatusCode;
 use meadowhold::interface::{EndpointStatus, Time};
@@ -22,6 +21,7 @@
 
 use crate::entries::{self, Update};
 use crate::exchange::Clock;
+use crate::late_requests::{Event, LateRequest, LateRequests, OpenRequest};
 use crate::platform::Connection;
 use crate::reader::{Limits, ReadError, Reader};
 use crate::schedule::{Effect, HeldVersion, Input, Request, Schedule, Verdict, WATCH_TIMEOUT};
@@ -137,6 +137,8 @@
             | Input::LongListData
             | Input::WatchData
             | Input::ListTaken
+            | Input::LateListTaken
+            | Input::LateOlderList
             | Input::OlderList
             | Input::VersionGap => {
                 self.0.set(Some(now));
@@ -154,23 +156,6 @@
     }
 }
 
-/// What the task of a request reports.
-enum Event {
-    Headers,
-    Bytes(Bytes),
-    /// The response body is complete.
-    End,
-    Failed(io::Error),
-    Status(u16),
-}
-
-impl Event {
-    /// Nobody listens at the source's address.
-    fn is_refused(&self) -> bool {
-        matches!(self, Event::Failed(e) if e.kind() == io::ErrorKind::ConnectionRefused)
-    }
-}
-
 /// Sends one request and reports its response. Dropping the future cancels the request and closes its connection.
 async fn send_request(address: SocketAddr, path: String, out: &mpsc::Sender<Event>) -> io::Result<Event> {
     let mut connection = Connection::open(address).await?;
@@ -206,9 +191,8 @@
     request: Request,
     /// Nothing of the current response has been applied yet.
     is_first: bool,
-    /// The task of the current request; dropping it cancels the request.
-    task: JoinSet<()>,
-    events: Option<mpsc::Receiver<Event>>,
+    current: Option<OpenRequest>,
+    late: LateRequests,
 }
 
 impl<L: Listener> Follower<L> {
@@ -221,11 +205,12 @@
         };
         let address = *self.address.borrow();
         let (out, events) = mpsc::channel(1);
-        self.events = Some(events);
-        self.task.spawn_local(async move {
+        let mut task = JoinSet::new();
+        task.spawn_local(async move {
             let end = send_request(address, path, &out).await.unwrap_or_else(Event::Failed);
             let _ = out.send(end).await;
         });
+        self.current = Some(OpenRequest { task, events, sent_at: self.clock.now() });
     }
 
     /// The path of a watch for changes after the version that is held. A relay also gets the content hash, if it is known
@@ -241,12 +226,37 @@
     }
 
     fn cancel(&mut self) {
-        self.task = JoinSet::new();
-        self.events = None;
+        self.current = None;
         self.reader = Reader::new(self.limits);
         self.whole_list = None;
     }
 
+    /// Listens on to the current request beside those that follow, if it is one for the whole list that is late. A long list
+    /// has a longer time-out instead.
+    fn keep_late(&mut self) {
+        if self.request != Request::List || self.reader.pending() > LONG_LIST {
+            return;
+        }
+        let Some(request) = self.current.take() else { return };
+        let reader = std::mem::replace(&mut self.reader, Reader::new(self.limits));
+        let list = self.whole_list.take();
+        self.late.add(LateRequest { request, reader, list }, self.clock.now());
+    }
+
+    /// Takes the list of a late answer. The current request is not waited for, unless it has been answered.
+    fn take_late_list(&mut self, list: &Update, sent_at: Time) -> (Input, String) {
+        log::debug!("a list of version {} came late", list.index);
+        self.schedule.note_answer_time(self.clock.now().saturating_sub(sent_at));
+        match self.apply(list) {
+            Ok(Verdict::IgnoreAndRetry) => (Input::LateOlderList, "the late list is older".to_string()),
+            Ok(_) => (Input::LateListTaken, String::new()),
+            Err(e) => {
+                log::debug!("a late list cannot be taken: {e:?}");
+                (Input::LateOlderList, "the late list cannot be taken".to_string())
+            }
+        }
+    }
+
     /// Passes a list on to the listener if its version is accepted.
     fn apply(&mut self, list: &Update) -> Result<Verdict, ReadError> {
         let (now, whole) = (self.clock.now(), list.whole);
@@ -361,10 +371,11 @@
             let (input, reason) = tokio::select! {
                 biased;
                 () = address_changed(&mut self.address) => (Input::AddressChanged, String::new()),
-                event = next_event(&mut self.events) => {
+                event = next_event(&mut self.current) => {
                     is_refused = event.is_refused();
                     self.read(event)
                 }
+                (list, sent_at) = self.late.next_list() => self.take_late_list(&list, sent_at),
                 () = tokio::time::sleep_until(due.into()) => (Input::Timer, "discovery is silent".to_string()),
             };
             let (now, failed) = (self.clock.now(), self.schedule.consecutive_failures());
@@ -372,6 +383,9 @@
             if input == Input::AddressChanged {
                 self.version.address_changed(self.schedule.ignores_lower_until(now));
             }
+            if matches!(input, Input::AddressChanged | Input::ListTaken | Input::WatchData) {
+                self.late.clear();
+            }
             if is_refused {
                 let until = self.schedule.ignores_lower_until(now);
                 self.version.source_is_gone(until);
@@ -381,7 +395,12 @@
             match effect {
                 Effect::Nothing => {}
                 Effect::Send(request) => self.send(request),
-                Effect::Cancel => self.cancel(),
+                Effect::Cancel => {
+                    if input == Input::Timer {
+                        self.keep_late();
+                    }
+                    self.cancel();
+                }
             }
             match (too_long, self.schedule.consecutive_over_limit()) {
                 (0, 1) => log::warn!("{reason}: the list that is held stays in force"),
@@ -404,15 +423,15 @@
 }
 
 /// The next event of the current request; waits forever if there is none.
-async fn next_event(events: &mut Option<mpsc::Receiver<Event>>) -> Event {
-    let event = match events {
-        Some(events) => events.recv().await,
+async fn next_event(current: &mut Option<OpenRequest>) -> Event {
+    let event = match current {
+        Some(request) => request.events.recv().await,
         None => std::future::pending().await,
     };
     match event {
         Some(event) => event,
         None => {
-            *events = None;
+            *current = None;
             Event::End
         }
     }
@@ -477,8 +496,8 @@
         whole_list: None,
         request: Request::List,
         is_first: true,
-        task: JoinSet::new(),
-        events: None,
+        current: None,
+        late: LateRequests::default(),
     }
 }
 
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod http;
 pub mod journal;
 pub mod kept_settings;
+pub mod late_requests;
 pub mod link;
 pub mod list_file;
 pub mod members;
--- a/crates/courier/src/schedule.rs
+++ b/crates/courier/src/schedule.rs
@@ -13,6 +13,9 @@
 //! couriers poll discovery itself, where requests cost something and may be turned down: pauses grow, and are randomized
 //! so that couriers do not send requests in step.
 //!
+//! A request for the whole list that has timed out is still listened to for a while, beside those that follow
+//! (`late_requests`), and a watch has as long as the last list took, twice over: a source that is merely slow is heard.
+//!
 //! A long list, of a few megabytes, may take longer than other requests as long as data keeps arriving. A list over a
 //! limit of the configuration is not requested in a loop: a watch is tried next, which is enough to learn of changes,
 //! then the list again, with pauses that grow to five minutes. Neither delays lists within the limits.
@@ -31,6 +34,8 @@
 const REQUEST_TIMEOUT: (Time, Time) = (800 * MS, 2000 * MS);
 /// The time that an agent has until its headers arrive; the longer one is for every fourth request, as above.
 const AGENT_TIMEOUT: (Time, Time) = (150 * MS, 400 * MS);
+/// A watch has so many times what the last list took, up to the longer time of a request.
+const WATCH_PER_LIST_TIME: Time = 2;
 /// The pause after the first failure in a row, and the longest: in ask mode and in push mode.
 const RETRY_PAUSE: [(Time, Time); 2] = [(100 * MS, 1600 * MS), (20 * MS, 80 * MS)];
 /// How long a new process waits for its agent before it makes calls: the list in its configuration may be outdated, while
@@ -84,6 +89,10 @@
     WatchData,
     /// The whole list was received and processed.
     ListTaken,
+    /// The same for a list that was asked for by an earlier request, which had timed out.
+    LateListTaken,
+    /// A late list is older than the one that is held, or unusable.
+    LateOlderList,
     /// A whole list older than the one that is held was received, after an address change or a version gap: the source may
     /// be lagging, or may have started its versions anew.
     OlderList,
@@ -139,6 +148,8 @@
     older_lists: u32,
     /// Lists over a limit, since a list was accepted or the address changed.
     over_limit: u32,
+    /// How long the last list took, or its headers.
+    answer_time: Time,
     /// Calls are held until then at the latest.
     hold_until: Option<Time>,
 }
@@ -154,6 +165,7 @@
             failures: 0,
             older_lists: 0,
             over_limit: 0,
+            answer_time: 0,
             hold_until: push.then_some(now + STARTUP_HOLD),
         }
     }
@@ -201,11 +213,12 @@
     /// Advances the state machine. `chance` is uniformly distributed in [0, 1].
     pub fn handle(&mut self, now: Time, input: Input, chance: f64) -> Effect {
         use Input::{
-            AddressChanged, Closed, Headers, ListTaken, LongListData, OlderList, OverLimit, Rejected, Timer,
-            Unreadable, VersionGap, WatchData,
+            AddressChanged, Closed, Headers, LateListTaken, LateOlderList, ListTaken, LongListData,
+            OlderList, OverLimit, Rejected, Timer, Unreadable, VersionGap, WatchData,
         };
         use State::{Idle, Reading, Sent, Watching};
-        let answered = matches!(input, ListTaken | OlderList | Rejected | Unreadable | OverLimit);
+        let answered =
+            matches!(input, ListTaken | LateListTaken | OlderList | Rejected | Unreadable | OverLimit);
         self.hold_until = self.hold_until.filter(|&until| now < until && !answered);
         // The timer was set for the end of the hold, not for the deadline.
         if input == Timer && now < self.deadline {
@@ -215,6 +228,9 @@
         let (state, until, effect) = match (self.state, input) {
             (_, AddressChanged) => (Idle(Request::List), Until::Now, Effect::Cancel),
             (Idle(request), Timer) => (Sent(request), Until::Headers, Effect::Send(request)),
+            (Idle(_) | Sent(_), LateListTaken) => (Idle(Request::Watch), Until::Now, Effect::Cancel),
+            // The current request has been answered: it goes on.
+            (_, LateListTaken | LateOlderList) => return Effect::Nothing,
             // Left over from a request that was cancelled.
             (Idle(_), _) => return Effect::Nothing,
             (Sent(Request::List), Headers) => (Reading, Until::Complete, Effect::Nothing),
@@ -241,10 +257,13 @@
                 return Effect::Nothing
             }
         };
-        if matches!(input, WatchData | ListTaken | AddressChanged) {
+        if matches!(input, WatchData | ListTaken | LateListTaken | AddressChanged) {
             self.failures = 0;
         }
-        if matches!(input, ListTaken | AddressChanged) {
+        if input == Headers && state == Reading {
+            self.answer_time = now.saturating_sub(self.sent_at);
+        }
+        if matches!(input, ListTaken | LateListTaken | AddressChanged) {
             (self.older_lists, self.over_limit) = (0, 0);
         }
         // A source whose versions skip numbers causes a gap with each change, which would cost two requests each time.
@@ -268,7 +287,7 @@
             Until::WatchTimeout => now + WATCH_TIMEOUT,
             Until::FirstData if self.failures == 0 => now + WATCH_TIMEOUT,
             Until::FirstData => self.sent_at + RETRIED_WATCH_TIMEOUT,
-            Until::Headers => now + self.timeout(if self.push { AGENT_TIMEOUT } else { REQUEST_TIMEOUT }),
+            Until::Headers => now + self.headers_timeout(state),
             Until::Complete => self.sent_at + self.timeout(REQUEST_TIMEOUT),
             Until::LongList => (now + WATCH_TIMEOUT).min(self.sent_at + LONG_LIST_TIMEOUT),
             Until::RetryPause => now + self.retry_pause(overrun, chance),
@@ -281,6 +300,23 @@
         effect
     }
 
+    /// How long the last list took to be answered.
+    pub fn note_answer_time(&mut self, time: Time) {
+        self.answer_time = time;
+    }
+
+    /// The time until the headers of the request that is sent now.
+    fn headers_timeout(&self, state: State) -> Time {
+        let timeout = self.timeout(if self.push { AGENT_TIMEOUT } else { REQUEST_TIMEOUT });
+        let expected = WATCH_PER_LIST_TIME * self.answer_time;
+        // A watch that is given up is not listened to any more, so it gets the time that its source needs.
+        if state == State::Sent(Request::Watch) && expected <= REQUEST_TIMEOUT.1 {
+            timeout.max(expected)
+        } else {
+            timeout
+        }
+    }
+
     fn timeout(&self, (short, long): (Time, Time)) -> Time {
         if self.failures % 4 == 3 {
             long
--- a/crates/courier/src/schedule/tests.rs
+++ b/crates/courier/src/schedule/tests.rs
@@ -516,3 +516,33 @@
     assert_eq!(with_input(open, 2000 * MS, LongListData).due(), 4500 * MS);
     assert_eq!(with_input(watch.clone(), 20, LongListData).due(), watch.due());
 }
+
+/// Guards against a slow source that is asked without end: its watch has twice the time that its list took.
+#[test]
+fn a_late_list_is_taken_for_the_current_request_and_its_watch_may_take_as_long() {
+    // (push mode, what the late list took, the time that the watch has for its headers, all in ms)
+    let rows = [(PUSH, 500, 1000), (PUSH, 1000, 2000), (PUSH, 1500, 150), (ASK, 900, 1800), (ASK, 1500, 800)];
+    for (push, took, has) in rows {
+        let (mut schedule, sent) = play(push, 0.0, &[], took);
+        assert!(sent.len() > 1 && sent.iter().all(|sent| sent.1 == Request::List), "{sent:?}");
+        schedule.note_answer_time(took * MS);
+        assert_eq!(schedule.handle(took * MS, LateListTaken, 0.0), Effect::Cancel);
+        assert!(schedule.consecutive_failures() == 0 && schedule.allows_calls());
+        assert_eq!(schedule.handle(took * MS, Timer, 0.0), Effect::Send(Request::Watch));
+        assert_eq!(schedule.due(), (took + has) * MS, "{push} {took}");
+    }
+}
+
+#[test]
+fn a_late_list_leaves_an_answered_request_alone_and_an_older_one_changes_nothing() {
+    let answered = [(2000, Headers)];
+    for input in [LateListTaken, LateOlderList] {
+        let (mut schedule, _) = play(PUSH, 1.0, &answered, 2000);
+        let due = schedule.due();
+        assert_eq!(schedule.handle(2001 * MS, input, 1.0), Effect::Nothing);
+        assert_eq!(schedule.due(), due);
+    }
+    let (mut schedule, _) = play(PUSH, 1.0, &[], 2000);
+    let due = schedule.due();
+    assert_eq!((schedule.handle(2000 * MS, LateOlderList, 1.0), schedule.due()), (Effect::Nothing, due));
+}
