--- a/crates/courier/src/pool.rs
+++ b/crates/courier/src/pool.rs
@@ -294,9 +294,9 @@
         }
     }
 
-    /// Takes an idle connection that has rested for a time, for a call: of those whose outcomes are all final the one that has rested longest, since a late
-    /// copy of an answer has had the most time to show itself there; otherwise the one that was used last, since the others
-    /// are nearer to having their outcomes final.
+    /// Takes an idle connection that has rested for a time, for a call: of those whose outcomes are all final the one that has
+    /// rested longest, since a late copy of an answer has had the most time to show itself there; otherwise the one that was
+    /// used last, since the others are nearer to having their outcomes final.
     pub fn take(&mut self, incarnation: u64, now: Time, rest: Duration) -> Option<Connection> {
         let in_step = self.place_in_step(incarnation, rest);
         let place = in_step.or_else(|| self.last_provisional_place(incarnation, now, rest))?;
